--- a/packages/redwingmill-core/src/__tests__/unit/gate.test.ts
+++ b/packages/redwingmill-core/src/__tests__/unit/gate.test.ts
@@ -19,7 +19,9 @@
 function callWith(id: string, fields: Partial<GateCall> = {}): GateCall {
 	return {
 		id,
-		priority: 'normal',
+		service: 'coding',
+		group: '',
+		rank: 1,
 		deadlineAt: 1e6,
 		struckNodes: [],
 		fingerprint: () => id,
@@ -54,11 +56,11 @@
 	it('runs urgent calls first, and bulk calls in the end', () => {
 		const gate = gateWith(1);
 		gate.arrive(callWith('first'), 0);
-		gate.arrive(callWith('bulk', {priority: 'bulk'}), 0);
+		gate.arrive(callWith('bulk', {rank: 2}), 0);
 		const order: string[] = [];
 		let running = 'first';
 		for (let index = 0; index < 40 && running !== 'bulk'; index++) {
-			gate.arrive(callWith(`urgent ${index}`, {priority: 'urgent'}), 0);
+			gate.arrive(callWith(`urgent ${index}`, {rank: 0}), 0);
 			[running] = dispatched(gate.finish(running, {type: 'answered', payload: '', bytes: 0}, 0));
 			order.push(running);
 		}
@@ -70,10 +72,10 @@
 	it('keeps room for bulk calls in a queue full of urgent ones', () => {
 		const gate = gateWith(2);
 		for (let index = 0; index < 20; index++) {
-			gate.arrive(callWith(`urgent ${index}`, {priority: 'urgent'}), 0);
+			gate.arrive(callWith(`urgent ${index}`, {rank: 0}), 0);
 		}
 
-		const effects = gate.arrive(callWith('bulk', {priority: 'bulk'}), 0);
+		const effects = gate.arrive(callWith('bulk', {rank: 2}), 0);
 		expect(answers(effects)).to.deep.equal([]);
 	});
 
@@ -214,7 +216,7 @@
 	it('never runs more than its slots, and answers every call once, in any order of events', () => {
 		const anyEvent = fc.record({
 			kind: fc.constantFrom('arrive' as const, 'finish' as const, 'shed' as const, 'tick' as const),
-			priority: fc.constantFrom('urgent' as const, 'normal' as const, 'bulk' as const),
+			rank: fc.constantFrom(0, 1, 2),
 			afterMs: fc.nat({max: 50}),
 		});
 		fc.assert(
@@ -237,11 +239,11 @@
 						}
 					};
 
-					for (const [index, {kind, priority, afterMs}] of events.entries()) {
+					for (const [index, {kind, rank, afterMs}] of events.entries()) {
 						now += afterMs;
 						const [first] = running;
 						if (kind === 'arrive') {
-							apply(gate.arrive(callWith(`call ${index}`, {priority, deadlineAt: now + 200}), now));
+							apply(gate.arrive(callWith(`call ${index}`, {rank, deadlineAt: now + 200}), now));
 						} else if (kind === 'tick') {
 							apply(gate.tick(now));
 						} else if (first !== undefined) {
--- a/packages/redwingmill-core/src/call/concurrency-limit.ts
+++ b/packages/redwingmill-core/src/call/concurrency-limit.ts
@@ -23,6 +23,12 @@
 		}
 	}
 
+	/** Another worker has taken the place. */
+	reset(): void {
+		this.#limit = this.#slots;
+		this.#decreasedAt = Number.NEGATIVE_INFINITY;
+	}
+
 	/** The worker ran a call: the limit grows by one per limit's worth of calls. */
 	onSuccess(): void {
 		this.#limit = Math.min(this.#slots, this.#limit + 1 / this.#limit);
--- a/packages/redwingmill-core/src/call/endpoint-chooser.ts
+++ b/packages/redwingmill-core/src/call/endpoint-chooser.ts
@@ -1,8 +1,16 @@
 import {type Random} from 'redwingmill-shared';
 import {type Endpoint} from '../model/routing-table.js';
+import {expectedCompletion, freshCompletion, type CompletionState} from './expected-completion.js';
+import {type WorkerLoad} from './worker-load.js';
 
-/** How an endpoint is chosen; all but `two-choices` are baselines of measurements. */
-export const choicePolicies = ['two-choices', 'least-loaded', 'random', 'round-robin'] as const;
+/** How an endpoint is chosen; `least-loaded`, `random` and `round-robin` are baselines of measurements. */
+export const choicePolicies = [
+	'two-choices',
+	'expected-completion',
+	'least-loaded',
+	'random',
+	'round-robin',
+] as const;
 export type ChoicePolicy = (typeof choicePolicies)[number];
 
 /** Bounds of choice. */
@@ -18,6 +26,7 @@
 type EndpointState = {
 	readonly since: number;
 	inFlight: number;
+	completion: CompletionState;
 	/** Calls in progress per slot, as the gate said with its last answer. */
 	load: number;
 	loadAt: number;
@@ -32,6 +41,9 @@
 const ejectionCeilingMs = 30_000;
 const largestEjectedShare = 0.5;
 const smallestWarmth = 0.1;
+const failureSmoothing = 0.1;
+/** Part of the time left for a call within which the own data centre must be expected to answer. */
+const timelyShare = 0.8;
 /** Load at which the local data centre lacks capacity. */
 const fullLoad = 2;
 
@@ -66,6 +78,7 @@
 		endpoints: readonly Endpoint[],
 		excluded: ReadonlySet<string>,
 		now: number,
+		targetAt?: number,
 	): Endpoint | undefined {
 		if (endpoints.length === 1) {
 			return excluded.has(endpoints[0].node) ? undefined : endpoints[0];
@@ -73,22 +86,35 @@
 
 		const open = endpoints.filter((endpoint) => !excluded.has(endpoint.node));
 		const usable = this.#withoutEjected(open, endpoints.length, now);
+		if (this.#options.policy === 'expected-completion') {
+			return this.#soonest(usable, now, targetAt);
+		}
+
 		const local = usable.filter((endpoint) => endpoint.dataCentre === this.#options.dataCentre);
 		const hasCapacity = local.some((endpoint) => this.#loadOf(endpoint, now) < fullLoad);
 		return this.#pick(hasCapacity ? local : usable, now);
 	}
 
 	onSent(endpoint: Endpoint): void {
-		this.#stateOf(endpoint).inFlight += 1;
+		const state = this.#stateOf(endpoint);
+		state.inFlight += 1;
+		state.completion = {...state.completion, sent: state.completion.sent + 1};
+	}
+
+	/** Takes the load of a worker as its gate tells it, with an answer or by itself. */
+	onLoad(endpoint: Endpoint, load: WorkerLoad, now: number): void {
+		const state = this.#stateOf(endpoint);
+		state.load = load.callsPerSlot;
+		state.loadAt = now;
+		state.completion = {...state.completion, load, loadAt: now, sent: 0};
 	}
 
 	/** @param load - load that the gate reported; absent when it didn't answer. */
-	onFinished(endpoint: Endpoint, load: number | undefined, now: number): void {
+	onFinished(endpoint: Endpoint, load: WorkerLoad | undefined, now: number): void {
 		const state = this.#stateOf(endpoint);
 		state.inFlight = Math.max(0, state.inFlight - 1);
 		if (load !== undefined) {
-			state.load = load;
-			state.loadAt = now;
+			this.onLoad(endpoint, load, now);
 		}
 	}
 
@@ -96,12 +122,14 @@
 		const state = this.#stateOf(endpoint);
 		state.failures = 0;
 		state.ejections = 0;
+		state.completion = withOutcome(state.completion, 0);
 	}
 
 	/** Counts a failure of the endpoint itself; several in a row eject it for a while. */
 	onFailure(endpoint: Endpoint, now: number): void {
 		const state = this.#stateOf(endpoint);
 		state.failures += 1;
+		state.completion = withOutcome(state.completion, 1);
 		if (state.failures >= failuresToEject) {
 			const durationMs = Math.min(ejectionCeilingMs, ejectionBaseMs * 2 ** state.ejections);
 			state.ejections += 1;
@@ -117,6 +145,42 @@
 		return ejected > total * largestEjectedShare ? open : usable;
 	}
 
+	/**
+	 * The endpoint with the soonest expected answer. One in the own data centre goes first while it
+	 * can answer in time: a call that leaves costs bytes on the links between data centres.
+	 */
+	#soonest(
+		endpoints: readonly Endpoint[],
+		now: number,
+		targetAt: number | undefined,
+	): Endpoint | undefined {
+		const knownRunMs = this.#meanRunMs(endpoints);
+		const candidates = endpoints.map((endpoint) => {
+			const {completion, inFlight} = this.#stateOf(endpoint);
+			const isLocal = endpoint.dataCentre === this.#options.dataCentre;
+			const inputs = {slots: endpoint.slots, inFlight, isLocal, knownRunMs, now};
+			return {endpoint, isLocal, expectedMs: expectedCompletion(completion, inputs)};
+		});
+		const bySoonest = candidates.toSorted((a, b) => a.expectedMs - b.expectedMs);
+		const allowedMs = targetAt === undefined ? undefined : (targetAt - now) * timelyShare;
+		const timely =
+			allowedMs === undefined
+				? undefined
+				: bySoonest.find(({isLocal, expectedMs}) => isLocal && expectedMs <= allowedMs);
+		return (timely ?? bySoonest.at(0))?.endpoint;
+	}
+
+	/** Mean run time of the endpoints whose load is known, for those whose isn't. */
+	#meanRunMs(endpoints: readonly Endpoint[]): number | undefined {
+		const known = endpoints.flatMap((endpoint) => {
+			const {load} = this.#stateOf(endpoint).completion;
+			return load ? [load.runMs] : [];
+		});
+		return known.length === 0
+			? undefined
+			: known.reduce((sum, each) => sum + each, 0) / known.length;
+	}
+
 	#pick(endpoints: readonly Endpoint[], now: number): Endpoint | undefined {
 		if (endpoints.length <= 1) {
 			return endpoints[0];
@@ -136,6 +200,7 @@
 				return this.#leastLoaded(endpoints, now);
 			}
 
+			case 'expected-completion':
 			case 'two-choices': {
 				const first = this.#random.below(endpoints.length);
 				const step = 1 + this.#random.below(endpoints.length - 1);
@@ -186,10 +251,16 @@
 	}
 }
 
+function withOutcome(state: CompletionState, failure: 0 | 1): CompletionState {
+	const failureShare = state.failureShare + failureSmoothing * (failure - state.failureShare);
+	return {...state, failureShare};
+}
+
 function newState(since: number): EndpointState {
 	return {
 		since,
 		inFlight: 0,
+		completion: freshCompletion,
 		load: 0,
 		loadAt: 0,
 		failures: 0,
--- a/packages/redwingmill-core/src/call/entry-call.ts
+++ b/packages/redwingmill-core/src/call/entry-call.ts
@@ -1,15 +1,15 @@
 import {invariant} from 'redwingmill-shared';
-import {type Route} from 'redwingmill-text';
 import {type Endpoint} from '../model/routing-table.js';
 import {type Answer} from './call-ledger.js';
 import {type EndpointChooser} from './endpoint-chooser.js';
 import {isPassing, type NotRunReason, type Outcome, type UnknownReason} from './outcome.js';
-import {type RetryBudget} from './retry-budget.js';
+import {type RetryAllowance, type RetryBudget} from './retry-budget.js';
+import {type WorkerLoad} from './worker-load.js';
 
 /** A gate's answer to an attempt. */
 export type GateAnswer<Payload> = Answer<Payload> & {
-	/** Calls in progress per slot of the worker; absent when the gate didn't say. */
-	readonly load?: number;
+	/** Load of the worker; absent when the gate didn't say. */
+	readonly load?: WorkerLoad;
 	/** A node further down has retried already. */
 	readonly isRetried: boolean;
 };
@@ -43,8 +43,10 @@
 
 /** Fixed facts of a call at its entry node. */
 export type EntryCallOptions = {
-	readonly route: Route;
+	readonly retryAllowance: RetryAllowance;
 	readonly isIdempotent: boolean;
+	/** Monotonic milliseconds by which an answer is worth most; absent when only the deadline counts. */
+	readonly targetAt?: number;
 	/** Monotonic milliseconds at which the caller stops waiting. */
 	readonly deadlineAt: number;
 	/** Endpoints of the route's service when the call came. */
@@ -52,15 +54,24 @@
 	/** The only endpoint that may run the call, when it carries a ticket. */
 	readonly pinned?: Endpoint;
 	readonly withdraws: boolean;
+	/** Workers that the call may reach. Refusals by a gate don't count: its worker never saw the call. */
 	readonly maximumAttempts: number;
 };
 
 const noEndpointRetryMs = 500;
+/** Gates asked for one call; each costs a round trip. */
+const maximumPlacements = 6;
+/** Refusals after which the worker may have seen the call. */
+const arrivedReasons: ReadonlySet<NotRunReason> = new Set<NotRunReason>([
+	'worker-shed',
+	'worker-replaced',
+]);
 /** Refusals by which an endpoint shows that it isn't what it announces. */
 const workerFaults: ReadonlySet<NotRunReason> = new Set<NotRunReason>([
 	'worker-absent',
 	'worker-shed',
 	'worker-unreachable',
+	'worker-replaced',
 ]);
 
 /** Decides the attempts of one call at its entry node, until there is a final answer. */
@@ -72,7 +83,12 @@
 	#endpoint: Endpoint | undefined;
 	/** Why an earlier attempt may have run; then no later one can make the call not run. */
 	#doubt: UnknownReason | undefined;
+	/** Attempts begun, including those that a gate refused. */
 	#attempts = 0;
+	/** Attempts that may have reached a worker. */
+	#arrivals = 0;
+	/** Shortest time after which one of the gates that refused wants the call back. */
+	#retryAfterMs: number | undefined;
 	#struckNodes: readonly string[] = [];
 
 	constructor(options: EntryCallOptions, chooser: EndpointChooser, budget: RetryBudget) {
@@ -83,7 +99,7 @@
 
 	/** First action. */
 	begin(now: number): EntryAction<Payload> {
-		this.#budget.deposit(this.#options.route.retryShare);
+		this.#budget.deposit(now);
 		return this.#attempt(now) ?? this.#refuse('no-endpoint', noEndpointRetryMs);
 	}
 
@@ -175,12 +191,18 @@
 
 	/** The call wasn't run, so any method may be tried elsewhere. */
 	#onNotRun(answer: Answer<Payload>, now: number): EntryAction<Payload> {
-		const {outcome} = answer;
+		const {outcome, retryAfterMs} = answer;
 		const reason = outcome.type === 'not-run' ? outcome.reason : undefined;
 		const mayRetry = reason !== undefined && (isPassing(reason) || reason === 'withdrawn');
 		const isHopeless = reason === 'quarantined';
-		const retry = mayRetry && !isHopeless ? this.#retry(now) : undefined;
-		return retry ?? this.#final(answer);
+		const hasArrived = reason !== undefined && arrivedReasons.has(reason);
+		this.#noteRetryAfter(retryAfterMs);
+		if (!mayRetry || isHopeless) {
+			return this.#final(answer);
+		}
+
+		const retry = hasArrived ? this.#retry(now) : this.#placeElsewhere(now);
+		return retry ?? this.#final({...answer, retryAfterMs: this.#retryAfterMs});
 	}
 
 	/** The call may have run, so only idempotent ones are tried again. */
@@ -190,15 +212,35 @@
 		return retry ?? this.#final({outcome: {type: 'unknown', reason}});
 	}
 
+	/** Another worker, at the cost of the budget: one may have been reached already. */
 	#retry(now: number): EntryAction<Payload> | undefined {
+		this.#arrivals += 1;
 		const isAllowed =
-			this.#attempts < this.#options.maximumAttempts &&
-			now < this.#options.deadlineAt &&
-			this.#hasOtherEndpoint() &&
-			this.#budget.withdraw();
+			this.#arrivals < this.#options.maximumAttempts &&
+			this.#mayPlace(now) &&
+			this.#budget.withdraw(this.#options.retryAllowance, now);
 		return isAllowed ? this.#attempt(now) : undefined;
 	}
 
+	/** Another gate, free of cost: no worker has seen the call in this attempt. */
+	#placeElsewhere(now: number): EntryAction<Payload> | undefined {
+		return this.#mayPlace(now) ? this.#attempt(now) : undefined;
+	}
+
+	#mayPlace(now: number): boolean {
+		return (
+			this.#attempts < maximumPlacements &&
+			now < this.#options.deadlineAt &&
+			this.#hasOtherEndpoint()
+		);
+	}
+
+	#noteRetryAfter(retryAfterMs: number | undefined): void {
+		if (retryAfterMs !== undefined) {
+			this.#retryAfterMs = Math.min(retryAfterMs, this.#retryAfterMs ?? retryAfterMs);
+		}
+	}
+
 	#hasOtherEndpoint(): boolean {
 		const {pinned, endpoints} = this.#options;
 		return pinned === undefined && endpoints.some(({node}) => !this.#tried.has(node));
@@ -206,7 +248,8 @@
 
 	#attempt(now: number): EntryAction<Payload> | undefined {
 		const {pinned, endpoints} = this.#options;
-		const endpoint = pinned ?? this.#chooser.choose(endpoints, this.#tried, now);
+		const endpoint =
+			pinned ?? this.#chooser.choose(endpoints, this.#tried, now, this.#options.targetAt);
 		if (endpoint === undefined) {
 			return undefined;
 		}
--- /dev/null
+++ b/packages/redwingmill-core/src/call/expected-completion.ts
@@ -0,0 +1,54 @@
+import {type WorkerLoad} from './worker-load.js';
+
+/** What an entry node knows of an endpoint's speed and queue. */
+export type CompletionState = {
+	/** Load as the gate last told it. */
+	readonly load?: WorkerLoad;
+	/** Monotonic milliseconds at which it was told. */
+	readonly loadAt: number;
+	/** Calls sent there since. */
+	readonly sent: number;
+	/** Moving share of attempts that failed through the endpoint's own fault. */
+	readonly failureShare: number;
+};
+
+/** What else the expectation rests on. */
+export type CompletionInputs = {
+	readonly slots: number;
+	/** Own calls that are under way there. */
+	readonly inFlight: number;
+	/** Whether the endpoint is in the own data centre. */
+	readonly isLocal: boolean;
+	/** Mean run time of the service's other endpoints, in milliseconds; absent when none is known. */
+	readonly knownRunMs?: number;
+	/** Monotonic milliseconds. */
+	readonly now: number;
+};
+
+/** State of an endpoint that nothing is known of. */
+export const freshCompletion: CompletionState = {loadAt: 0, sent: 0, failureShare: 0};
+
+/** Assumed until any endpoint of the service has told its run time. */
+const unknownRunMs = 50;
+/** Round trip to another data centre of the region, plus what its bytes are worth waiting for. */
+const remoteCostMs = 10;
+/** A failed attempt costs the caller another one, at a worker that is told nothing of its haste. */
+const failureCostMs = 400;
+/** How much a worker whose slots are all taken is slower than an idle one. */
+const fullnessShare = 0.3;
+
+/**
+ * Expected time until an endpoint answers, in milliseconds: the queue that its gate told, less what
+ * it has worked off since, plus what this node has added, plus the run itself.
+ */
+export function expectedCompletion(state: CompletionState, inputs: CompletionInputs): number {
+	const {load, loadAt, sent, failureShare} = state;
+	const {slots, inFlight, isLocal, knownRunMs, now} = inputs;
+	const runMs = load?.runMs ?? knownRunMs ?? unknownRunMs;
+	const queueMs = Math.max(0, (load?.waitMs ?? 0) - (now - loadAt));
+	const busyShare = Math.max(inFlight / slots, (load?.callsPerSlot ?? 0) + sent / slots);
+	const addedMs = busyShare > 1 ? (sent * runMs) / slots : 0;
+	const slowedMs = runMs * (1 + fullnessShare * Math.min(1, busyShare));
+	const distanceMs = isLocal ? 0 : remoteCostMs;
+	return queueMs + addedMs + slowedMs + distanceMs + failureShare * failureCostMs;
+}
--- a/packages/redwingmill-core/src/call/gate.ts
+++ b/packages/redwingmill-core/src/call/gate.ts
@@ -1,11 +1,13 @@
-import {TokenBucket} from 'redwingmill-shared';
-import {type Priority} from 'redwingmill-text';
 import {type Worker} from '../model/node-record.js';
+import {judgeAdmission} from './admission.js';
 import {CallLedger, type Answer} from './call-ledger.js';
-import {ClassQueue} from './class-queue.js';
 import {ConcurrencyLimit} from './concurrency-limit.js';
+import {CrashWatch, type SuspicionReport} from './crash-watch.js';
 import {isPassing, type NotRunReason, type UnknownReason} from './outcome.js';
+import {RankQueue} from './rank-queue.js';
+import {RunTimes} from './run-times.js';
 import {SuspectList} from './suspect-list.js';
+import {type WorkerLoad} from './worker-load.js';
 
 /** A call at the gate of its worker's node. */
 export type GateCall = {
@@ -13,7 +15,14 @@
 	readonly id: string;
 	/** Number of the ticket, when the call has one. */
 	readonly ticket?: number;
-	readonly priority: Priority;
+	/** Service that the call is for; the gate refuses it when its worker is of another one. */
+	readonly service: string;
+	/** Names calls that take similar time. */
+	readonly group: string;
+	/** 0 is the most urgent. */
+	readonly rank: number;
+	/** Monotonic milliseconds by which an answer is worth most; absent when only the deadline counts. */
+	readonly targetAt?: number;
 	/** Monotonic milliseconds at which the caller stops waiting. */
 	readonly deadlineAt: number;
 	/** Nodes whose workers died of this call, as far as the entry node knows. */
@@ -27,10 +36,14 @@
 	| {readonly type: 'answered'; readonly payload: Payload; readonly bytes: number}
 	/** The worker said that it didn't run the call. */
 	| {readonly type: 'shed'}
+	/** Another worker has taken the address; it didn't run the call. */
+	| {readonly type: 'misdirected'}
 	/** No connection: no byte of the call was sent. */
 	| {readonly type: 'unreachable'}
-	/** The connection broke before the answer was complete. */
+	/** The worker ended before the answer was complete. */
 	| {readonly type: 'died'}
+	/** The worker lives, but its answer was lost, cut short or not its own. */
+	| {readonly type: 'lost'}
 	| {readonly type: 'timed-out'}
 	| {readonly type: 'aborted'}
 	| {readonly type: 'too-large'};
@@ -48,7 +61,9 @@
 	/** Ends the exchange with the worker: nobody waits any more. */
 	| {readonly type: 'abort'; readonly key: string}
 	/** Tells the other nodes that a worker died of a request, or that one suspected ran well. */
-	| {readonly type: 'suspect'; readonly fingerprint: string; readonly isCleared: boolean};
+	| ({readonly type: 'suspect'} & SuspicionReport)
+	/** The worker can't be reached, or isn't the one announced; it counts as absent from now on. */
+	| {readonly type: 'worker-gone'};
 
 /** Result of asking the gate to withdraw an attempt. */
 export type Withdrawal<Payload> =
@@ -66,6 +81,10 @@
 	readonly keptBytes: number;
 	readonly keptEntries: number;
 	readonly quarantineMs: number;
+	/** Different workers that have to die of a request before it is refused. */
+	readonly deathsToQuarantine: number;
+	/** Runs a suspected request only while the worker runs nothing else. */
+	readonly isolatesSuspects: boolean;
 	/** Added to the age of a withdrawn attempt for the time its request was under way. */
 	readonly withdrawMarginMs: number;
 	/** Without it, every call goes to the worker at once; the baseline of measurements. */
@@ -79,19 +98,16 @@
 	keptBytes: 4 * 1024 * 1024,
 	keptEntries: 20_000,
 	quarantineMs: 60_000,
+	deathsToQuarantine: 2,
+	isolatesSuspects: true,
 	withdrawMarginMs: 5000,
 	isLimiting: true,
 };
 
 const shortestRetryAfterMs = 100;
+/** Part of its usual run time that a waiting call must have left. */
+const leastRunShare = 0.5;
 const ticketPrefix = 'ticket ';
-/** Suspicions that one gate may spread; a bad worker would otherwise flood the mesh. */
-const reportBurst = 10;
-/** Calls that break within this time of each other were ended by the same death. */
-const sameDeathMs = 200;
-const reportsPerSecond = 1;
-const smoothing = 0.1;
-const initialServiceMs = 1;
 
 /** A call that the worker is running. */
 type Running = {
@@ -106,32 +122,26 @@
  */
 export class Gate<Payload> {
 	readonly #limits: GateLimits;
-	readonly #queue = new ClassQueue<GateCall>();
+	readonly #queue = new RankQueue<GateCall>();
 	readonly #running = new Map<string, Running>();
 	readonly #calls: CallLedger<Payload>;
 	readonly #tickets: CallLedger<Payload>;
 	readonly #limit = new ConcurrencyLimit(1);
-	readonly #suspects: SuspectList;
-	readonly #node: string;
-	readonly #reports: TokenBucket;
+	readonly #runTimes = new RunTimes();
+	readonly #crashes: CrashWatch;
 	#worker: Worker | undefined;
 	#isStopping = false;
 	/** A suspect that waits until the worker runs nothing else; meanwhile nothing is dispatched. */
 	#heldSuspect: GateCall | undefined;
 	#runningSuspects = 0;
-	/** Whether the worker has run a call since it last died. */
-	#hasRunWell = false;
-	#diedAt = Number.NEGATIVE_INFINITY;
 	#issuedTickets = 0;
 	#forgottenTickets = 0;
-	#serviceMs = initialServiceMs;
 
 	/** @param node - control address of the gate's node. */
 	constructor(limits: GateLimits, node: string, now: number) {
 		this.#limits = limits;
-		this.#node = node;
-		this.#suspects = new SuspectList(limits.quarantineMs);
-		this.#reports = new TokenBucket(reportBurst, reportsPerSecond, now);
+		const {quarantineMs, deathsToQuarantine} = limits;
+		this.#crashes = new CrashWatch(new SuspectList(quarantineMs, deathsToQuarantine), node, now);
 		const {retentionMs, ticketRetentionMs, keptBytes, keptEntries} = limits;
 		const bounds = {maximumBytes: keptBytes, maximumEntries: keptEntries};
 		this.#calls = new CallLedger({...bounds, retentionMs});
@@ -149,9 +159,13 @@
 		return this.#limits.queuePerSlot * (this.#worker?.slots ?? 1);
 	}
 
-	/** Calls in progress, waiting ones included, per slot of the worker. */
-	get load(): number {
-		return (this.#running.size + this.waitingCount) / (this.#worker?.slots ?? 1);
+	/** Load for those who choose between workers. */
+	get load(): WorkerLoad {
+		return {
+			callsPerSlot: (this.#running.size + this.waitingCount) / (this.#worker?.slots ?? 1),
+			waitMs: this.#expectedWaitMs(Number.POSITIVE_INFINITY, Number.POSITIVE_INFINITY),
+			runMs: this.#runTimes.meanMs,
+		};
 	}
 
 	get runningCount(): number {
@@ -169,7 +183,14 @@
 
 	/** Takes the worker's announcement. When it leaves, waiting calls are refused at once. */
 	setWorker(worker: Worker | undefined, now: number): Array<GateEffect<Payload>> {
+		const isAnother =
+			worker?.instance !== this.#worker?.instance || worker?.startedAt !== this.#worker?.startedAt;
 		this.#worker = worker;
+		if (isAnother) {
+			this.#limit.reset();
+			this.#runTimes.reset();
+		}
+
 		this.#limit.resize(worker?.slots ?? 1);
 		return this.#acceptsCalls() ? this.#fill(now) : this.#refuseWaiting(now);
 	}
@@ -207,14 +228,19 @@
 			return [this.#refuse(call, refusal, now)];
 		}
 
-		const hasRoom = this.#hasRoom(call.priority);
-		const displaced = hasRoom ? undefined : this.#queue.displace(call.priority, this.#bound);
+		const verdict = this.#judge(call, now);
+		if (verdict.type === 'refused') {
+			return [this.#refuse(call, verdict.reason, now, verdict.retryAfterMs)];
+		}
+
+		const hasRoom = this.#hasRoom(call.rank);
+		const displaced = hasRoom ? undefined : this.#queue.displace(call.rank, this.#bound);
 		if (!hasRoom && displaced === undefined) {
 			return [this.#refuse(call, 'queue-full', now)];
 		}
 
 		this.#ledgerOf(call).open(this.keyOf(call), now);
-		this.#queue.add(call, call.priority);
+		this.#queue.add(call, call.rank, dueAtOf(call));
 		const effects = displaced ? [this.#refuse(displaced, 'displaced', now)] : [];
 		return [...effects, ...this.#fill(now)];
 	}
@@ -275,21 +301,15 @@
 		isCleared: boolean,
 		now: number,
 	): Array<GateEffect<Payload>> {
-		if (isCleared) {
-			this.#suspects.clear(fingerprint, now);
-			return [];
-		}
-
-		const counts = this.#suspects.strike(fingerprint, [node], now);
-		return counts ? [] : this.#report(fingerprint, true, now);
+		return toEffects(this.#crashes.onReported({fingerprint, isCleared}, node, now));
 	}
 
 	/** Refuses calls whose time is up and forgets what is no longer kept. */
 	tick(now: number): Array<GateEffect<Payload>> {
 		this.#calls.evict(now);
 		this.#tickets.evict(now);
-		const late = this.#takeWaiting((call) => call.deadlineAt <= now);
-		return [...late.map((call) => this.#refuse(call, 'deadline-passed', now)), ...this.#fill(now)];
+		const late = this.#takeWaiting((call) => this.#isHopeless(call, now));
+		return [...late.map((call) => this.#refuse(call, 'waited-too-long', now)), ...this.#fill(now)];
 	}
 
 	#ledgerOf(call: Pick<GateCall, 'ticket'>): CallLedger<Payload> {
@@ -329,7 +349,8 @@
 	}
 
 	#refusalOf(call: GateCall, now: number): NotRunReason | undefined {
-		if (this.#worker === undefined || this.#worker.state === 'absent') {
+		const isOwn = this.#worker?.service === call.service;
+		if (this.#worker === undefined || this.#worker.state === 'absent' || !isOwn) {
 			return 'worker-absent';
 		}
 
@@ -341,40 +362,47 @@
 			return 'deadline-passed';
 		}
 
-		if (this.#suspicionOf(call, now) === 'quarantined') {
-			return 'quarantined';
-		}
+		return this.#crashes.suspicionOf(call, now) === 'quarantined' ? 'quarantined' : undefined;
+	}
 
+	#judge(call: GateCall, now: number) {
 		if (!this.#limits.isLimiting) {
-			return undefined;
+			return {type: 'admitted'} as const;
 		}
 
-		const waitMs = this.#expectedWaitMs(call.priority);
-		return now + waitMs + this.#serviceMs > call.deadlineAt ? 'deadline-too-close' : undefined;
+		const {deadlineAt, targetAt, group, rank} = call;
+		const waitMs = this.#expectedWaitMs(rank, dueAtOf(call));
+		const runMs = this.#runTimes.expectedMs(group);
+		return judgeAdmission({now, deadlineAt, targetAt, waitMs, runMs});
 	}
 
-	#suspicionOf(call: GateCall, now: number) {
-		if (this.#suspects.isEmpty && call.struckNodes.length === 0) {
-			return 'none';
-		}
-
-		return this.#suspects.suspicionOf(call.fingerprint(), call.struckNodes, now);
+	/** Whether a waiting call can't be answered before its caller stops waiting. */
+	#isHopeless({deadlineAt, group}: GateCall, now: number): boolean {
+		return now + this.#runTimes.expectedMs(group) * leastRunShare >= deadlineAt;
 	}
 
 	#acceptsCalls(): boolean {
 		return !this.#isStopping && this.#worker?.state === 'ready';
 	}
 
-	#expectedWaitMs(priority: Priority): number {
+	/** Time until a slot is free for a new call: the work that goes before it, over the limit. */
+	#expectedWaitMs(rank: number, dueAt: number): number {
 		const limit = this.#limit.value;
-		const ahead = this.#queue.ahead(priority);
-		const isBusy = this.#running.size >= limit;
-		return isBusy ? ((ahead + 1) / limit) * this.#serviceMs : 0;
+		if (this.#running.size < limit) {
+			return 0;
+		}
+
+		let aheadMs = this.#runTimes.meanMs;
+		for (const call of this.#queue.ahead(rank, dueAt)) {
+			aheadMs += this.#runTimes.expectedMs(call.group);
+		}
+
+		return aheadMs / limit;
 	}
 
-	#hasRoom(priority: Priority): boolean {
+	#hasRoom(rank: number): boolean {
 		const isWaiting = this.#running.size >= this.#limit.value;
-		return !this.#limits.isLimiting || !isWaiting || this.#queue.hasRoom(priority, this.#bound);
+		return !this.#limits.isLimiting || !isWaiting || this.#queue.hasRoom(rank, this.#bound);
 	}
 
 	#fill(now: number): Array<GateEffect<Payload>> {
@@ -385,7 +413,7 @@
 				break;
 			}
 
-			const isSuspect = this.#suspicionOf(call, now) !== 'none';
+			const isSuspect = this.#needsIsolation(call, now);
 			this.#runningSuspects += isSuspect ? 1 : 0;
 			this.#running.set(this.keyOf(call), {call, startedAt: now, isSuspect});
 			effects.push({type: 'dispatch', call});
@@ -398,7 +426,7 @@
 	#next(now: number): GateCall | undefined {
 		const call = this.#heldSuspect ?? this.#queue.pick();
 		this.#heldSuspect = undefined;
-		if (call && this.#running.size > 0 && this.#suspicionOf(call, now) !== 'none') {
+		if (call && this.#running.size > 0 && this.#needsIsolation(call, now)) {
 			this.#heldSuspect = call;
 			return undefined;
 		}
@@ -406,6 +434,10 @@
 		return call;
 	}
 
+	#needsIsolation(call: GateCall, now: number): boolean {
+		return this.#limits.isolatesSuspects && this.#crashes.suspicionOf(call, now) !== 'none';
+	}
+
 	#hasFreeSlot(): boolean {
 		if (!this.#limits.isLimiting) {
 			return true;
@@ -433,12 +465,9 @@
 		switch (result.type) {
 			case 'answered': {
 				this.#limit.onSuccess();
-				this.#serviceMs += smoothing * (now - startedAt - this.#serviceMs);
-				this.#hasRunWell = true;
-				const fingerprint = call.fingerprint();
-				const wasSuspected = this.#suspects.clear(fingerprint, now);
+				this.#runTimes.record(call.group, now - startedAt);
 				return [
-					...(wasSuspected ? this.#report(fingerprint, true, now) : []),
+					...toEffects(this.#crashes.onRanWell(call, now)),
 					this.#settle(call, {outcome: {type: 'ran'}, payload: result.payload}, result.bytes, now),
 				];
 			}
@@ -448,12 +477,24 @@
 				return [this.#refuse(call, 'worker-shed', now)];
 			}
 
+			case 'misdirected': {
+				return [this.#refuse(call, 'worker-replaced', now), {type: 'worker-gone'}];
+			}
+
 			case 'unreachable': {
-				return [this.#refuse(call, 'worker-unreachable', now)];
+				return [this.#refuse(call, 'worker-unreachable', now), {type: 'worker-gone'}];
 			}
 
 			case 'died': {
-				return [...this.#strike(call, now), this.#settleUnknown(call, 'worker-died', now)];
+				return [
+					...toEffects(this.#crashes.onDied(call, now)),
+					this.#settleUnknown(call, 'worker-died', now),
+					{type: 'worker-gone'},
+				];
+			}
+
+			case 'lost': {
+				return [this.#settleUnknown(call, 'answer-lost', now)];
 			}
 
 			case 'timed-out': {
@@ -470,31 +511,6 @@
 		}
 	}
 
-	#strike(call: GateCall, now: number): Array<GateEffect<Payload>> {
-		if (!this.#isCredible(now)) {
-			return [];
-		}
-
-		const fingerprint = call.fingerprint();
-		const counts = this.#suspects.strike(fingerprint, [...call.struckNodes, this.#node], now);
-		return counts ? this.#report(fingerprint, false, now) : [];
-	}
-
-	/** A worker that runs nothing well says nothing about requests; calls that end together count alike. */
-	#isCredible(now: number): boolean {
-		if (this.#hasRunWell) {
-			this.#hasRunWell = false;
-			this.#diedAt = now;
-			return true;
-		}
-
-		return now - this.#diedAt <= sameDeathMs;
-	}
-
-	#report(fingerprint: string, isCleared: boolean, now: number): Array<GateEffect<Payload>> {
-		return this.#reports.take(now) ? [{type: 'suspect', fingerprint, isCleared}] : [];
-	}
-
 	#settleUnknown(call: GateCall, reason: UnknownReason, now: number): GateEffect<Payload> {
 		return this.#settle(call, {outcome: {type: 'unknown', reason}}, 0, now);
 	}
@@ -511,11 +527,16 @@
 	}
 
 	/** A ticket whose call wasn't run may be used again; an attempt without one is over. */
-	#refuse(call: GateCall, reason: NotRunReason, now: number): GateEffect<Payload> {
+	#refuse(
+		call: GateCall,
+		reason: NotRunReason,
+		now: number,
+		retryAfterMs = this.#retryAfterMs(call, reason, now),
+	): GateEffect<Payload> {
 		const key = this.keyOf(call);
 		const answer: Answer<Payload> = {
 			outcome: {type: 'not-run', reason},
-			retryAfterMs: isPassing(reason) ? this.#retryAfterMs(call, reason, now) : undefined,
+			retryAfterMs: isPassing(reason) ? Math.max(shortestRetryAfterMs, retryAfterMs) : undefined,
 		};
 		if (call.ticket === undefined) {
 			this.#calls.finish(key, answer, 0, now);
@@ -528,10 +549,10 @@
 
 	#retryAfterMs(call: GateCall, reason: NotRunReason, now: number): number {
 		if (reason === 'quarantined') {
-			return this.#suspects.remainingMs(call.fingerprint(), now);
+			return this.#crashes.remainingMs(call, now);
 		}
 
-		return Math.max(shortestRetryAfterMs, this.#expectedWaitMs('bulk'));
+		return this.#expectedWaitMs(call.rank, dueAtOf(call));
 	}
 
 	#refuseWaiting(now: number): Array<GateEffect<Payload>> {
@@ -553,6 +574,14 @@
 	}
 }
 
+function dueAtOf({targetAt, deadlineAt}: GateCall): number {
+	return targetAt ?? deadlineAt;
+}
+
+function toEffects(report: SuspicionReport | undefined) {
+	return report ? [{type: 'suspect', ...report} as const] : [];
+}
+
 function ticketOf(key: string): number {
 	return Number(key.slice(ticketPrefix.length));
 }
--- a/packages/redwingmill-core/src/call/retry-budget.ts
+++ b/packages/redwingmill-core/src/call/retry-budget.ts
@@ -1,21 +1,66 @@
-const burst = 5;
+/** Retries allowed in any window. */
+export type RetryAllowance = {
+	/** Retries per first attempt. */
+	readonly share: number;
+	/** Retries on top, whatever the first attempts were. */
+	readonly slack: number;
+};
 
-/** Bounds retries to a share of first attempts, with a small burst for quiet times. */
+/** Calls counted in one slice of the window. */
+type Slice = {
+	readonly startedAt: number;
+	firsts: number;
+	retries: number;
+};
+
+const slicesPerWindow = 20;
+
+/**
+ * Bounds retries to a share of first attempts in a sliding window. Each node keeps its own budgets
+ * from its own calls, so the sum over all nodes is within the share without any exchange between
+ * them; the slack is the node's part of what the whole mesh may spend.
+ */
 export class RetryBudget {
-	#tokens = burst;
+	readonly #windowMs: number;
+	#slices: Slice[] = [];
 
-	/** Counts a first attempt, which earns `share` of a retry. */
-	deposit(share: number): void {
-		this.#tokens = Math.min(burst, this.#tokens + share);
+	/** @param windowMs - length of the sliding window, in milliseconds. */
+	constructor(windowMs: number) {
+		this.#windowMs = windowMs;
 	}
 
-	/** Takes one retry out of the budget. */
-	withdraw(): boolean {
-		if (this.#tokens < 1) {
+	/** Counts a first attempt. */
+	deposit(now: number): void {
+		this.#slice(now).firsts += 1;
+	}
+
+	/** Takes one retry out of the budget if there is one. */
+	withdraw({share, slack}: RetryAllowance, now: number): boolean {
+		const slice = this.#slice(now);
+		const firsts = this.#slices.reduce((sum, each) => sum + each.firsts, 0);
+		const retries = this.#slices.reduce((sum, each) => sum + each.retries, 0);
+		if (retries + 1 > share * firsts + slack) {
 			return false;
 		}
 
-		this.#tokens -= 1;
+		slice.retries += 1;
 		return true;
 	}
+
+	#slice(now: number): Slice {
+		const windowMs = this.#windowMs;
+		const oldest = now - windowMs;
+		if (this.#slices.length > 0 && this.#slices[0].startedAt <= oldest) {
+			this.#slices = this.#slices.filter(({startedAt}) => startedAt > oldest);
+		}
+
+		const last = this.#slices.at(-1);
+		if (last && now - last.startedAt < windowMs / slicesPerWindow) {
+			return last;
+		}
+
+		const slice: Slice = {startedAt: now, firsts: 0, retries: 0};
+		this.#slices.push(slice);
+		return slice;
+	}
 }
--- a/packages/redwingmill-core/src/call/suspect-list.ts
+++ b/packages/redwingmill-core/src/call/suspect-list.ts
@@ -7,23 +7,27 @@
 	readonly until: number;
 };
 
-const nodesToQuarantine = 2;
 const maximumSuspects = 1000;
 const maximumSuccesses = 1000;
 
 /**
- * Requests suspected of crashing workers, by fingerprint. A request is quarantined once two
- * different workers died of it, unless it is known to have run well: then the workers are to blame.
+ * Requests suspected of crashing workers, by fingerprint. A request is quarantined once
+ * enough different workers died of it, unless it is known to have run well: then the workers are to blame.
  */
 export class SuspectList {
 	readonly #durationMs: number;
+	readonly #nodesToQuarantine: number;
 	readonly #suspects = new Map<string, Suspect>();
 	/** Time of the last good run, by fingerprint, oldest first. */
 	readonly #successes = new Map<string, number>();
 
-	/** @param durationMs - how long a suspicion or a proof of innocence holds. */
-	constructor(durationMs: number) {
+	/**
+	 * @param durationMs - how long a suspicion or a proof of innocence holds.
+	 * @param nodesToQuarantine - different nodes whose workers have to die of a request.
+	 */
+	constructor(durationMs: number, nodesToQuarantine: number) {
 		this.#durationMs = durationMs;
+		this.#nodesToQuarantine = nodesToQuarantine;
 	}
 
 	get isEmpty(): boolean {
@@ -68,7 +72,7 @@
 
 		const known = this.#current(fingerprint, now)?.nodes ?? [];
 		const count = new Set([...known, ...nodes]).size;
-		if (count >= nodesToQuarantine) {
+		if (count >= this.#nodesToQuarantine) {
 			return 'quarantined';
 		}
 
--- /dev/null
+++ b/packages/redwingmill-core/src/directory/create-directory.ts
@@ -0,0 +1,38 @@
+import {Engine, type EngineOptions} from '../engine/engine.js';
+import {AdoptionController} from './adoption-controller.js';
+import {type DirectoryBoard} from './directory-board.js';
+import {type DirectoryEffect, type DirectoryEvent} from './directory-event.js';
+import {type DirectoryLimits} from './directory-limits.js';
+import {EndpointsController} from './endpoints-controller.js';
+import {PeersController} from './peers-controller.js';
+import {PulseController} from './pulse-controller.js';
+import {RegistryController} from './registry-controller.js';
+import {StandingController} from './standing-controller.js';
+
+/** Engine of a node that finds the others through the store. */
+export type Directory = Engine<DirectoryBoard, DirectoryEvent, DirectoryEffect, DirectoryLimits>;
+
+/** Order in which controllers see an event: lower ones first. */
+const priorities = {
+	adoption: 0,
+	standing: 1,
+	peers: 2,
+	pulse: 3,
+	registry: 4,
+	endpoints: 5,
+} as const;
+
+/** An engine with all controllers of the directory. */
+export function createDirectory(
+	initial: DirectoryBoard,
+	options: EngineOptions<DirectoryLimits>,
+): Directory {
+	const directory: Directory = new Engine(initial, options);
+	directory.registerController(new PeersController(), priorities.peers);
+	directory.registerController(new PulseController(), priorities.pulse);
+	directory.registerController(new AdoptionController(), priorities.adoption);
+	directory.registerController(new RegistryController(), priorities.registry);
+	directory.registerController(new StandingController(), priorities.standing);
+	directory.registerController(new EndpointsController(), priorities.endpoints);
+	return directory;
+}
--- /dev/null
+++ b/packages/redwingmill-core/src/directory/directory-board.ts
@@ -0,0 +1,93 @@
+import {type WorkerLoad} from '../call/worker-load.js';
+import {type ConfigurationDocument} from '../model/configuration-document.js';
+import {type NodeRecord} from '../model/node-record.js';
+import {emptyRoutingTable, type RoutingTable} from '../model/routing-table.js';
+
+/** Word of a version that this node doesn't hold. */
+export type NewerVersion = {
+	readonly version: number;
+	/** Control address of the node that holds it. */
+	readonly holder: string;
+	readonly heardAt: number;
+	/** Whether the store was read again because of it. */
+	readonly isRead: boolean;
+	/** When a node that holds it was last asked. */
+	readonly askedAt?: number;
+};
+
+/** Version of the configuration in force here. */
+export type AdoptionSection = {
+	readonly held?: ConfigurationDocument;
+	readonly newer?: NewerVersion;
+};
+
+/** What this node knows of its contact with another node. */
+export type Contact = {
+	/** Monotonic milliseconds; negative infinity when nothing was ever heard. */
+	readonly heardAt: number;
+	readonly sentAt: number;
+	readonly inquiredAt: number;
+	/** Since when the node counts as unreachable; absent while it doesn't. */
+	readonly lapsedAt?: number;
+};
+
+/** Other nodes, by control address. */
+export type MembersSection = {
+	readonly self: NodeRecord;
+	readonly load?: WorkerLoad;
+	readonly records: ReadonlyMap<string, NodeRecord>;
+	readonly contacts: ReadonlyMap<string, Contact>;
+	/** Records of the nodes that may be routed to, the own one included. */
+	readonly reachable: readonly NodeRecord[];
+	readonly tickedAt: number;
+	/** Times at which the own record is told again to everyone. */
+	readonly repeatsAt: readonly number[];
+};
+
+/** A call to the registry: when it is due, or that it is under way. */
+export type RegistryCall = {
+	readonly isUnderWay: boolean;
+	/** Monotonic milliseconds; infinity when nothing is to be done. */
+	readonly dueAt: number;
+	/** Failures in a row. */
+	readonly attempt: number;
+};
+
+/** Registry of nodes in the store: the own record is written there, and the others' are listed. */
+export type RegistrySection = {
+	readonly writing: RegistryCall;
+	readonly listing: RegistryCall;
+	/** Whether the registry was ever listed. */
+	readonly isKnown: boolean;
+};
+
+export const directoryStates = ['starting', 'serving', 'stopping'] as const;
+export type DirectoryState = (typeof directoryStates)[number];
+
+/** State of a node that finds the others through the store. Immutable; replaced by section. */
+export type DirectoryBoard = {
+	readonly adoption: AdoptionSection;
+	readonly members: MembersSection;
+	readonly registry: RegistrySection;
+	readonly standing: {readonly state: DirectoryState; readonly since: number};
+	readonly routing: RoutingTable;
+};
+
+/** State of a node that has just started. */
+export function initialDirectory(self: NodeRecord, now: number): DirectoryBoard {
+	const due: RegistryCall = {isUnderWay: false, dueAt: now, attempt: 0};
+	return {
+		adoption: {},
+		members: {
+			self,
+			records: new Map(),
+			contacts: new Map(),
+			reachable: [self],
+			tickedAt: now,
+			repeatsAt: [],
+		},
+		registry: {writing: due, listing: due, isKnown: false},
+		standing: {state: 'starting', since: now},
+		routing: emptyRoutingTable,
+	};
+}
--- /dev/null
+++ b/packages/redwingmill-core/src/directory/directory-event.ts
@@ -0,0 +1,59 @@
+import {type WorkerLoad} from '../call/worker-load.js';
+import {type ConfigurationDocument} from '../model/configuration-document.js';
+import {type Datagram} from '../model/datagram.js';
+import {type NodeRecord, type Worker} from '../model/node-record.js';
+
+/** Everything that the directory reacts to. Plain data. */
+export type DirectoryEvent =
+	| {readonly type: 'tick'}
+	/** @see Datagram - `from` is the sender's control address. */
+	| {readonly type: 'datagram'; readonly from: string; readonly datagram: Datagram}
+	/** A node answered over another connection, so it lives. */
+	| {readonly type: 'node-heard'; readonly address: string}
+	| {readonly type: 'worker-changed'; readonly worker: Worker}
+	| {readonly type: 'load-changed'; readonly load: WorkerLoad}
+	/** The settings name a node that may be there. */
+	| {readonly type: 'seeds-known'; readonly addresses: readonly string[]}
+	| {readonly type: 'record-written'; readonly isDone: boolean}
+	| {readonly type: 'registry-listed'; readonly records: readonly NodeRecord[] | undefined}
+	| {
+			readonly type: 'configuration-read';
+			readonly document: ConfigurationDocument;
+			readonly origin: 'store' | 'node';
+	  }
+	| {readonly type: 'stop-requested'};
+
+/** What the directory wants done. Plain data. */
+export type DirectoryEffect =
+	| {readonly type: 'send'; readonly to: string; readonly datagram: Datagram}
+	| {readonly type: 'write-record'; readonly record: NodeRecord}
+	| {readonly type: 'list-registry'}
+	/** Reads the configuration from the store at once instead of waiting for its watch. */
+	| {readonly type: 'read-configuration'}
+	| {readonly type: 'ask-configuration'; readonly node: string; readonly gateAddress: string}
+	| {readonly type: 'load-heard'; readonly node: string; readonly load: WorkerLoad}
+	| {
+			readonly type: 'suspect';
+			readonly fingerprint: string;
+			readonly node: string;
+			readonly isCleared: boolean;
+	  }
+	| {readonly type: 'notify'; readonly notice: DirectoryNotice};
+
+/** What operators may want to know; each becomes a numbered log event. */
+export type DirectoryNotice =
+	| {
+			readonly type: 'configuration-adopted';
+			readonly version: number;
+			readonly previous: number;
+			readonly origin: 'store' | 'node';
+	  }
+	| {readonly type: 'node-joined'; readonly peer: string; readonly incarnation: number}
+	| {readonly type: 'node-lapsed'; readonly peer: string; readonly silentMs: number}
+	| {readonly type: 'node-returned'; readonly peer: string}
+	| {readonly type: 'node-left'; readonly peer: string}
+	| {readonly type: 'registry-reached'; readonly nodes: number}
+	| {readonly type: 'registry-failed'; readonly attempt: number}
+	| {readonly type: 'identity-renewed'; readonly incarnation: number}
+	| {readonly type: 'directory-state'; readonly from: string; readonly to: string}
+	| {readonly type: 'paused'; readonly durationMs: number};
--- /dev/null
+++ b/packages/redwingmill-core/src/directory/endpoints-controller.ts
@@ -0,0 +1,25 @@
+import {deriveRouting} from '../model/derive-routing.js';
+import {type DirectoryEvent} from './directory-event.js';
+import {
+	type DirectoryContext,
+	type DirectoryController,
+	type DirectoryUpdate,
+} from './directory-controller.js';
+
+const noneActivated: ReadonlySet<string> = new Set();
+
+/** Derives the routing table from the version held and the nodes in reach, in the same commit as both. */
+export class EndpointsController implements DirectoryController {
+	handle(update: DirectoryUpdate, _event: DirectoryEvent, _context: DirectoryContext): void {
+		const {adoption, members} = update.pending;
+		const isUnchanged =
+			adoption.held === update.current.adoption.held &&
+			members.reachable === update.current.members.reachable;
+		if (isUnchanged || adoption.held === undefined) {
+			return;
+		}
+
+		const {routing} = deriveRouting(adoption.held, members.reachable, noneActivated);
+		update.set('routing', routing);
+	}
+}
--- /dev/null
+++ b/packages/redwingmill-core/src/directory/peers-controller.ts
@@ -0,0 +1,227 @@
+import {type Datagram} from '../model/datagram.js';
+import {supersedes, type NodeRecord} from '../model/node-record.js';
+import {type DirectoryEvent} from './directory-event.js';
+import {
+	type DirectoryContext,
+	type DirectoryController,
+	type DirectoryUpdate,
+} from './directory-controller.js';
+import {
+	announceToAll,
+	announcementOf,
+	changeSelf,
+	newContact,
+	setMembers,
+} from './member-actions.js';
+
+/** Keeps the records of the other nodes and tells them the own one. */
+export class PeersController implements DirectoryController {
+	handle(update: DirectoryUpdate, event: DirectoryEvent, context: DirectoryContext): void {
+		switch (event.type) {
+			case 'datagram': {
+				takeDatagram(update, event.from, event.datagram, context);
+				break;
+			}
+
+			case 'node-heard': {
+				hear(update, event.address, context.now);
+				break;
+			}
+
+			case 'seeds-known': {
+				meet(update, event.addresses, context.now);
+				break;
+			}
+
+			case 'registry-listed': {
+				takeRecords(update, event.records ?? [], context.now);
+				break;
+			}
+
+			case 'worker-changed': {
+				changeSelf(update, {worker: event.worker}, context);
+				break;
+			}
+
+			case 'load-changed': {
+				update.set('members', {load: event.load});
+				break;
+			}
+
+			case 'stop-requested': {
+				changeSelf(update, {}, context);
+				break;
+			}
+
+			default: {
+				break;
+			}
+		}
+	}
+}
+
+function takeDatagram(
+	update: DirectoryUpdate,
+	from: string,
+	datagram: Datagram,
+	context: DirectoryContext,
+): void {
+	switch (datagram.type) {
+		case 'announcement': {
+			if (datagram.record.address === from) {
+				takeAnnouncement(update, datagram, context.now);
+			}
+
+			break;
+		}
+
+		case 'pulse': {
+			takePulse(update, from, datagram, context);
+			break;
+		}
+
+		case 'inquiry': {
+			hear(update, from, context.now);
+			update.emit({type: 'send', to: from, datagram: announcementOf(update.pending, false)});
+			break;
+		}
+
+		case 'outdated': {
+			renewIdentity(update, datagram.incarnation, context);
+			break;
+		}
+
+		case 'suspicion': {
+			const {fingerprint, isCleared} = datagram;
+			update.emit({type: 'suspect', fingerprint, isCleared, node: from});
+			break;
+		}
+	}
+}
+
+function takeAnnouncement(
+	update: DirectoryUpdate,
+	{record, wantsReply}: Extract<Datagram, {type: 'announcement'}>,
+	now: number,
+): void {
+	const {address, incarnation} = record;
+	const known = update.pending.members.records.get(address);
+	if (known && known.incarnation > incarnation) {
+		const datagram = {type: 'outdated', incarnation: known.incarnation} as const;
+		update.emit({type: 'send', to: address, datagram});
+		return;
+	}
+
+	takeRecord(update, record, now);
+	hear(update, address, now);
+	if (wantsReply) {
+		update.emit({type: 'send', to: address, datagram: announcementOf(update.pending, false)});
+	}
+}
+
+function takePulse(
+	update: DirectoryUpdate,
+	from: string,
+	{incarnation, revision, load}: Extract<Datagram, {type: 'pulse'}>,
+	{now, limits}: DirectoryContext,
+): void {
+	const known = update.pending.members.records.get(from);
+	if (known?.incarnation === incarnation && known.revision === revision) {
+		hear(update, from, now);
+		if (load) {
+			update.emit({type: 'load-heard', node: from, load});
+		}
+
+		return;
+	}
+
+	const {contacts} = update.pending.members;
+	const contact = contacts.get(from) ?? newContact(now);
+	if (now - contact.inquiredAt >= limits.inquiryIntervalMs) {
+		update.set('members', {contacts: new Map(contacts).set(from, {...contact, inquiredAt: now})});
+		update.emit({type: 'send', to: from, datagram: {type: 'inquiry'}});
+	}
+}
+
+/** A clock that went back gave this life a lower number than an earlier one. */
+function renewIdentity(
+	update: DirectoryUpdate,
+	incarnation: number,
+	context: DirectoryContext,
+): void {
+	const {self} = update.pending.members;
+	if (incarnation < self.incarnation) {
+		return;
+	}
+
+	changeSelf(update, {incarnation: incarnation + 1}, context);
+	update.emit({
+		type: 'notify',
+		notice: {type: 'identity-renewed', incarnation: incarnation + 1},
+	});
+}
+
+/** Records of the registry: nodes that may be there. Only their own word makes them reachable. */
+function takeRecords(update: DirectoryUpdate, records: readonly NodeRecord[], now: number): void {
+	const {self} = update.pending.members;
+	for (const record of records) {
+		if (record.address !== self.address) {
+			takeRecord(update, record, now);
+		}
+	}
+
+	const unheard = records.some(
+		({address}) => update.pending.members.contacts.get(address)?.lapsedAt !== undefined,
+	);
+	if (unheard) {
+		announceToAll(update, true, now);
+	}
+}
+
+function takeRecord(update: DirectoryUpdate, record: NodeRecord, now: number): void {
+	const {members} = update.pending;
+	const {address, incarnation, status} = record;
+	const known = members.records.get(address);
+	if (!supersedes(record, known)) {
+		return;
+	}
+
+	const contacts = members.contacts.has(address)
+		? members.contacts
+		: new Map(members.contacts).set(address, newContact(now));
+	const records = new Map(members.records).set(address, record);
+	setMembers(update, {...members, records, contacts});
+	if (status === 'left') {
+		update.emit({type: 'notify', notice: {type: 'node-left', peer: address}});
+	} else if (known?.incarnation !== incarnation) {
+		update.emit({type: 'notify', notice: {type: 'node-joined', peer: address, incarnation}});
+	}
+}
+
+/** Addresses at which nodes may be; each is asked for its record. */
+function meet(update: DirectoryUpdate, addresses: readonly string[], now: number): void {
+	const {members} = update.pending;
+	const contacts = new Map(members.contacts);
+	for (const address of addresses) {
+		if (address !== members.self.address && !contacts.has(address)) {
+			contacts.set(address, newContact(now));
+		}
+	}
+
+	update.set('members', {contacts});
+	announceToAll(update, true, now);
+}
+
+function hear(update: DirectoryUpdate, address: string, now: number): void {
+	const {members} = update.pending;
+	const contact = members.contacts.get(address) ?? newContact(now);
+	const contacts = new Map(members.contacts);
+	contacts.set(address, {...contact, heardAt: now, lapsedAt: undefined});
+	if (contact.lapsedAt === undefined) {
+		update.set('members', {contacts});
+		return;
+	}
+
+	setMembers(update, {...members, contacts});
+	update.emit({type: 'notify', notice: {type: 'node-returned', peer: address}});
+}
--- /dev/null
+++ b/packages/redwingmill-core/src/directory/standing-controller.ts
@@ -0,0 +1,32 @@
+import {type DirectoryBoard, type DirectoryState} from './directory-board.js';
+import {type DirectoryEvent} from './directory-event.js';
+import {
+	type DirectoryContext,
+	type DirectoryController,
+	type DirectoryUpdate,
+} from './directory-controller.js';
+
+/** Decides whether this node takes calls. */
+export class StandingController implements DirectoryController {
+	handle(update: DirectoryUpdate, event: DirectoryEvent, context: DirectoryContext): void {
+		const {standing} = update.pending;
+		const next = event.type === 'stop-requested' ? 'stopping' : nextState(update.pending, context);
+		if (next !== standing.state) {
+			update.set('standing', {state: next, since: context.now});
+			const notice = {type: 'directory-state', from: standing.state, to: next} as const;
+			update.emit({type: 'notify', notice});
+		}
+	}
+}
+
+/** A node serves once it holds a configuration and has had the chance to find the others. */
+function nextState(board: DirectoryBoard, {now, limits}: DirectoryContext): DirectoryState {
+	const {standing, adoption, registry, members} = board;
+	if (standing.state !== 'starting') {
+		return standing.state;
+	}
+
+	const hasPeers = registry.isKnown || members.reachable.length > 1;
+	const hasWaited = now - standing.since >= limits.registryPatienceMs;
+	return adoption.held !== undefined && (hasPeers || hasWaited) ? 'serving' : 'starting';
+}
--- a/packages/redwingmill-core/src/engine/engine.ts
+++ b/packages/redwingmill-core/src/engine/engine.ts
@@ -25,62 +25,66 @@
 export type ControllerPriority = (typeof controllerPriorities)[keyof typeof controllerPriorities];
 
 /** Called after each commit that changed the blackboard. */
-export type Listener = (current: Blackboard, previous: Blackboard) => void;
+export type Listener<Board = Blackboard> = (current: Board, previous: Board) => void;
 
 /** Fixed parts of an engine. */
-export type EngineOptions = {
-	readonly limits: Limits;
+export type EngineOptions<Bounds = Limits> = {
+	readonly limits: Bounds;
 	readonly seeds: readonly string[];
 	readonly random: Random;
 };
 
-type Registration = {
-	readonly controller: Controller;
-	readonly priority: ControllerPriority;
+type Registration<RegisteredController> = {
+	readonly controller: RegisteredController;
+	readonly priority: number;
 };
 
-class PendingUpdate implements Update {
-	readonly current: Blackboard;
-	readonly effects: Effect[] = [];
-	#pending: Blackboard;
+class PendingUpdate<Board, Output> implements Update<Board, Output> {
+	readonly current: Board;
+	readonly effects: Output[] = [];
+	#pending: Board;
 
-	constructor(current: Blackboard) {
+	constructor(current: Board) {
 		this.current = current;
 		this.#pending = current;
 	}
 
-	get pending(): Blackboard {
+	get pending(): Board {
 		return this.#pending;
 	}
 
-	set<Name extends keyof Blackboard>(name: Name, section: Partial<Blackboard[Name]>): void {
+	set<Name extends keyof Board>(name: Name, section: Partial<Board[Name]>): void {
 		this.#pending = {...this.#pending, [name]: {...this.#pending[name], ...section}};
 	}
 
-	emit(...effects: Effect[]): void {
+	emit(...effects: Output[]): void {
 		this.effects.push(...effects);
 	}
 }
 
 /** Runs the controllers on each event and commits their changes at once. */
-export class Engine {
-	readonly #options: EngineOptions;
-	readonly #listeners = new Set<Listener>();
-	#registrations: readonly Registration[] = [];
-	#current: Blackboard;
+export class Engine<Board = Blackboard, Input = Event, Output = Effect, Bounds = Limits> {
+	readonly #options: EngineOptions<Bounds>;
+	readonly #listeners = new Set<Listener<Board>>();
+	#registrations: ReadonlyArray<Registration<Controller<Board, Input, Output, Bounds>>> = [];
+	#current: Board;
 	#isHandling = false;
 
-	constructor(initial: Blackboard, options: EngineOptions) {
+	constructor(initial: Board, options: EngineOptions<Bounds>) {
 		this.#current = initial;
 		this.#options = options;
 	}
 
 	/** The committed state. */
-	get blackboard(): Blackboard {
+	get blackboard(): Board {
 		return this.#current;
 	}
 
-	registerController(controller: Controller, priority: ControllerPriority): Teardown {
+	/** @param priority - controllers with a lower one see each event first. */
+	registerController(
+		controller: Controller<Board, Input, Output, Bounds>,
+		priority: number,
+	): Teardown {
 		const registration = {controller, priority};
 		this.#registrations = [...this.#registrations, registration].toSorted(
 			(a, b) => a.priority - b.priority,
@@ -90,7 +94,7 @@
 		};
 	}
 
-	registerListener(listener: Listener): Teardown {
+	registerListener(listener: Listener<Board>): Teardown {
 		this.#listeners.add(listener);
 		return () => {
 			this.#listeners.delete(listener);
@@ -103,11 +107,11 @@
 	 * @param now - monotonic milliseconds, never less than at an earlier event.
 	 * @returns what has to be done, in order.
 	 */
-	dispatch(event: Event, now: number): readonly Effect[] {
+	dispatch(event: Input, now: number): readonly Output[] {
 		invariant(!this.#isHandling, 'An event was dispatched while another was handled');
 		const previous = this.#current;
-		const update = new PendingUpdate(previous);
-		const context: Context = {now, ...this.#options};
+		const update = new PendingUpdate<Board, Output>(previous);
+		const context: Context<Bounds> = {now, ...this.#options};
 		this.#isHandling = true;
 		try {
 			for (const {controller} of this.#registrations) {
--- a/packages/redwingmill-core/src/index.ts
+++ b/packages/redwingmill-core/src/index.ts
@@ -31,7 +31,7 @@
 export {contentFor, textOf, type TextContent} from './model/text-content.js';
 export {isNewerVersion, isSameVersion, type Version} from './model/version.js';
 export {CallLedger, type Answer, type CallEntry, type LedgerBounds} from './call/call-ledger.js';
-export {ClassQueue} from './call/class-queue.js';
+export {RankQueue} from './call/rank-queue.js';
 export {ConcurrencyLimit} from './call/concurrency-limit.js';
 export {
 	choicePolicies,
@@ -42,8 +42,24 @@
 export * from './call/entry-call.js';
 export * from './call/gate.js';
 export * from './call/outcome.js';
-export {RetryBudget} from './call/retry-budget.js';
+export {type WorkerLoad} from './call/worker-load.js';
+export {RetryBudget, type RetryAllowance} from './call/retry-budget.js';
 export {matchRoute} from './call/route-matcher.js';
 export {SuspectList, type Suspicion} from './call/suspect-list.js';
 export {formatTicket, parseTicket, type Ticket} from './call/ticket.js';
-export {WorkerLease} from './call/worker-lease.js';
+export {WorkerLease, type AnnouncementOrder, type Renewal} from './call/worker-lease.js';
+export {createDirectory, type Directory} from './directory/create-directory.js';
+export {
+	initialDirectory,
+	type DirectoryBoard,
+	type DirectoryState,
+} from './directory/directory-board.js';
+export {
+	type DirectoryEffect,
+	type DirectoryEvent,
+	type DirectoryNotice,
+} from './directory/directory-event.js';
+export {defaultDirectoryLimits, type DirectoryLimits} from './directory/directory-limits.js';
+export {type CallerLimits, type ConfigurationDocument} from './model/configuration-document.js';
+export {type Datagram} from './model/datagram.js';
+export {deriveRouting} from './model/derive-routing.js';
--- a/packages/redwingmill-core/src/model/node-record.ts
+++ b/packages/redwingmill-core/src/model/node-record.ts
@@ -14,6 +14,10 @@
 	/** Calls that the worker runs at once. */
 	readonly slots: number;
 	readonly state: WorkerState;
+	/** Identity of this life of the worker; absent when it doesn't tell one. */
+	readonly instance?: string;
+	/** Start of this life in Unix milliseconds; absent when it doesn't tell. */
+	readonly startedAt?: number;
 };
 
 /**
--- /dev/null
+++ b/packages/redwingmill-node/src/call/answer-header.ts
@@ -0,0 +1,56 @@
+import {
+	notRunReasons,
+	unknownReasons,
+	type GateAnswer,
+	type Outcome,
+	type WorkerLoad,
+} from 'redwingmill-core';
+
+/** What goes with an answer from the gate to the entry node, besides the worker's own answer. */
+export type AnswerHeader = Omit<GateAnswer<unknown>, 'payload' | 'isRetried'>;
+
+const separator = ';';
+const decimals = 2;
+
+/** Text of the header: its fields in a fixed order. */
+export function formatAnswer({outcome, retryAfterMs, load}: AnswerHeader): string {
+	const numbers = [retryAfterMs, load?.callsPerSlot, load?.waitMs, load?.runMs];
+	return [
+		outcome.type,
+		outcome.type === 'ran' ? '' : outcome.reason,
+		...numbers.map((number) =>
+			number === undefined ? '' : String(Number(number.toFixed(decimals))),
+		),
+	].join(separator);
+}
+
+/** The header. A text that says nothing sure says that the call may have run. */
+export function parseAnswer(text: string): AnswerHeader {
+	const [type, reason, ...parts] = text.split(separator);
+	const [retryAfterMs, callsPerSlot, waitMs, runMs] = parts.map((part) =>
+		part === '' ? undefined : Number(part),
+	);
+	const load: WorkerLoad | undefined =
+		callsPerSlot === undefined || waitMs === undefined || runMs === undefined
+			? undefined
+			: {callsPerSlot, waitMs, runMs};
+	return {outcome: toOutcome(type, reason), retryAfterMs, load};
+}
+
+function toOutcome(type: string, reason: string): Outcome {
+	switch (type) {
+		case 'ran': {
+			return {type: 'ran'};
+		}
+
+		case 'not-run': {
+			const known = notRunReasons.find((each) => each === reason);
+			return known ? {type: 'not-run', reason: known} : {type: 'unknown', reason: 'gate-gone'};
+		}
+
+		default: {
+			const known = unknownReasons.find((each) => each === reason);
+			return {type: 'unknown', reason: known ?? 'gate-gone'};
+		}
+	}
+}
--- /dev/null
+++ b/packages/redwingmill-node/src/call/entry-exchange.ts
@@ -0,0 +1,170 @@
+import {
+	type Answer,
+	type AttemptResult,
+	type EntryAction,
+	type EntryCall,
+	type GateAnswer,
+} from 'redwingmill-core';
+import {type Disarm} from './deadline-timer.js';
+import {
+	type CallerCall,
+	type EntryAnswer,
+	type EntryHandle,
+	type EntryService,
+} from './entry-service.js';
+import {type Exchange} from './exchange.js';
+import {type Attempt} from './gate-client.js';
+import {type Payload} from './payload.js';
+
+/** What became of a call at its entry node, for the log. */
+export type EntryFacts = {
+	readonly call: CallerCall;
+	readonly destination: string;
+	/** Absent when the caller went away before there was an answer. */
+	readonly answer?: Answer<Payload>;
+	/** Control addresses of the nodes tried, in order. */
+	readonly nodes: readonly string[];
+};
+
+/** Parts of an exchange with a caller. */
+export type EntryExchangeOptions = CallerCall & {
+	readonly call: EntryCall<Payload>;
+	/** Service that the call goes to. */
+	readonly destination: string;
+	readonly caller: string | undefined;
+	readonly ticket: number | undefined;
+	readonly service: EntryService;
+	readonly onAnswer: (answer: EntryAnswer) => void;
+};
+
+/** One caller's call: performs the actions that its `EntryCall` decides. */
+export class EntryExchange implements EntryHandle {
+	readonly #options: EntryExchangeOptions;
+	readonly #disarm: Disarm;
+	readonly #nodes: string[] = [];
+	#attempt: Attempt | undefined;
+	#exchange: Exchange | undefined;
+	#isOver = false;
+
+	constructor(options: EntryExchangeOptions) {
+		this.#options = options;
+		this.#disarm = options.service.armDeadline(options.deadlineAt, () => {
+			this.#onDeadline();
+		});
+	}
+
+	begin(): void {
+		this.#perform(this.#options.call.begin(performance.now()));
+	}
+
+	cancel(): void {
+		if (!this.#isOver) {
+			this.#giveUp();
+		}
+	}
+
+	#perform(action: EntryAction<Payload>): void {
+		switch (action.type) {
+			case 'attempt': {
+				this.#send(action);
+				break;
+			}
+
+			case 'withdraw': {
+				this.#withdraw();
+				break;
+			}
+
+			case 'answer': {
+				this.#finish(action.answer);
+				this.#options.onAnswer({...action.answer, isRetried: action.attempts > 1});
+				break;
+			}
+		}
+	}
+
+	#send({endpoint, struckNodes}: Extract<EntryAction<Payload>, {type: 'attempt'}>): void {
+		const {service, route, request, ticket, caller, targetAt, deadlineAt} = this.#options;
+		const attempt: Attempt = {
+			id: service.nextId(),
+			endpoint,
+			ticket,
+			group: route.path,
+			rank: route.rank,
+			caller,
+			struckNodes,
+			targetAt,
+			deadlineAt,
+			startedAt: performance.now(),
+			request,
+		};
+		this.#nodes.push(endpoint.node);
+		this.#attempt = attempt;
+		this.#exchange = service.send(attempt, (result) => {
+			if (this.#attempt === attempt && !this.#isOver) {
+				this.#onResult(result);
+			}
+		});
+	}
+
+	#onResult(result: AttemptResult<Payload>): void {
+		const action = this.#options.call.onAttempt(result, performance.now());
+		if (action.type === 'attempt') {
+			this.#options.service.onRetry(reasonOf(result));
+		}
+
+		this.#perform(action);
+	}
+
+	#withdraw(): void {
+		const attempt = this.#attempt;
+		if (attempt === undefined) {
+			return;
+		}
+
+		this.#exchange = this.#options.service.client.withdraw(attempt, (result) => {
+			if (this.#attempt !== attempt || this.#isOver) {
+				return;
+			}
+
+			const action = this.#options.call.onWithdraw(result, performance.now());
+			if (action.type === 'attempt') {
+				this.#options.service.onRetry(result.type);
+			}
+
+			this.#perform(action);
+		});
+	}
+
+	#onDeadline(): void {
+		if (!this.#isOver) {
+			const outcome = {type: 'unknown', reason: 'deadline-passed'} as const;
+			this.#giveUp({outcome});
+			this.#options.onAnswer({outcome, isRetried: false});
+		}
+	}
+
+	#giveUp(answer?: Answer<Payload>): void {
+		this.#finish(answer);
+		this.#exchange?.abort();
+		if (this.#attempt) {
+			this.#options.service.cancel(this.#attempt);
+		}
+	}
+
+	#finish(answer?: Answer<Payload>): void {
+		const {service, destination} = this.#options;
+		this.#isOver = true;
+		this.#disarm();
+		service.onFinished({call: this.#options, destination, answer, nodes: this.#nodes});
+	}
+}
+
+function reasonOf(result: AttemptResult<Payload>): string {
+	if (result.type !== 'answered') {
+		return result.type;
+	}
+
+	const {outcome}: GateAnswer<Payload> = result.answer;
+	return outcome.type === 'ran' ? 'ran' : outcome.reason;
+}
--- a/packages/redwingmill-node/src/call/entry-server.ts
+++ b/packages/redwingmill-node/src/call/entry-server.ts
@@ -1,53 +1,55 @@
 import {type Buffer} from 'node:buffer';
 import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
-import {parseTicket, type NotRunReason, type Outcome} from 'redwingmill-core';
+import {parseTicket, type CallerLimits, type NotRunReason, type Outcome} from 'redwingmill-core';
 import {type Route} from 'redwingmill-text';
 import {listenOn} from '../listen.js';
 import {type Log} from '../observe/log.js';
 import {logEvents} from '../observe/log-event.js';
 import {type Metrics} from '../observe/metrics.js';
-import {type EntryAnswer, type EntryService} from './entry-service.js';
+import {type CallerProtocol} from './caller-protocol.js';
+import {type CallerCall, type EntryAnswer, type EntryService} from './entry-service.js';
 import {forwardedHeaders, headerNames, numberHeader, textHeader} from './headers.js';
 import {readRequestBody} from './read-request.js';
 
 /** Path at which callers take tickets; the route is given by the `path` parameter. */
 export const ticketPath = '/.redwingmill/tickets';
 
-const headersTimeoutMs = 10_000;
 const requestTimeoutMs = 30_000;
-const keepAliveMs = 65_000;
 const maximumHeaderBytes = 16 * 1024;
+/** How often connections are checked for heads that take too long. */
+const checkIntervalMs = 1000;
+/** Added to the idle time that callers are promised, so that a request at its end still arrives. */
+const idleGraceMs = 1000;
+const defaultLimits: Omit<CallerLimits, 'bodyBytes'> = {
+	headerBytes: maximumHeaderBytes,
+	headerTimeoutMs: 10_000,
+	idleTimeoutMs: 64_000,
+};
 
-const notRunStatuses: Partial<Record<NotRunReason, number>> = {
-	'no-route': 404,
-	'body-too-large': 413,
-	'ticket-invalid': 400,
-	'deadline-passed': 504,
-	'deadline-too-close': 503,
+/** Fixed parts of the server. */
+export type EntryServerOptions = {
+	readonly bodyLimitBytes: number;
+	readonly protocol: CallerProtocol;
+	readonly metrics: Metrics;
+	readonly log: Log;
 };
-const notRunStatus = 503;
-const unknownStatus = 502;
-const deadlineStatus = 504;
 
 /** HTTP face of the mesh, for callers. */
 export class EntryServer {
 	readonly #service: EntryService;
 	readonly #server: Server;
-	readonly #bodyLimitBytes: number;
-	readonly #metrics: Metrics;
-	readonly #log: Log;
+	readonly #options: EntryServerOptions;
+	#bodyLimitBytes: number;
 	#isStopping = false;
 
-	constructor(service: EntryService, bodyLimitBytes: number, metrics: Metrics, log: Log) {
+	constructor(service: EntryService, options: EntryServerOptions) {
 		this.#service = service;
-		this.#bodyLimitBytes = bodyLimitBytes;
-		this.#metrics = metrics;
-		this.#log = log;
+		this.#options = options;
+		this.#bodyLimitBytes = options.bodyLimitBytes;
 		this.#server = createServer(
 			{
-				keepAliveTimeout: keepAliveMs,
-				headersTimeout: headersTimeoutMs,
+				connectionsCheckingInterval: checkIntervalMs,
 				requestTimeout: requestTimeoutMs,
 				maxHeaderSize: maximumHeaderBytes,
 				noDelay: true,
@@ -56,11 +58,19 @@
 				this.#handle(request, response);
 			},
 		);
+		this.limit({...defaultLimits, bodyBytes: options.bodyLimitBytes});
 		this.#server.on('clientError', (error: NodeJS.ErrnoException, socket: Socket) => {
 			this.#onMalformed(error, socket);
 		});
 	}
 
+	/** Takes over what callers may send and how long they may take. */
+	limit({bodyBytes, headerTimeoutMs, idleTimeoutMs}: CallerLimits): void {
+		this.#bodyLimitBytes = Math.min(bodyBytes, this.#options.bodyLimitBytes);
+		this.#server.headersTimeout = headerTimeoutMs;
+		this.#server.keepAliveTimeout = idleTimeoutMs + idleGraceMs;
+	}
+
 	async listen(address: string): Promise<void> {
 		await listenOn(this.#server, address, 'callers');
 	}
@@ -80,7 +90,7 @@
 		const path = request.url ?? '/';
 		const isTicket = path.startsWith(`${ticketPath}?`);
 		const target = isTicket ? (new URL(path, 'http://node').searchParams.get('path') ?? '') : path;
-		const lookup = this.#service.findRoute(request.method ?? 'GET', target);
+		const lookup = this.#service.findRoute(request.method ?? 'GET', target, hostOf(request));
 		if (lookup.type === 'refused') {
 			const outcome = refusalOf(request, lookup.reason);
 			request.resume();
@@ -115,12 +125,17 @@
 		route: Route,
 		startedAt: number,
 	): void {
-		const requestedMs = numberHeader(request.headers, headerNames.deadline);
-		const deadlineAt = startedAt + Math.min(route.deadlineMs, requestedMs ?? route.deadlineMs);
+		const requestedMs = numberHeader(request.headers, this.#options.protocol.deadlineHeader);
+		const waitMs = Math.min(route.deadlineMs, requestedMs ?? route.deadlineMs);
+		const times = {
+			startedAt,
+			deadlineAt: startedAt + waitMs,
+			targetAt: route.targetMs === undefined ? undefined : startedAt + route.targetMs,
+		};
 		readRequestBody(request, this.#bodyLimitBytes, (result) => {
 			switch (result.type) {
 				case 'complete': {
-					this.#begin(request, response, result.body, {route, startedAt, deadlineAt});
+					this.#begin(request, response, result.body, {route, ...times});
 					break;
 				}
 
@@ -143,22 +158,24 @@
 		request: IncomingMessage,
 		response: ServerResponse,
 		body: Buffer | undefined,
-		call: {readonly route: Route; readonly startedAt: number; readonly deadlineAt: number},
+		call: Pick<CallerCall, 'route' | 'startedAt' | 'targetAt' | 'deadlineAt'>,
 	): void {
-		const {route, startedAt, deadlineAt} = call;
+		const {protocol} = this.#options;
 		let isAnswered = false;
 		const handle = this.#service.begin(
 			{
-				method: request.method ?? 'GET',
-				path: request.url ?? '/',
-				headers: forwardedHeaders(request.headers),
-				body,
+				...call,
+				requestId: textHeader(request.headers, protocol.requestIdHeader),
+				request: {
+					method: request.method ?? 'GET',
+					path: request.url ?? '/',
+					headers: forwardedHeaders(request.headers),
+					body,
+				},
 			},
-			route,
-			deadlineAt,
 			(answer) => {
 				isAnswered = true;
-				this.#respond(response, answer, startedAt);
+				this.#respond(response, answer, call.startedAt);
 			},
 		);
 		response.once('close', () => {
@@ -169,42 +186,31 @@
 	}
 
 	#respond(response: ServerResponse, answer: EntryAnswer, startedAt: number): void {
-		const {outcome, payload, retryAfterMs, isRetried} = answer;
-		this.#metrics.countCall(outcome, (performance.now() - startedAt) / 1000);
+		const {outcome, payload, isRetried} = answer;
+		const {metrics, protocol} = this.#options;
+		metrics.countCall(outcome, (performance.now() - startedAt) / 1000);
 		if (response.destroyed) {
 			return;
 		}
 
-		const headers = payload?.headers ?? {};
-		headers[headerNames.outcome] = outcome.type;
-		headers['content-length'] = payload?.body.length ?? 0;
-		if (outcome.type !== 'ran') {
-			headers[headerNames.reason] = outcome.reason;
-		}
-
-		if (isRetried) {
-			headers[headerNames.retried] = '1';
-		}
-
-		if (retryAfterMs !== undefined) {
-			headers['retry-after'] = String(this.#retryAfterSeconds(retryAfterMs));
-		}
-
-		if (this.#isStopping) {
-			headers.connection = 'close';
-		}
-
-		response.writeHead(payload?.status ?? statusOf(outcome), headers);
+		const retryAfterMs = this.#spread(answer.retryAfterMs);
+		const headers = {
+			...payload?.headers,
+			...protocol.headersOf({outcome, isRetried, retryAfterMs}),
+			'content-length': payload?.body.length ?? 0,
+			...(this.#isStopping ? {connection: 'close'} : {}),
+		};
+		response.writeHead(payload?.status ?? protocol.statusOf(outcome), headers);
 		response.end(payload?.body);
 	}
 
-	/** Whole seconds, with a jitter so that callers don't come back together. */
-	#retryAfterSeconds(retryAfterMs: number): number {
-		return Math.max(1, Math.ceil((retryAfterMs * (1 + this.#service.jitter())) / 1000));
+	/** Adds a jitter, so that callers that were refused together don't come back together. */
+	#spread(retryAfterMs: number | undefined): number | undefined {
+		return retryAfterMs === undefined ? undefined : retryAfterMs * (1 + this.#service.jitter());
 	}
 
 	#onMalformed(error: NodeJS.ErrnoException, socket: Socket): void {
-		this.#log.write(logEvents.malformedRequest, {code: error.code});
+		this.#options.log.write(logEvents.malformedRequest, {code: error.code});
 		if (!socket.writable || error.code === 'ECONNRESET') {
 			socket.destroy();
 			return;
@@ -224,18 +230,7 @@
 	return ticket ? {type: 'unknown', reason: 'gate-unreached'} : {type: 'not-run', reason};
 }
 
-function statusOf(outcome: Outcome): number {
-	switch (outcome.type) {
-		case 'ran': {
-			return 200;
-		}
-
-		case 'not-run': {
-			return notRunStatuses[outcome.reason] ?? notRunStatus;
-		}
-
-		case 'unknown': {
-			return outcome.reason === 'deadline-passed' ? deadlineStatus : unknownStatus;
-		}
-	}
+/** Host that a request names, in lower case and without the port. */
+function hostOf({headers}: IncomingMessage): string | undefined {
+	return headers.host?.replace(/:\d+$/v, '').toLowerCase();
 }
--- a/packages/redwingmill-node/src/call/entry-service.ts
+++ b/packages/redwingmill-node/src/call/entry-service.ts
@@ -5,32 +5,45 @@
 	matchRoute,
 	parseTicket,
 	RetryBudget,
-	takesCalls,
 	type Answer,
 	type AttemptResult,
-	type Blackboard,
 	type Endpoint,
-	type EntryAction,
-	type GateAnswer,
 	type NotRunReason,
+	type RoutingTable,
 	type Ticket,
+	type WorkerLoad,
 } from 'redwingmill-core';
 import {type Random} from 'redwingmill-shared';
-import {type Route} from 'redwingmill-text';
+import {anyMethod, type Route} from 'redwingmill-text';
+import {type Control} from '../control/control.js';
 import {type Metrics} from '../observe/metrics.js';
 import {type Settings} from '../settings/settings.js';
 import {DeadlineTimer, type Disarm} from './deadline-timer.js';
+import {EntryExchange, type EntryFacts} from './entry-exchange.js';
 import {type Exchange} from './exchange.js';
 import {type Attempt, type GateClient} from './gate-client.js';
 import {type GateService} from './gate-service.js';
 import {headerNames} from './headers.js';
 import {type CallRequest, type Payload} from './payload.js';
+import {SplitChooser} from './split-chooser.js';
 
 /** Answer to a caller. */
 export type EntryAnswer = Answer<Payload> & {
 	readonly isRetried: boolean;
 };
 
+/** A call as it comes from a caller. Times are monotonic milliseconds. */
+export type CallerCall = {
+	readonly request: CallRequest;
+	readonly route: Route;
+	/** The caller's name for the request; absent when it gave none. */
+	readonly requestId?: string;
+	readonly startedAt: number;
+	/** Time by which an answer is worth most; absent when only the deadline counts. */
+	readonly targetAt?: number;
+	readonly deadlineAt: number;
+};
+
 /** A caller's call in progress. */
 export type EntryHandle = {
 	/** The caller went away. */
@@ -46,17 +59,22 @@
 const notServingRetryMs = 1000;
 /** Time after the deadline in which the gate's own answer may still come. */
 const deadlineGraceMs = 20;
+const msPerSecond = 1000;
+/** Part of the mesh's budget that nodes spend on retries; the calls that a repeated run makes take the rest. */
+const retryPart = 0.6;
 
 /** Takes callers' calls to gates, with retries, until each has a final answer. */
 export class EntryService {
-	readonly #settings: Settings;
-	readonly #board: () => Blackboard;
+	#settings: Settings;
+	readonly #control: Control;
 	readonly #chooser: EndpointChooser;
 	readonly #gate: GateService;
 	readonly #client: GateClient;
 	readonly #metrics: Metrics;
 	readonly #random: Random;
 	readonly #budgets = new Map<string, RetryBudget>();
+	readonly #splits: SplitChooser;
+	readonly #onAnswered: ((facts: EntryFacts) => void) | undefined;
 	readonly #deadlines = new DeadlineTimer();
 	readonly #idPrefix: string;
 	#sequence = 0;
@@ -65,50 +83,69 @@
 	constructor(
 		settings: Settings,
 		parts: {
-			readonly board: () => Blackboard;
+			readonly control: Control;
 			readonly gate: GateService;
 			readonly client: GateClient;
 			readonly metrics: Metrics;
 			readonly random: Random;
+			readonly onAnswered?: (facts: EntryFacts) => void;
 		},
 	) {
 		const {dataCentre, calls} = settings;
 		this.#settings = settings;
-		this.#board = parts.board;
+		this.#control = parts.control;
+		this.#onAnswered = parts.onAnswered;
+		this.#splits = new SplitChooser(parts.random);
 		this.#gate = parts.gate;
 		this.#client = parts.client;
 		this.#metrics = parts.metrics;
 		this.#random = parts.random;
 		const {choice, slowStartMs} = calls;
 		this.#chooser = new EndpointChooser({policy: choice, slowStartMs, dataCentre}, parts.random);
-		const {address, incarnation} = parts.board().roster.self;
+		const {address, incarnation} = parts.control.self;
 		this.#idPrefix = `${address}/${incarnation}/`;
 	}
 
+	/** Takes over changed settings. */
+	reload({caller, calls}: Settings): void {
+		this.#settings = {...this.#settings, caller, calls};
+	}
+
 	get inProgress(): number {
 		return this.#inProgress;
 	}
 
 	/** Takes over the endpoints of a new routing table. */
-	onRouting({routing}: Blackboard): void {
+	onRouting(routing: RoutingTable): void {
 		const endpoints = [...routing.endpoints.values()].flat();
 		this.#chooser.retain(endpoints, performance.now());
 		this.#client.retain(new Set(endpoints.map((endpoint) => endpoint.gateAddress)));
-		const paths = new Set(routing.routes.map(({route}) => route.path));
-		for (const path of this.#budgets.keys()) {
-			if (!paths.has(path)) {
-				this.#budgets.delete(path);
+		this.#splits.retain(routing.routes.map(({route}) => route));
+		for (const service of this.#budgets.keys()) {
+			if (!routing.endpoints.has(service)) {
+				this.#budgets.delete(service);
 			}
 		}
 	}
 
-	findRoute(method: string, path: string): RouteLookup {
-		const {serving, routing} = this.#board();
-		if (!takesCalls(serving.state)) {
+	/** Takes the load of another node's worker. */
+	onLoad(node: string, load: WorkerLoad): void {
+		for (const endpoints of this.#control.routing.endpoints.values()) {
+			const endpoint = endpoints.find((each) => each.node === node);
+			if (endpoint) {
+				this.#chooser.onLoad(endpoint, load, performance.now());
+			}
+		}
+	}
+
+	/** @param host - host that the call names, in lower case and without a port. */
+	findRoute(method: string, path: string, host?: string): RouteLookup {
+		const {isServing, routing} = this.#control;
+		if (!isServing) {
 			return {type: 'refused', reason: 'not-serving', retryAfterMs: notServingRetryMs};
 		}
 
-		const found = matchRoute(routing.routes, method, path);
+		const found = matchRoute(routing.routes, method, path, host);
 		if (found === undefined) {
 			return {type: 'refused', reason: 'no-route'};
 		}
@@ -118,29 +155,22 @@
 			: {type: 'refused', reason: 'route-inactive', retryAfterMs: routeRetryMs};
 	}
 
-	/**
-	 * Takes a call through the mesh. `onAnswer` is called exactly once, unless the call is cancelled.
-	 *
-	 * @param deadlineAt - monotonic milliseconds.
-	 */
-	begin(
-		request: CallRequest,
-		route: Route,
-		deadlineAt: number,
-		onAnswer: (answer: EntryAnswer) => void,
-	): EntryHandle {
+	/** Takes a call through the mesh. `onAnswer` is called exactly once, unless the call is cancelled. */
+	begin(call: CallerCall, onAnswer: (answer: EntryAnswer) => void): EntryHandle {
+		const {request, route} = call;
+		const service = this.#splits.choose(route);
 		const ticket = parseTicket(String(request.headers[headerNames.idempotencyKey] ?? ''));
-		const pinned = ticket && this.#endpointOf(ticket, route);
+		const pinned = ticket && this.#endpointOf(ticket, service);
 		if (ticket && pinned === undefined) {
 			onAnswer({outcome: {type: 'unknown', reason: 'gate-gone'}, isRetried: false});
 			return {cancel: () => undefined};
 		}
 
 		const exchange = new EntryExchange({
-			call: this.#newCall(request, route, deadlineAt, pinned),
-			request,
-			route,
-			deadlineAt,
+			...call,
+			call: this.#newCall(call, service, pinned),
+			destination: service,
+			caller: this.#settings.caller,
 			ticket: ticket?.sequence,
 			service: this,
 			onAnswer,
@@ -152,7 +182,7 @@
 
 	/** Takes a ticket for a route from one of the gates of its service. */
 	takeTicket(route: Route, onTicket: (ticket: string | undefined) => void): void {
-		const endpoints = this.#endpointsOf(route);
+		const endpoints = this.#endpointsOf(route.service);
 		const endpoint = this.#chooser.choose(endpoints, new Set(), performance.now());
 		if (endpoint === undefined) {
 			onTicket(undefined);
@@ -194,10 +224,16 @@
 	/** @internal Sends an attempt, straight to the gate when it is this node's own. */
 	send(attempt: Attempt, onResult: (result: AttemptResult<Payload>) => void): Exchange {
 		if (!this.#isOwn(attempt.endpoint)) {
-			return this.#client.send(attempt, onResult);
+			return this.#client.send(attempt, (result) => {
+				if (result.type === 'answered') {
+					this.#control.onHeard(attempt.endpoint.node);
+				}
+
+				onResult(result);
+			});
 		}
 
-		this.#gate.submit(attempt, (answer) => {
+		this.#gate.submit({...attempt, service: attempt.endpoint.service}, (answer) => {
 			const {load} = this.#gate;
 			onResult({type: 'answered', answer: {...answer, load, isRetried: false}});
 		});
@@ -224,201 +260,65 @@
 	}
 
 	/** @internal */
-	onFinished(): void {
+	onFinished(facts: EntryFacts): void {
 		this.#inProgress -= 1;
+		this.#onAnswered?.(facts);
 	}
 
 	#newCall(
-		request: CallRequest,
-		route: Route,
-		deadlineAt: number,
+		{request, route, targetAt, deadlineAt}: CallerCall,
+		service: string,
 		pinned: Endpoint | undefined,
 	): EntryCall<Payload> {
-		const {withdraws, maximumAttempts} = this.#settings.calls;
+		const {withdraws, maximumAttempts, meshRetrySlack} = this.#settings.calls;
+		const {idempotent} = route;
 		return new EntryCall(
 			{
-				route,
-				isIdempotent: route.idempotent.includes(request.method),
+				retryAllowance: {
+					share: retryPart * route.retryShare,
+					slack: (retryPart * meshRetrySlack) / Math.max(1, this.#control.nodeCount),
+				},
+				isIdempotent: idempotent.includes(anyMethod) || idempotent.includes(request.method),
+				targetAt,
 				deadlineAt,
-				endpoints: this.#endpointsOf(route),
+				endpoints: this.#endpointsOf(service),
 				pinned,
 				withdraws,
-				maximumAttempts,
+				maximumAttempts: route.maximumAttempts ?? maximumAttempts,
 			},
 			this.#chooser,
-			this.#budgetOf(route),
+			this.#budgetOf(service),
 		);
 	}
 
-	#endpointsOf(route: Route): readonly Endpoint[] {
-		return this.#board().routing.endpoints.get(route.service) ?? [];
+	#endpointsOf(service: string): readonly Endpoint[] {
+		return this.#control.routing.endpoints.get(service) ?? [];
 	}
 
 	/** The gate that a ticket names, also while it drains; undefined when it is gone. */
-	#endpointOf(ticket: Ticket, route: Route): Endpoint | undefined {
-		const section = this.#board().roster.roster.get(ticket.dataCentre);
-		const record = section?.get(ticket.node);
-		const isSame =
-			record?.status === 'live' &&
-			record.incarnation === ticket.incarnation &&
-			record.worker?.service === route.service;
+	#endpointOf(ticket: Ticket, service: string): Endpoint | undefined {
+		const record = this.#control.findNode(ticket.dataCentre, ticket.node);
+		const isSame = record?.incarnation === ticket.incarnation && record.worker?.service === service;
 		if (!isSame || record.worker === undefined) {
 			return undefined;
 		}
 
 		const {address, gateAddress, dataCentre, incarnation, worker} = record;
-		const {service, slots} = worker;
-		return {node: address, gateAddress, dataCentre, incarnation, service, slots};
+		return {node: address, gateAddress, dataCentre, incarnation, service, slots: worker.slots};
 	}
 
-	#budgetOf({path}: Route): RetryBudget {
-		const known = this.#budgets.get(path);
+	#budgetOf(service: string): RetryBudget {
+		const known = this.#budgets.get(service);
 		if (known) {
 			return known;
 		}
 
-		const budget = new RetryBudget();
-		this.#budgets.set(path, budget);
+		const budget = new RetryBudget(this.#settings.calls.retryWindowSeconds * msPerSecond);
+		this.#budgets.set(service, budget);
 		return budget;
 	}
 
 	#isOwn(endpoint: Endpoint): boolean {
-		return endpoint.node === this.#board().roster.self.address;
+		return endpoint.node === this.#control.self.address;
 	}
 }
-
-type EntryExchangeOptions = {
-	readonly call: EntryCall<Payload>;
-	readonly request: CallRequest;
-	readonly route: Route;
-	readonly deadlineAt: number;
-	readonly ticket: number | undefined;
-	readonly service: EntryService;
-	readonly onAnswer: (answer: EntryAnswer) => void;
-};
-
-/** One caller's call: performs the actions that its `EntryCall` decides. */
-class EntryExchange implements EntryHandle {
-	readonly #options: EntryExchangeOptions;
-	readonly #disarm: Disarm;
-	#attempt: Attempt | undefined;
-	#exchange: Exchange | undefined;
-	#isOver = false;
-
-	constructor(options: EntryExchangeOptions) {
-		this.#options = options;
-		this.#disarm = options.service.armDeadline(options.deadlineAt, () => {
-			this.#onDeadline();
-		});
-	}
-
-	begin(): void {
-		this.#perform(this.#options.call.begin(performance.now()));
-	}
-
-	cancel(): void {
-		if (!this.#isOver) {
-			this.#giveUp();
-		}
-	}
-
-	#perform(action: EntryAction<Payload>): void {
-		switch (action.type) {
-			case 'attempt': {
-				this.#send(action);
-				break;
-			}
-
-			case 'withdraw': {
-				this.#withdraw();
-				break;
-			}
-
-			case 'answer': {
-				this.#finish();
-				this.#options.onAnswer({...action.answer, isRetried: action.attempts > 1});
-				break;
-			}
-		}
-	}
-
-	#send({endpoint, struckNodes}: Extract<EntryAction<Payload>, {type: 'attempt'}>): void {
-		const {service, route, request, ticket, deadlineAt} = this.#options;
-		const attempt: Attempt = {
-			id: service.nextId(),
-			endpoint,
-			ticket,
-			priority: route.priority,
-			struckNodes,
-			deadlineAt,
-			startedAt: performance.now(),
-			request,
-		};
-		this.#attempt = attempt;
-		this.#exchange = service.send(attempt, (result) => {
-			if (this.#attempt === attempt && !this.#isOver) {
-				this.#onResult(result);
-			}
-		});
-	}
-
-	#onResult(result: AttemptResult<Payload>): void {
-		const action = this.#options.call.onAttempt(result, performance.now());
-		if (action.type === 'attempt') {
-			this.#options.service.onRetry(reasonOf(result));
-		}
-
-		this.#perform(action);
-	}
-
-	#withdraw(): void {
-		const attempt = this.#attempt;
-		if (attempt === undefined) {
-			return;
-		}
-
-		this.#exchange = this.#options.service.client.withdraw(attempt, (result) => {
-			if (this.#attempt !== attempt || this.#isOver) {
-				return;
-			}
-
-			const action = this.#options.call.onWithdraw(result, performance.now());
-			if (action.type === 'attempt') {
-				this.#options.service.onRetry(result.type);
-			}
-
-			this.#perform(action);
-		});
-	}
-
-	#onDeadline(): void {
-		if (!this.#isOver) {
-			this.#giveUp();
-			const outcome = {type: 'unknown', reason: 'deadline-passed'} as const;
-			this.#options.onAnswer({outcome, isRetried: false});
-		}
-	}
-
-	#giveUp(): void {
-		this.#finish();
-		this.#exchange?.abort();
-		if (this.#attempt) {
-			this.#options.service.cancel(this.#attempt);
-		}
-	}
-
-	#finish(): void {
-		this.#isOver = true;
-		this.#disarm();
-		this.#options.service.onFinished();
-	}
-}
-
-function reasonOf(result: AttemptResult<Payload>): string {
-	if (result.type !== 'answered') {
-		return result.type;
-	}
-
-	const {outcome}: GateAnswer<Payload> = result.answer;
-	return outcome.type === 'ran' ? 'ran' : outcome.reason;
-}
--- a/packages/redwingmill-node/src/call/exchange.ts
+++ b/packages/redwingmill-node/src/call/exchange.ts
@@ -16,23 +16,41 @@
 	/** No connection, so no byte was sent. */
 	| {readonly type: 'refused'}
 	/** The connection broke, or the exchange was aborted, before the answer was complete. */
-	| {readonly type: 'broken'}
+	| {
+			readonly type: 'broken';
+			/** Whether the head of an answer had come. */
+			readonly hasAnswer: boolean;
+	  }
+	/** The answer belongs to another request; its connection was closed. */
+	| {readonly type: 'foreign'}
 	| {readonly type: 'too-large'};
 
+/** Whether the head of an answer belongs to the request. */
+export type AnswerCheck = (status: number, headers: IncomingHttpHeaders) => boolean;
+
 /** An exchange under way. */
 export type Exchange = {
 	/** Gives it up and destroys its connection. */
 	readonly abort: () => void;
 };
 
+/** What is taken for an answer. */
+export type ExchangeLimits = {
+	readonly answerLimitBytes: number;
+	/** Absent takes every answer. */
+	readonly isOwnAnswer?: AnswerCheck;
+};
+
+const acceptAll: AnswerCheck = () => true;
+
 /** Sends a request and collects the whole answer. `onResult` is called exactly once. */
 export function beginExchange(
 	dispatcher: Dispatcher,
 	request: CallRequest,
-	answerLimitBytes: number,
+	limits: ExchangeLimits,
 	onResult: (result: ExchangeResult) => void,
 ): Exchange {
-	const handler = new ExchangeHandler(answerLimitBytes, onResult);
+	const handler = new ExchangeHandler(limits, onResult);
 	const {method, path, headers, body} = request;
 	dispatcher.dispatch(
 		{
@@ -52,6 +70,7 @@
 class ExchangeHandler implements Dispatcher.DispatchHandler, Exchange {
 	readonly #limitBytes: number;
 	readonly #onResult: (result: ExchangeResult) => void;
+	readonly #isOwnAnswer: AnswerCheck;
 	#controller: Dispatcher.DispatchController | undefined;
 	#chunks: Buffer[] = [];
 	#bytes = 0;
@@ -59,13 +78,17 @@
 	#headers: IncomingHttpHeaders = {};
 	#isOver = false;
 
-	constructor(limitBytes: number, onResult: (result: ExchangeResult) => void) {
-		this.#limitBytes = limitBytes;
+	constructor(
+		{answerLimitBytes, isOwnAnswer = acceptAll}: ExchangeLimits,
+		onResult: (result: ExchangeResult) => void,
+	) {
+		this.#limitBytes = answerLimitBytes;
 		this.#onResult = onResult;
+		this.#isOwnAnswer = isOwnAnswer;
 	}
 
 	abort(): void {
-		this.#finish({type: 'broken'});
+		this.#finish({type: 'broken', hasAnswer: this.#status > 0});
 		this.#controller?.abort(new AbortedExchangeError('The exchange was given up'));
 	}
 
@@ -77,10 +100,16 @@
 	}
 
 	onResponseStart(
-		_controller: Dispatcher.DispatchController,
+		controller: Dispatcher.DispatchController,
 		status: number,
 		headers: IncomingHttpHeaders,
 	): void {
+		if (!this.#isOwnAnswer(status, headers)) {
+			this.#finish({type: 'foreign'});
+			controller.abort(new AbortedExchangeError('The answer belongs to another request'));
+			return;
+		}
+
 		this.#status = status;
 		this.#headers = headers;
 	}
@@ -107,7 +136,8 @@
 	}
 
 	onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
-		this.#finish({type: isConnectionRefused(error) ? 'refused' : 'broken'});
+		const isRefused = isConnectionRefused(error);
+		this.#finish(isRefused ? {type: 'refused'} : {type: 'broken', hasAnswer: this.#status > 0});
 	}
 
 	#finish(result: ExchangeResult): void {
--- a/packages/redwingmill-node/src/call/gate-client.ts
+++ b/packages/redwingmill-node/src/call/gate-client.ts
@@ -1,29 +1,23 @@
 import {Buffer} from 'node:buffer';
-import {type IncomingHttpHeaders} from 'node:http';
 import {Pool} from 'undici';
-import {
-	notRunReasons,
-	unknownReasons,
-	type AttemptResult,
-	type Endpoint,
-	type GateAnswer,
-	type Outcome,
-	type WithdrawResult,
-} from 'redwingmill-core';
-import {type Priority} from 'redwingmill-text';
+import {type AttemptResult, type Endpoint, type WithdrawResult} from 'redwingmill-core';
+import {parseAnswer} from './answer-header.js';
+import {formatAttempt, relativeTimes} from './attempt-header.js';
 import {beginExchange, type Exchange, type ExchangeResult} from './exchange.js';
 import {gatePaths} from './gate-server.js';
-import {headerNames, numberHeader, textHeader} from './headers.js';
+import {headerNames, textHeader} from './headers.js';
 import {type CallRequest, type Payload} from './payload.js';
 
-/** An attempt as it is sent to a gate. */
+/** An attempt as it is sent to a gate. Times are monotonic milliseconds. */
 export type Attempt = {
 	readonly id: string;
 	readonly endpoint: Endpoint;
 	readonly ticket?: number;
-	readonly priority: Priority;
+	readonly group: string;
+	readonly rank: number;
+	readonly caller?: string;
 	readonly struckNodes: readonly string[];
-	/** Monotonic milliseconds. */
+	readonly targetAt?: number;
 	readonly deadlineAt: number;
 	readonly startedAt: number;
 	readonly request: CallRequest;
@@ -64,7 +58,7 @@
 		return beginExchange(
 			this.#poolOf(endpoint.gateAddress),
 			{...request, headers},
-			this.#answerLimitBytes,
+			{answerLimitBytes: this.#answerLimitBytes},
 			(result) => {
 				onResult(toAttemptResult(result));
 			},
@@ -74,14 +68,13 @@
 	withdraw(attempt: Attempt, onResult: (result: WithdrawResult<Payload>) => void): Exchange {
 		const {endpoint} = attempt;
 		const headers = {
-			...attemptHeaders(attempt),
-			[headerNames.incarnation]: String(endpoint.incarnation),
+			...attemptHeaders(attempt, endpoint.incarnation),
 			[headerNames.age]: String(Math.ceil(performance.now() - attempt.startedAt)),
 		};
 		return beginExchange(
 			this.#poolOf(endpoint.gateAddress),
 			{method: 'POST', path: gatePaths.withdraw, headers, body: emptyBody},
-			this.#answerLimitBytes,
+			{answerLimitBytes: this.#answerLimitBytes},
 			(result) => {
 				onResult(toWithdrawResult(result));
 			},
@@ -89,12 +82,13 @@
 	}
 
 	/** Tells the gate that nobody waits for the attempt any more. */
-	cancel({endpoint, id}: Attempt): void {
-		const headers = {[headerNames.call]: id};
+	cancel(attempt: Attempt): void {
+		const {endpoint} = attempt;
+		const headers = attemptHeaders(attempt);
 		beginExchange(
 			this.#poolOf(endpoint.gateAddress),
 			{method: 'POST', path: gatePaths.cancel, headers, body: emptyBody},
-			this.#answerLimitBytes,
+			{answerLimitBytes: this.#answerLimitBytes},
 			() => undefined,
 		);
 	}
@@ -104,7 +98,7 @@
 		beginExchange(
 			this.#poolOf(gateAddress),
 			{method: 'POST', path: gatePaths.ticket, headers: {}, body: emptyBody},
-			this.#answerLimitBytes,
+			{answerLimitBytes: this.#answerLimitBytes},
 			(result) => {
 				const isTaken = result.type === 'complete' && result.payload.status === 200;
 				onResult(isTaken ? sequenceIn(result.payload.body) : undefined);
@@ -129,22 +123,15 @@
 	}
 }
 
-function attemptHeaders(attempt: Attempt): Record<string, string> {
-	const headers: Record<string, string> = {
-		[headerNames.call]: attempt.id,
-		[headerNames.priority]: attempt.priority,
-		[headerNames.deadline]: String(Math.max(0, Math.floor(attempt.deadlineAt - performance.now()))),
-	};
-	if (attempt.struckNodes.length > 0) {
-		headers[headerNames.struckNodes] = attempt.struckNodes.join(',');
-	}
-
-	if (attempt.ticket !== undefined) {
-		headers[headerNames.ticket] = String(attempt.ticket);
-		headers[headerNames.incarnation] = String(attempt.endpoint.incarnation);
-	}
-
-	return headers;
+/** @param incarnation - the only life of the gate that may take it; that of a ticket by default. */
+function attemptHeaders(
+	attempt: Attempt,
+	incarnation = attempt.ticket === undefined ? undefined : attempt.endpoint.incarnation,
+): Record<string, string> {
+	const {endpoint} = attempt;
+	const times = relativeTimes(attempt, performance.now());
+	const header = {...attempt, ...times, service: endpoint.service, incarnation};
+	return {[headerNames.attempt]: formatAttempt(header)};
 }
 
 function sequenceIn(body: Buffer): number | undefined {
@@ -155,19 +142,20 @@
 function toAttemptResult(result: ExchangeResult): AttemptResult<Payload> {
 	switch (result.type) {
 		case 'complete': {
-			return {type: 'answered', answer: toAnswer(result.payload, result.headers)};
+			return {type: 'answered', answer: toAnswer(result)};
 		}
 
 		case 'refused': {
 			return {type: 'refused'};
 		}
 
+		case 'foreign':
 		case 'broken': {
 			return {type: 'broken'};
 		}
 
 		case 'too-large': {
-			const outcome: Outcome = {type: 'unknown', reason: 'answer-too-large'};
+			const outcome = {type: 'unknown', reason: 'answer-too-large'} as const;
 			return {type: 'answered', answer: {outcome, isRetried: false}};
 		}
 	}
@@ -178,39 +166,17 @@
 		return {type: 'unreachable'};
 	}
 
-	const answer = toAnswer(result.payload, result.headers);
+	const answer = toAnswer(result);
 	const {outcome} = answer;
 	const isNeverAdmitted = outcome.type === 'not-run' && outcome.reason === 'withdrawn';
 	return isNeverAdmitted ? {type: 'never-admitted'} : {type: 'answered', answer};
 }
 
-function toAnswer(payload: Payload, headers: IncomingHttpHeaders): GateAnswer<Payload> {
-	const outcome = toOutcome(headers);
+function toAnswer({payload, headers}: Extract<ExchangeResult, {type: 'complete'}>) {
+	const answer = parseAnswer(textHeader(headers, headerNames.answer) ?? '');
 	return {
-		outcome,
-		payload: outcome.type === 'ran' ? payload : undefined,
-		retryAfterMs: numberHeader(headers, headerNames.retryAfter),
-		load: numberHeader(headers, headerNames.load),
+		...answer,
+		payload: answer.outcome.type === 'ran' ? payload : undefined,
 		isRetried: headers[headerNames.retried] !== undefined,
 	};
 }
-
-/** An answer without a known outcome says nothing, so the call may have run. */
-function toOutcome(headers: IncomingHttpHeaders): Outcome {
-	const reason = textHeader(headers, headerNames.reason);
-	switch (headers[headerNames.outcome]) {
-		case 'ran': {
-			return {type: 'ran'};
-		}
-
-		case 'not-run': {
-			const known = notRunReasons.find((each) => each === reason);
-			return known ? {type: 'not-run', reason: known} : {type: 'unknown', reason: 'gate-gone'};
-		}
-
-		default: {
-			const known = unknownReasons.find((each) => each === reason);
-			return {type: 'unknown', reason: known ?? 'gate-gone'};
-		}
-	}
-}
--- a/packages/redwingmill-node/src/call/gate-server.ts
+++ b/packages/redwingmill-node/src/call/gate-server.ts
@@ -1,8 +1,9 @@
 import {type Buffer} from 'node:buffer';
 import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
 import {type Answer} from 'redwingmill-core';
-import {priorities, type Priority} from 'redwingmill-text';
 import {listenOn} from '../listen.js';
+import {formatAnswer} from './answer-header.js';
+import {parseAttempt, type AttemptHeader} from './attempt-header.js';
 import {type GateRequest, type GateService} from './gate-service.js';
 import {forwardedHeaders, headerNames, numberHeader, textHeader} from './headers.js';
 import {type Payload} from './payload.js';
@@ -13,24 +14,33 @@
 	withdraw: '/.redwingmill/withdraw',
 	cancel: '/.redwingmill/cancel',
 	ticket: '/.redwingmill/ticket',
+	/** Gives the configuration that the node holds. */
+	configuration: '/.redwingmill/configuration',
 } as const;
 
 /** Status of answers that carry an outcome in place of a worker's answer. */
 const noAnswerStatus = 503;
 const keepAliveMs = 65_000;
-const defaultDeadlineMs = 5000;
+const badRequestStatus = 400;
+
+/** What the gate's port tells of its node. */
+export type GateNode = {
+	readonly incarnation: () => number;
+	/** Configuration held, in the form in which nodes hand it to each other. */
+	readonly configuration: () => unknown;
+};
 
 /** HTTP face of the gate, for other nodes. */
 export class GateServer {
 	readonly #service: GateService;
 	readonly #server: Server;
 	readonly #bodyLimitBytes: number;
-	readonly #incarnation: () => number;
+	readonly #node: GateNode;
 
-	constructor(service: GateService, bodyLimitBytes: number, incarnation: () => number) {
+	constructor(service: GateService, bodyLimitBytes: number, node: GateNode) {
 		this.#service = service;
 		this.#bodyLimitBytes = bodyLimitBytes;
-		this.#incarnation = incarnation;
+		this.#node = node;
 		this.#server = createServer(
 			{keepAliveTimeout: keepAliveMs, noDelay: true},
 			(request, response) => {
@@ -50,32 +60,52 @@
 
 	#handle(request: IncomingMessage, response: ServerResponse): void {
 		switch (request.url) {
-			case gatePaths.withdraw: {
-				this.#withdraw(request, response);
+			case gatePaths.ticket: {
+				sendJson(response, {sequence: this.#service.issueTicket()});
 				break;
 			}
 
-			case gatePaths.cancel: {
-				this.#service.cancel(textHeader(request.headers, headerNames.call) ?? '');
-				response.writeHead(204).end();
+			case gatePaths.configuration: {
+				sendJson(response, this.#node.configuration() ?? null);
 				break;
 			}
 
-			case gatePaths.ticket: {
-				response.end(JSON.stringify({sequence: this.#service.issueTicket()}));
+			default: {
+				this.#handleAttempt(request, response);
+			}
+		}
+	}
+
+	#handleAttempt(request: IncomingMessage, response: ServerResponse): void {
+		const attempt = parseAttempt(textHeader(request.headers, headerNames.attempt) ?? '');
+		if (attempt === undefined) {
+			request.resume();
+			response.writeHead(badRequestStatus).end();
+			return;
+		}
+
+		switch (request.url) {
+			case gatePaths.withdraw: {
+				this.#withdraw(request, response, attempt);
+				break;
+			}
+
+			case gatePaths.cancel: {
+				this.#service.cancel(attempt.id);
+				response.writeHead(204).end();
 				break;
 			}
 
 			default: {
-				this.#submit(request, response);
+				this.#submit(request, response, attempt);
 			}
 		}
 	}
 
-	#submit(request: IncomingMessage, response: ServerResponse): void {
-		const deadlineMs = numberHeader(request.headers, headerNames.deadline) ?? defaultDeadlineMs;
-		const deadlineAt = performance.now() + deadlineMs;
-		if (!this.#isMeantForThis(request)) {
+	#submit(request: IncomingMessage, response: ServerResponse, attempt: AttemptHeader): void {
+		const now = performance.now();
+		if (!this.#isMeantForThis(attempt)) {
+			request.resume();
 			this.#respond(response, {outcome: {type: 'unknown', reason: 'gate-gone'}});
 			return;
 		}
@@ -83,8 +113,7 @@
 		readRequestBody(request, this.#bodyLimitBytes, (result) => {
 			switch (result.type) {
 				case 'complete': {
-					const call = this.#toRequest(request, result.body, deadlineAt);
-					this.#service.submit(call, (answer) => {
+					this.#service.submit(toRequest(request, result.body, attempt, now), (answer) => {
 						this.#respond(response, answer);
 					});
 					break;
@@ -104,45 +133,20 @@
 	}
 
 	/** A ticket or a withdrawal means one incarnation; a later one at the same address isn't it. */
-	#isMeantForThis({headers}: IncomingMessage): boolean {
-		const incarnation = numberHeader(headers, headerNames.incarnation);
-		return incarnation === undefined || incarnation === this.#incarnation();
-	}
-
-	#toRequest(
-		{headers, method, url}: IncomingMessage,
-		body: Buffer | undefined,
-		deadlineAt: number,
-	): GateRequest {
-		return {
-			id: textHeader(headers, headerNames.call) ?? '',
-			ticket: numberHeader(headers, headerNames.ticket),
-			priority: toPriority(textHeader(headers, headerNames.priority)),
-			struckNodes: toNodes(textHeader(headers, headerNames.struckNodes)),
-			deadlineAt,
-			request: {
-				method: method ?? 'GET',
-				path: url ?? '/',
-				headers: forwardedHeaders(headers),
-				body,
-			},
-		};
+	#isMeantForThis({incarnation}: AttemptHeader): boolean {
+		return incarnation === undefined || incarnation === this.#node.incarnation();
 	}
 
-	#withdraw(request: IncomingMessage, response: ServerResponse): void {
+	#withdraw(request: IncomingMessage, response: ServerResponse, attempt: AttemptHeader): void {
 		const {headers} = request;
 		request.resume();
-		const call = {
-			id: textHeader(headers, headerNames.call) ?? '',
-			ticket: numberHeader(headers, headerNames.ticket),
-		};
-		if (!this.#isMeantForThis(request)) {
+		if (!this.#isMeantForThis(attempt)) {
 			this.#respond(response, {outcome: {type: 'unknown', reason: 'gate-gone'}});
 			return;
 		}
 
 		const ageMs = numberHeader(headers, headerNames.age) ?? Number.POSITIVE_INFINITY;
-		const result = this.#service.withdraw(call, ageMs, (answer) => {
+		const result = this.#service.withdraw(attempt, ageMs, (answer) => {
 			this.#respond(response, answer);
 		});
 		if (result === 'never-admitted') {
@@ -157,15 +161,10 @@
 			return;
 		}
 
-		const {outcome, payload, retryAfterMs} = answer;
+		const {payload} = answer;
 		const headers = {
 			...payload?.headers,
-			[headerNames.outcome]: outcome.type,
-			[headerNames.load]: this.#service.load.toFixed(2),
-			...(outcome.type === 'ran' ? {} : {[headerNames.reason]: outcome.reason}),
-			...(retryAfterMs === undefined
-				? {}
-				: {[headerNames.retryAfter]: String(Math.ceil(retryAfterMs))}),
+			[headerNames.answer]: formatAnswer({...answer, load: this.#service.load}),
 			'content-length': payload?.body.length ?? 0,
 		};
 		response.writeHead(payload?.status ?? noAnswerStatus, headers);
@@ -173,10 +172,26 @@
 	}
 }
 
-function toPriority(value: string | undefined): Priority {
-	return priorities.find((priority) => priority === value) ?? 'normal';
+function toRequest(
+	{headers, method, url}: IncomingMessage,
+	body: Buffer | undefined,
+	{deadlineMs, targetMs, ...attempt}: AttemptHeader,
+	now: number,
+): GateRequest {
+	return {
+		...attempt,
+		deadlineAt: now + deadlineMs,
+		targetAt: targetMs === undefined ? undefined : now + targetMs,
+		request: {
+			method: method ?? 'GET',
+			path: url ?? '/',
+			headers: forwardedHeaders(headers),
+			body,
+		},
+	};
 }
 
-function toNodes(value: string | undefined): readonly string[] {
-	return value === undefined ? [] : value.split(',');
+function sendJson(response: ServerResponse, value: unknown): void {
+	response.writeHead(200, {'content-type': 'application/json'});
+	response.end(JSON.stringify(value));
 }
--- a/packages/redwingmill-node/src/call/gate-service.ts
+++ b/packages/redwingmill-node/src/call/gate-service.ts
@@ -1,4 +1,5 @@
 import {createHash} from 'node:crypto';
+import {connect} from 'node:net';
 import {Pool} from 'undici';
 import {
 	Gate,
@@ -8,15 +9,19 @@
 	type GateLimits,
 	type Withdrawal,
 	type Worker,
+	type WorkerLoad,
 	type WorkerResult,
 } from 'redwingmill-core';
+import {splitAddress} from '../address.js';
 import {beginExchange, type Exchange, type ExchangeResult} from './exchange.js';
 import {DeadlineTimer} from './deadline-timer.js';
-import {headerNames} from './headers.js';
 import {type CallRequest, type Payload} from './payload.js';
+import {type WorkerProtocol} from './worker-protocol.js';
 
 /** A call on its way through the gate. */
 export type GateRequest = Omit<GateCall, 'fingerprint'> & {
+	/** Service whose host the call came from; absent when the node has none. */
+	readonly caller?: string;
 	readonly request: CallRequest;
 };
 
@@ -30,7 +35,31 @@
 	readonly answerLimitBytes: number;
 	/** Control address of the node. */
 	readonly node: string;
+	readonly protocol: WorkerProtocol;
 	readonly onSuspect: (fingerprint: string, isCleared: boolean) => void;
+	/** The worker can't be reached, or another one has its address. */
+	readonly onWorkerGone: () => void;
+	/** Called with each call that has its answer. */
+	readonly onAnswered?: (facts: GateFacts) => void;
+};
+
+/** What the gate decided on a call, for the log. */
+export type GateFacts = {
+	readonly request: GateRequest;
+	readonly answer: Answer<Payload>;
+	/** Identity of the worker at the end; absent when it tells none. */
+	readonly instance?: string;
+	/** Monotonic milliseconds at which the call came. */
+	readonly arrivedAt: number;
+	/** Monotonic milliseconds at which it was given to the worker; absent when it wasn't. */
+	readonly dispatchedAt?: number;
+};
+
+/** A call that has no answer yet. */
+type OpenRequest = {
+	readonly request: GateRequest;
+	readonly arrivedAt: number;
+	dispatchedAt?: number;
 };
 
 type Waiter = {
@@ -43,19 +72,22 @@
 const fingerprintDigits = 32;
 const evictionIntervalMs = 1000;
 const waitingCheckIntervalMs = 10;
+const workerConnectTimeoutMs = 500;
+/** How long a worker that broke off a call has to take a connection to count as alive. */
+const crashCheckTimeoutMs = 200;
 
 /** Runs the gate's decisions against the worker. */
 export class GateService {
 	readonly #gate: Gate<Payload>;
 	readonly #options: GateServiceOptions;
 	readonly #waiters = new Map<string, Waiter[]>();
-	readonly #requests = new Map<string, GateRequest>();
+	readonly #requests = new Map<string, OpenRequest>();
 	readonly #exchanges = new Map<string, Exchange>();
 	readonly #deadlines = new DeadlineTimer();
 	readonly #timer: NodeJS.Timeout;
 	#waitingTimer: NodeJS.Timeout | undefined;
 	#pool: Pool | undefined;
-	#workerAddress: string | undefined;
+	#worker: Worker | undefined;
 
 	constructor(options: GateServiceOptions) {
 		this.#options = options;
@@ -65,7 +97,7 @@
 		}, evictionIntervalMs);
 	}
 
-	get load(): number {
+	get load(): WorkerLoad {
 		return this.#gate.load;
 	}
 
@@ -82,12 +114,17 @@
 	}
 
 	setWorker(worker: Worker): void {
-		if (worker.address !== this.#workerAddress) {
+		const isAnother =
+			worker.address !== this.#worker?.address ||
+			worker.instance !== this.#worker.instance ||
+			worker.startedAt !== this.#worker.startedAt;
+		this.#worker = worker;
+		if (isAnother) {
 			void this.#pool?.close();
-			this.#workerAddress = worker.address;
 			this.#pool = new Pool(`http://${worker.address}`, {
 				connections: this.#options.workerConnections,
 				pipelining: 1,
+				connect: {timeout: workerConnectTimeoutMs, noDelay: true},
 			});
 		}
 
@@ -121,7 +158,7 @@
 		const key = this.#gate.keyOf(call);
 		this.#wait(key, request.id, respond);
 		if (!this.#requests.has(key)) {
-			this.#requests.set(key, request);
+			this.#requests.set(key, {request, arrivedAt: performance.now()});
 		}
 
 		this.#perform(this.#gate.arrive(call, performance.now()));
@@ -198,6 +235,11 @@
 					this.#options.onSuspect(effect.fingerprint, effect.isCleared);
 					break;
 				}
+
+				case 'worker-gone': {
+					this.#options.onWorkerGone();
+					break;
+				}
 			}
 		}
 	}
@@ -208,6 +250,7 @@
 		if (others.length > 0) {
 			this.#waiters.set(key, others);
 		} else {
+			this.#tell(key, answer);
 			this.#waiters.delete(key);
 			this.#requests.delete(key);
 		}
@@ -219,30 +262,91 @@
 		}
 	}
 
+	#tell(key: string, answer: Answer<Payload>): void {
+		const open = this.#requests.get(key);
+		if (open) {
+			this.#options.onAnswered?.({...open, answer, instance: this.#worker?.instance});
+		}
+	}
+
 	#dispatch(call: GateCall): void {
 		const key = this.#gate.keyOf(call);
-		const request = this.#requests.get(key)?.request;
-		if (request === undefined || this.#pool === undefined) {
+		const open = this.#requests.get(key);
+		if (open === undefined || this.#pool === undefined) {
 			this.#perform(this.#gate.finish(key, {type: 'unreachable'}, performance.now()));
 			return;
 		}
 
+		open.dispatchedAt = performance.now();
+		const {protocol, answerLimitBytes} = this.#options;
+		const {instance} = this.#worker ?? {};
+		const request = this.#toWorker(open.request, instance);
 		const disarm = this.#deadlines.arm(call.deadlineAt, () => {
 			this.#end(key, {type: 'timed-out'});
 		});
 		const exchange = beginExchange(
 			this.#pool,
-			withDeadline(request, call.deadlineAt),
-			this.#options.answerLimitBytes,
+			request,
+			{
+				answerLimitBytes,
+				isOwnAnswer: (status, headers) =>
+					protocol.judge(status, headers, request.headers) !== 'foreign',
+			},
 			(result) => {
 				disarm();
 				this.#exchanges.delete(key);
-				this.#perform(this.#gate.finish(key, workerResult(result), performance.now()));
+				this.#conclude(key, request, result);
 			},
 		);
 		this.#exchanges.set(key, exchange);
 	}
 
+	#toWorker({request, deadlineAt, caller}: GateRequest, instance: string | undefined): CallRequest {
+		const deadlineMs = Math.max(1, Math.floor(deadlineAt - performance.now()));
+		const headers = this.#options.protocol.requestHeaders({deadlineMs, instance, caller});
+		return {...request, headers: {...request.headers, ...headers}};
+	}
+
+	#conclude(key: string, request: CallRequest, result: ExchangeResult): void {
+		const finish = (workerResult: WorkerResult<Payload>) => {
+			this.#perform(this.#gate.finish(key, workerResult, performance.now()));
+		};
+
+		if (result.type === 'broken' && !result.hasAnswer && this.#worker) {
+			void isAlive(this.#worker.address).then((isWorkerAlive) => {
+				finish({type: isWorkerAlive ? 'lost' : 'died'});
+			});
+			return;
+		}
+
+		finish(this.#workerResult(request, result));
+	}
+
+	#workerResult({headers}: CallRequest, result: ExchangeResult): WorkerResult<Payload> {
+		switch (result.type) {
+			case 'complete': {
+				const {payload} = result;
+				const verdict = this.#options.protocol.judge(payload.status, result.headers, headers);
+				return verdict === 'shed' || verdict === 'misdirected'
+					? {type: verdict}
+					: {type: 'answered', payload, bytes: payload.body.length};
+			}
+
+			case 'refused': {
+				return {type: 'unreachable'};
+			}
+
+			case 'foreign':
+			case 'broken': {
+				return {type: 'lost'};
+			}
+
+			case 'too-large': {
+				return {type: 'too-large'};
+			}
+		}
+	}
+
 	#abort(key: string): void {
 		this.#end(key, {type: 'aborted'});
 	}
@@ -256,38 +360,26 @@
 	}
 }
 
-function withDeadline(request: CallRequest, deadlineAt: number): CallRequest {
-	const remainingMs = Math.max(1, Math.floor(deadlineAt - performance.now()));
-	return {
-		...request,
-		headers: {...request.headers, [headerNames.deadline]: String(remainingMs)},
-	};
-}
-
-function workerResult(result: ExchangeResult): WorkerResult<Payload> {
-	switch (result.type) {
-		case 'complete': {
-			// A worker that passes on a retried refusal from below has run the call itself.
-			const isShed =
-				result.headers[headerNames.outcome] === 'not-run' &&
-				result.headers[headerNames.retried] === undefined;
-			return isShed
-				? {type: 'shed'}
-				: {type: 'answered', payload: result.payload, bytes: result.payload.body.length};
-		}
-
-		case 'refused': {
-			return {type: 'unreachable'};
-		}
-
-		case 'broken': {
-			return {type: 'died'};
-		}
+/** Whether a worker takes connections: one that broke off a call may have ended, or only the call. */
+async function isAlive(address: string): Promise<boolean> {
+	const {host, port} = splitAddress(address);
+	return new Promise((resolve) => {
+		const socket = connect({host, port, timeout: crashCheckTimeoutMs});
+		const end = (isConnected: boolean) => {
+			socket.destroy();
+			resolve(isConnected);
+		};
 
-		case 'too-large': {
-			return {type: 'too-large'};
-		}
-	}
+		socket.once('connect', () => {
+			end(true);
+		});
+		socket.once('timeout', () => {
+			end(false);
+		});
+		socket.once('error', () => {
+			end(false);
+		});
+	});
 }
 
 function fingerprintOf({method, path, body}: CallRequest): string {
--- a/packages/redwingmill-node/src/call/headers.ts
+++ b/packages/redwingmill-node/src/call/headers.ts
@@ -2,22 +2,12 @@
 
 /** Headers of redwingmill, in lower case. */
 export const headerNames = {
-	/** Name of an attempt; only between nodes. */
-	call: 'redwingmill-call',
-	/** Number of a ticket; only between nodes. */
-	ticket: 'redwingmill-ticket',
-	/** Scheduling class; only between nodes. */
-	priority: 'redwingmill-priority',
-	/** Nodes whose workers died of the call, separated by commas; only between nodes. */
-	struckNodes: 'redwingmill-struck-nodes',
+	/** The attempt that a call is, see `AttemptHeader`; only between nodes. */
+	attempt: 'redwingmill-attempt',
+	/** What a gate answers, see `AnswerHeader`; only between nodes. */
+	answer: 'redwingmill-answer',
 	/** Age of a withdrawn attempt in milliseconds; only between nodes. */
 	age: 'redwingmill-age-ms',
-	/** Incarnation of the gate that a request is meant for; only between nodes. */
-	incarnation: 'redwingmill-incarnation',
-	/** Calls in progress per slot; only between nodes. */
-	load: 'redwingmill-load',
-	/** Milliseconds until a caller should come back; only between nodes. */
-	retryAfter: 'redwingmill-retry-after-ms',
 	/** Time left for a call in milliseconds; callers and workers may set it. */
 	deadline: 'redwingmill-deadline-ms',
 	/** `ran`, `not-run` or `unknown`; on every answer. */
--- /dev/null
+++ b/packages/redwingmill-node/src/call/split-chooser.ts
@@ -0,0 +1,75 @@
+import {type Random} from 'redwingmill-shared';
+import {type Destination, type Route} from 'redwingmill-text';
+
+/** How far each destination of one route is behind its share. */
+type Credits = {
+	readonly split: readonly Destination[];
+	readonly credits: number[];
+};
+
+/**
+ * Distributes the calls of a route over its destinations in proportion to their weights. Smooth
+ * weighted round-robin: after any number of calls each destination is within one call of its share.
+ */
+export class SplitChooser {
+	readonly #random: Random;
+	readonly #routes = new Map<string, Credits>();
+
+	constructor(random: Random) {
+		this.#random = random;
+	}
+
+	/** Forgets routes that are gone. */
+	retain(routes: readonly Route[]): void {
+		const keys = new Set(routes.map((route) => keyOf(route)));
+		for (const key of this.#routes.keys()) {
+			if (!keys.has(key)) {
+				this.#routes.delete(key);
+			}
+		}
+	}
+
+	/** Service for the next call of the route. */
+	choose(route: Route): string {
+		const {split, service} = route;
+		if (split === undefined) {
+			return service;
+		}
+
+		const credits = this.#creditsOf(route, split);
+		const total = split.reduce((sum, {weight}) => sum + weight, 0);
+		for (const [index, {weight}] of split.entries()) {
+			credits[index] += weight;
+		}
+
+		const best = credits.indexOf(Math.max(...credits));
+		credits[best] -= total;
+		return split[best].service;
+	}
+
+	/** Nodes begin at different points, so that together they keep to the weights from the start. */
+	#creditsOf(route: Route, split: readonly Destination[]): number[] {
+		const key = keyOf(route);
+		const known = this.#routes.get(key);
+		if (known && isSameSplit(known.split, split)) {
+			return known.credits;
+		}
+
+		const credits = split.map(({weight}) => weight * this.#random.fraction());
+		this.#routes.set(key, {split, credits});
+		return credits;
+	}
+}
+
+function isSameSplit(a: readonly Destination[], b: readonly Destination[]): boolean {
+	return (
+		a.length === b.length &&
+		a.every(
+			({service, weight}, index) => service === b[index].service && weight === b[index].weight,
+		)
+	);
+}
+
+function keyOf({host = '', path, methods}: Route): string {
+	return [host, path, ...methods].join(' ');
+}
--- a/packages/redwingmill-node/src/control/control-plane.ts
+++ b/packages/redwingmill-node/src/control/control-plane.ts
@@ -2,11 +2,14 @@
 	createEngine,
 	defaultLimits,
 	initialBlackboard,
+	takesCalls,
 	type Blackboard,
 	type Effect,
 	type Engine,
 	type Event,
 	type NodeRecord,
+	type RoutingTable,
+	type Worker,
 } from 'redwingmill-core';
 import {PlatformClient, PlatformWatcher} from 'redwingmill-platform';
 import {Random, type Teardown} from 'redwingmill-shared';
@@ -15,16 +18,15 @@
 import {logNotice} from '../observe/notice-log.js';
 import {TrafficMeter} from '../observe/traffic-meter.js';
 import {type Settings} from '../settings/settings.js';
+import {statusOf} from '../operators/status.js';
+import {type Control, type SuspectHandler} from './control.js';
 import {LinkTransport} from './link-transport.js';
 
 const tickIntervalMs = 500;
 const startJitterMs = 300;
 
-/** Told of requests that crash workers. */
-export type SuspectHandler = (fingerprint: string, node: string, isCleared: boolean) => void;
-
 /** Drives the core: turns sockets, timers and watches into events, and effects into I/O. */
-export class ControlPlane {
+export class ControlPlane implements Control {
 	readonly #engine: Engine;
 	readonly #transport: LinkTransport;
 	readonly #client: PlatformClient;
@@ -37,7 +39,7 @@
 	#stopWatch: Teardown | undefined;
 	#timer: NodeJS.Timeout | undefined;
 	#isStopped = false;
-	#onSuspect: SuspectHandler | undefined;
+	#suspectHandler: SuspectHandler | undefined;
 
 	constructor(settings: Settings, self: NodeRecord, log: Log, metrics: Metrics) {
 		this.#log = log;
@@ -83,6 +85,67 @@
 		return this.#meter.bytes;
 	}
 
+	get self(): NodeRecord {
+		return this.blackboard.roster.self;
+	}
+
+	get routing(): RoutingTable {
+		return this.blackboard.routing;
+	}
+
+	get isServing(): boolean {
+		return takesCalls(this.blackboard.serving.state);
+	}
+
+	get isReady(): boolean {
+		return this.isServing;
+	}
+
+	get nodeCount(): number {
+		const sections = [...this.blackboard.roster.roster.values()];
+		return sections.reduce((sum, section) => sum + section.size, 0);
+	}
+
+	get isRelay(): boolean {
+		return this.blackboard.links.uplink.type === 'relay';
+	}
+
+	/** Versions spread over links, so no node is asked for one. */
+	get source(): unknown {
+		return undefined;
+	}
+
+	findNode(dataCentre: string, address: string): NodeRecord | undefined {
+		const record = this.blackboard.roster.roster.get(dataCentre)?.get(address);
+		return record?.status === 'live' ? record : undefined;
+	}
+
+	requestStop(): void {
+		this.dispatch({type: 'stop-requested'});
+	}
+
+	onWorker(worker: Worker): void {
+		this.dispatch({type: 'worker-changed', worker});
+	}
+
+	/** Loads travel with answers only. */
+	onLoad(): void {
+		// Nothing to do.
+	}
+
+	/** Links tell by themselves that a node lives. */
+	onHeard(): void {
+		// Nothing to do.
+	}
+
+	onSuspect(fingerprint: string, isCleared: boolean): void {
+		this.dispatch({type: 'request-suspected', fingerprint, isCleared});
+	}
+
+	status(): unknown {
+		return statusOf(this.blackboard);
+	}
+
 	async start(): Promise<void> {
 		await this.#transport.listen(this.#address);
 		this.#timer = setInterval(() => {
@@ -98,17 +161,25 @@
 		await this.#client.close();
 	}
 
-	registerListener(listener: (current: Blackboard, previous: Blackboard) => void): Teardown {
-		return this.#engine.registerListener(listener);
+	registerRoutingListener(listener: (routing: RoutingTable) => void): Teardown {
+		return this.#engine.registerListener((current, previous) => {
+			if (current.routing !== previous.routing) {
+				listener(current.routing);
+			}
+		});
 	}
 
 	registerSuspectHandler(handler: SuspectHandler): Teardown {
-		this.#onSuspect = handler;
+		this.#suspectHandler = handler;
 		return () => {
-			this.#onSuspect = undefined;
+			this.#suspectHandler = undefined;
 		};
 	}
 
+	registerLoadHandler(): Teardown {
+		return () => undefined;
+	}
+
 	dispatch(event: Event): void {
 		for (const effect of this.#engine.dispatch(event, performance.now())) {
 			this.#perform(effect);
@@ -177,7 +248,7 @@
 			}
 
 			case 'suspect': {
-				this.#onSuspect?.(effect.fingerprint, effect.node, effect.isCleared);
+				this.#suspectHandler?.(effect.fingerprint, effect.node, effect.isCleared);
 				break;
 			}
 		}
--- /dev/null
+++ b/packages/redwingmill-node/src/control/control.ts
@@ -0,0 +1,42 @@
+import {type NodeRecord, type RoutingTable, type Worker, type WorkerLoad} from 'redwingmill-core';
+import {type Teardown} from 'redwingmill-shared';
+
+/** Told of requests that crash workers, or that ran well after all. */
+export type SuspectHandler = (fingerprint: string, node: string, isCleared: boolean) => void;
+/** Told of the load of another node's worker. */
+export type LoadHandler = (node: string, load: WorkerLoad) => void;
+
+/** The control plane as the call path sees it: what to route by, and whom to tell what. */
+export type Control = {
+	/** The own record, as the others know it. */
+	readonly self: NodeRecord;
+	readonly routing: RoutingTable;
+	/** Whether this node takes calls. */
+	readonly isServing: boolean;
+	/** Whether new callers should come here; a node that stops still takes calls, but wants none. */
+	readonly isReady: boolean;
+	/** Nodes known, the own one included. */
+	readonly nodeCount: number;
+	/** Bytes of control traffic so far, both ways. */
+	readonly controlBytes: number;
+	/** Whether this node links its data centre to the platform. */
+	readonly isRelay: boolean;
+	/** Configuration held, in the form in which nodes hand it to each other. */
+	readonly source: unknown;
+	/** Record of a node that is there, whether it may be routed to or not. */
+	findNode: (dataCentre: string, address: string) => NodeRecord | undefined;
+	start: () => Promise<void>;
+	stop: () => Promise<void>;
+	/** A planned stop begins: the others are told. */
+	requestStop: () => void;
+	onWorker: (worker: Worker) => void;
+	onLoad: (load: WorkerLoad) => void;
+	/** Another node answered, so it lives. */
+	onHeard: (node: string) => void;
+	onSuspect: (fingerprint: string, isCleared: boolean) => void;
+	/** State as operators see it, in JSON. */
+	status: () => unknown;
+	registerRoutingListener: (listener: (routing: RoutingTable) => void) => Teardown;
+	registerSuspectHandler: (handler: SuspectHandler) => Teardown;
+	registerLoadHandler: (handler: LoadHandler) => Teardown;
+};
--- /dev/null
+++ b/packages/redwingmill-node/src/control/store-control.ts
@@ -0,0 +1,321 @@
+import {request} from 'undici';
+import {
+	createDirectory,
+	defaultDirectoryLimits,
+	initialDirectory,
+	type ConfigurationDocument,
+	type Directory,
+	type DirectoryBoard,
+	type DirectoryEffect,
+	type DirectoryEvent,
+	type NodeRecord,
+	type RoutingTable,
+	type Worker,
+	type WorkerLoad,
+} from 'redwingmill-core';
+import {Random, type Teardown} from 'redwingmill-shared';
+import {gatePaths} from '../call/gate-server.js';
+import {type Log} from '../observe/log.js';
+import {logEvents} from '../observe/log-event.js';
+import {logDirectoryNotice} from '../observe/directory-log.js';
+import {type Metrics} from '../observe/metrics.js';
+import {type Settings} from '../settings/settings.js';
+import {ConfigurationWatch} from './configuration-watch.js';
+import {type Control, type LoadHandler, type SuspectHandler} from './control.js';
+import {DatagramSocket} from './datagram-socket.js';
+import {type StorePorts} from './store-ports.js';
+
+const tickIntervalMs = 100;
+const askTimeoutMs = 1000;
+const seedRange = 0x7f_ff_ff_ff;
+
+/** What the control plane tells the rest of the node besides what `Control` has. */
+export type StoreControlOptions = {
+	readonly settings: Settings;
+	readonly self: NodeRecord;
+	readonly ports: StorePorts;
+	readonly log: Log;
+	readonly metrics: Metrics;
+};
+
+/**
+ * Control plane that finds the other nodes through the store and takes the configuration from it.
+ * Turns datagrams, timers and the store's answers into events, and effects into I/O.
+ */
+export class StoreControl implements Control {
+	readonly #directory: Directory;
+	readonly #ports: StorePorts;
+	readonly #settings: Settings;
+	readonly #log: Log;
+	readonly #metrics: Metrics;
+	readonly #socket: DatagramSocket;
+	readonly #watch: ConfigurationWatch;
+	readonly #documentListeners = new Set<(document: ConfigurationDocument) => void>();
+	#suspectHandler: SuspectHandler | undefined;
+	#loadHandler: LoadHandler | undefined;
+	#stopWatch: Teardown | undefined;
+	#timer: NodeJS.Timeout | undefined;
+	#isStopped = false;
+
+	constructor({settings, self, ports, log, metrics}: StoreControlOptions) {
+		const random = new Random(self.incarnation % seedRange);
+		this.#settings = settings;
+		this.#ports = ports;
+		this.#log = log;
+		this.#metrics = metrics;
+		this.#directory = createDirectory(initialDirectory(self, performance.now()), {
+			limits: defaultDirectoryLimits,
+			seeds: settings.seeds,
+			random,
+		});
+		this.#socket = new DatagramSocket({
+			onDatagram: (from, datagram) => {
+				this.#dispatch({type: 'datagram', from, datagram});
+			},
+			onMalformed(from) {
+				log.write(logEvents.malformedDatagram, {from});
+			},
+		});
+		this.#watch = new ConfigurationWatch(
+			ports.configuration,
+			{
+				onSource: (source) => {
+					this.#takeSource(source, 'store');
+				},
+				onContact(isInContact, reason) {
+					log.write(isInContact ? logEvents.storeRegained : logEvents.storeLost, {reason});
+				},
+			},
+			random,
+		);
+	}
+
+	get self(): NodeRecord {
+		return this.#board.members.self;
+	}
+
+	get routing(): RoutingTable {
+		return this.#board.routing;
+	}
+
+	/** A node that stops goes on serving until its callers have left. */
+	get isServing(): boolean {
+		return this.#board.standing.state !== 'starting';
+	}
+
+	/** Whether new callers should come here. */
+	get isReady(): boolean {
+		return this.#board.standing.state === 'serving';
+	}
+
+	get nodeCount(): number {
+		return this.#board.members.records.size + 1;
+	}
+
+	get controlBytes(): number {
+		return this.#socket.bytes;
+	}
+
+	get isRelay(): boolean {
+		return false;
+	}
+
+	get source(): unknown {
+		return this.#board.adoption.held?.source;
+	}
+
+	get #board(): DirectoryBoard {
+		return this.#directory.blackboard;
+	}
+
+	findNode(_dataCentre: string, address: string): NodeRecord | undefined {
+		return this.#board.members.reachable.find((record) => record.address === address);
+	}
+
+	/** Binds the socket and begins to look for the others and the configuration. */
+	async start(): Promise<void> {
+		await this.#socket.bind(this.self.address);
+		this.#timer = setInterval(() => {
+			this.#dispatch({type: 'tick'});
+		}, tickIntervalMs);
+		this.#stopWatch = this.#watch.start();
+		this.#dispatch({type: 'tick'});
+		if (this.#settings.seeds.length > 0) {
+			this.#dispatch({type: 'seeds-known', addresses: this.#settings.seeds});
+		}
+	}
+
+	async stop(): Promise<void> {
+		this.#isStopped = true;
+		clearInterval(this.#timer);
+		this.#stopWatch?.();
+		this.#socket.close();
+		await this.#ports.close();
+	}
+
+	requestStop(): void {
+		this.#dispatch({type: 'stop-requested'});
+	}
+
+	onWorker(worker: Worker): void {
+		this.#dispatch({type: 'worker-changed', worker});
+	}
+
+	onLoad(load: WorkerLoad): void {
+		this.#dispatch({type: 'load-changed', load});
+	}
+
+	onHeard(node: string): void {
+		this.#dispatch({type: 'node-heard', address: node});
+	}
+
+	/** Tells all nodes at once: there are few such requests, and each may cost workers. */
+	onSuspect(fingerprint: string, isCleared: boolean): void {
+		for (const to of this.#board.members.contacts.keys()) {
+			this.#socket.send(to, {type: 'suspicion', fingerprint, isCleared});
+		}
+	}
+
+	status(): unknown {
+		const {adoption, members, registry, standing, routing} = this.#board;
+		return {
+			node: members.self.address,
+			dataCentre: members.self.dataCentre,
+			incarnation: members.self.incarnation,
+			serving: standing.state,
+			versionInForce: adoption.held?.version,
+			newerVersion: adoption.newer,
+			worker: members.self.worker,
+			isRegistryKnown: registry.isKnown,
+			routes: routing.routes.length,
+			nodes: [...members.records.values()].map((record) => ({
+				...record,
+				lapsedAt: members.contacts.get(record.address)?.lapsedAt,
+			})),
+		};
+	}
+
+	registerRoutingListener(listener: (routing: RoutingTable) => void): Teardown {
+		return this.#directory.registerListener((current, previous) => {
+			if (current.routing !== previous.routing) {
+				listener(current.routing);
+			}
+		});
+	}
+
+	/** Told of each configuration that comes into force. */
+	registerDocumentListener(listener: (document: ConfigurationDocument) => void): Teardown {
+		this.#documentListeners.add(listener);
+		return () => {
+			this.#documentListeners.delete(listener);
+		};
+	}
+
+	registerSuspectHandler(handler: SuspectHandler): Teardown {
+		this.#suspectHandler = handler;
+		return () => {
+			this.#suspectHandler = undefined;
+		};
+	}
+
+	registerLoadHandler(handler: LoadHandler): Teardown {
+		this.#loadHandler = handler;
+		return () => {
+			this.#loadHandler = undefined;
+		};
+	}
+
+	#dispatch(event: DirectoryEvent): void {
+		if (this.#isStopped) {
+			return;
+		}
+
+		const {held} = this.#board.adoption;
+		for (const effect of this.#directory.dispatch(event, performance.now())) {
+			this.#perform(effect);
+		}
+
+		const {held: document} = this.#board.adoption;
+		if (document && document !== held) {
+			for (const listener of this.#documentListeners) {
+				listener(document);
+			}
+		}
+	}
+
+	#perform(effect: DirectoryEffect): void {
+		switch (effect.type) {
+			case 'send': {
+				this.#socket.send(effect.to, effect.datagram);
+				break;
+			}
+
+			case 'write-record': {
+				void this.#write(effect.record);
+				break;
+			}
+
+			case 'list-registry': {
+				void this.#list();
+				break;
+			}
+
+			case 'read-configuration': {
+				this.#watch.refresh();
+				break;
+			}
+
+			case 'ask-configuration': {
+				void this.#ask(effect.gateAddress);
+				break;
+			}
+
+			case 'load-heard': {
+				this.#loadHandler?.(effect.node, effect.load);
+				break;
+			}
+
+			case 'suspect': {
+				this.#suspectHandler?.(effect.fingerprint, effect.node, effect.isCleared);
+				break;
+			}
+
+			case 'notify': {
+				logDirectoryNotice(this.#log, effect.notice);
+				break;
+			}
+		}
+	}
+
+	async #write(record: NodeRecord): Promise<void> {
+		const isDone = await this.#ports.registry.write(record);
+		this.#dispatch({type: 'record-written', isDone});
+	}
+
+	async #list(): Promise<void> {
+		const records = await this.#ports.registry.list();
+		this.#dispatch({type: 'registry-listed', records});
+	}
+
+	/** Asks a node for the configuration that it holds. */
+	async #ask(gateAddress: string): Promise<void> {
+		try {
+			const {body} = await request(`http://${gateAddress}${gatePaths.configuration}`, {
+				headersTimeout: askTimeoutMs,
+				bodyTimeout: askTimeoutMs,
+			});
+			this.#takeSource(await body.json(), 'node');
+		} catch {
+			this.#metrics.countControl('configuration-unanswered');
+		}
+	}
+
+	#takeSource(source: unknown, origin: 'store' | 'node'): void {
+		const decoded = this.#ports.decode(source);
+		if (decoded.type === 'valid') {
+			this.#dispatch({type: 'configuration-read', document: decoded.document, origin});
+		} else {
+			this.#log.write(logEvents.configurationRefused, {origin, faults: decoded.faults});
+		}
+	}
+}
--- a/packages/redwingmill-node/src/daemon.ts
+++ b/packages/redwingmill-node/src/daemon.ts
@@ -1,89 +1,181 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {
 	defaultGateLimits,
-	takesCalls,
 	WorkerLease,
+	type AnnouncementOrder,
+	type CallerLimits,
 	type NodeRecord,
 	type Worker,
 } from 'redwingmill-core';
 import {Random} from 'redwingmill-shared';
+import {ownCallerProtocol, type CallerProtocol} from './call/caller-protocol.js';
 import {EntryServer} from './call/entry-server.js';
 import {EntryService} from './call/entry-service.js';
 import {GateClient} from './call/gate-client.js';
 import {GateServer} from './call/gate-server.js';
 import {GateService} from './call/gate-service.js';
+import {ownWorkerProtocol, type WorkerProtocol} from './call/worker-protocol.js';
+import {type Control} from './control/control.js';
 import {ControlPlane} from './control/control-plane.js';
+import {CallLog} from './observe/call-log.js';
 import {Log} from './observe/log.js';
 import {logEvents} from './observe/log-event.js';
 import {Metrics, type Readings} from './observe/metrics.js';
 import {OperatorsServer} from './operators/operators-server.js';
 import {type Settings} from './settings/settings.js';
 
-const workerLeaseMs = 3000;
 const workerCheckIntervalMs = 500;
+const loadIntervalMs = 100;
 const incarnationSpread = 1000;
 /** Time in which the others learn that this node leaves, before it closes its ports. */
 const departureMs = 1000;
 const drainCheckIntervalMs = 20;
+const msPerSecond = 1000;
+/** Kept free at the end of the time for a stop, for closing. */
+const closingReserveMs = 700;
 
 /** How a planned stop ended. */
 export type StopResult = {
 	readonly isDrained: boolean;
 };
 
+/** Parts that a control plane is made of. */
+export type ControlParts = {
+	readonly settings: Settings;
+	readonly self: NodeRecord;
+	readonly log: Log;
+	readonly metrics: Metrics;
+};
+
+/** What a daemon may be composed of besides its settings. */
+export type DaemonOptions = {
+	readonly callerProtocol?: CallerProtocol;
+	readonly workerProtocol?: WorkerProtocol;
+	/** Makes the control plane; without it, nodes are linked through relays. */
+	readonly createControl?: (parts: ControlParts) => Control;
+	readonly log?: Log;
+};
+
 /** One node: its control plane, its gate, its proxy and its operators' port. */
 export class Daemon {
-	readonly #settings: Settings;
+	#settings: Settings;
 	readonly #log: Log;
-	readonly #control: ControlPlane;
+	readonly #control: Control;
 	readonly #gate: GateService;
 	readonly #gateClient: GateClient;
 	readonly #gateServer: GateServer;
 	readonly #entry: EntryService;
 	readonly #entryServer: EntryServer;
 	readonly #operators: OperatorsServer;
-	readonly #lease = new WorkerLease(workerLeaseMs);
+	readonly #lease: WorkerLease;
+	#loadTimer: NodeJS.Timeout | undefined;
 	#workerTimer: NodeJS.Timeout | undefined;
 
-	constructor(settings: Settings) {
+	constructor(settings: Settings, options: DaemonOptions = {}) {
 		const {calls} = settings;
 		const self = newRecord(settings);
 		this.#settings = settings;
-		this.#log = new Log(settings);
+		const {
+			callerProtocol = ownCallerProtocol,
+			workerProtocol = ownWorkerProtocol,
+			createControl = createRelayControl,
+			log = new Log(settings),
+		} = options;
+		this.#log = log;
+		this.#lease = new WorkerLease(calls.workerLeaseMs);
 		const metrics = new Metrics(() => this.#read());
-		this.#control = new ControlPlane(settings, self, this.#log, metrics);
+		this.#control = createControl({settings, self, log, metrics});
+		const callLog = new CallLog(log, () => this.#control, callerProtocol.requestIdHeader);
 		this.#gate = new GateService({
-			limits: {...defaultGateLimits, isLimiting: calls.limitsConcurrency},
+			limits: {
+				...defaultGateLimits,
+				isLimiting: calls.limitsConcurrency,
+				deathsToQuarantine: calls.deathsToQuarantine,
+				isolatesSuspects: calls.isolatesSuspects,
+			},
+			protocol: workerProtocol,
 			workerConnections: calls.workerConnections,
 			answerLimitBytes: calls.answerLimitBytes,
 			node: self.address,
 			onSuspect: (fingerprint, isCleared) => {
 				const event = isCleared ? logEvents.requestCleared : logEvents.requestSuspected;
 				this.#log.write(event, {fingerprint});
-				this.#control.dispatch({type: 'request-suspected', fingerprint, isCleared});
+				this.#control.onSuspect(fingerprint, isCleared);
+			},
+			onWorkerGone: () => {
+				this.#log.write(logEvents.workerGone);
+				this.#onWorker(this.#lease.revoke());
+			},
+			onAnswered(facts) {
+				callLog.onGate(facts);
 			},
 		});
 		this.#gateClient = new GateClient(calls.connectionsPerGate, calls.answerLimitBytes);
-		this.#gateServer = new GateServer(
-			this.#gate,
-			calls.bodyLimitBytes,
-			() => this.#control.blackboard.roster.self.incarnation,
-		);
+		this.#gateServer = new GateServer(this.#gate, calls.bodyLimitBytes, {
+			incarnation: () => this.#control.self.incarnation,
+			configuration: () => this.#control.source,
+		});
 		this.#entry = new EntryService(settings, {
-			board: () => this.#control.blackboard,
+			control: this.#control,
 			gate: this.#gate,
 			client: this.#gateClient,
 			metrics,
 			random: new Random(self.incarnation % 0x7f_ff_ff_ff),
+			onAnswered(facts) {
+				callLog.onEntry(facts);
+			},
 		});
-		this.#entryServer = new EntryServer(this.#entry, calls.bodyLimitBytes, metrics, this.#log);
-		this.#operators = new OperatorsServer(
-			() => this.#control.blackboard,
+		this.#entryServer = new EntryServer(this.#entry, {
+			bodyLimitBytes: calls.bodyLimitBytes,
+			protocol: callerProtocol,
 			metrics,
-			(worker) => {
-				this.#onWorker(this.#lease.renew(worker, performance.now()));
-			},
-		);
+			log,
+		});
+		this.#operators = new OperatorsServer(this.#control, metrics, (worker) => {
+			this.announce(worker);
+		});
+	}
+
+	/** Whether new callers should come. */
+	get isReady(): boolean {
+		return this.#control.isReady;
+	}
+
+	/** Takes an announcement of the worker. Without an order, the last to come is the newest. */
+	announce(worker: Worker, order?: AnnouncementOrder): void {
+		const renewal = this.#lease.renew(worker, performance.now(), order);
+		switch (renewal.type) {
+			case 'changed': {
+				this.#onWorker(renewal.worker);
+				break;
+			}
+
+			case 'outdated': {
+				this.#log.write(logEvents.announcementIgnored, {...worker, ...order, reason: 'outdated'});
+				break;
+			}
+
+			case 'unchanged': {
+				break;
+			}
+		}
+	}
+
+	/** The worker with this identity leaves: it gets no new calls. */
+	announceDeparture(instance: string): void {
+		this.#onWorker(this.#lease.leave(instance));
+	}
+
+	/** Takes over changed settings, as far as a running node can. */
+	reload(settings: Settings): void {
+		this.#settings = {...this.#settings, caller: settings.caller, stopping: settings.stopping};
+		this.#entry.reload(settings);
+		this.#log.write(logEvents.settingsReloaded, {caller: settings.caller});
+	}
+
+	/** Takes over what callers may send and how long they may take. */
+	limitCallers(limits: CallerLimits): void {
+		this.#entryServer.limit(limits);
 	}
 
 	/** Listens on all ports and joins the mesh. */
@@ -92,10 +184,11 @@
 		this.#control.registerSuspectHandler((fingerprint, node, isCleared) => {
 			this.#gate.suspect(fingerprint, node, isCleared);
 		});
-		this.#control.registerListener((current, previous) => {
-			if (current.routing !== previous.routing) {
-				this.#entry.onRouting(current);
-			}
+		this.#control.registerRoutingListener((routing) => {
+			this.#entry.onRouting(routing);
+		});
+		this.#control.registerLoadHandler((node, load) => {
+			this.#entry.onLoad(node, load);
 		});
 		await this.#gateServer.listen(addresses.gate);
 		await this.#operators.listen(addresses.operators);
@@ -104,16 +197,23 @@
 		this.#workerTimer = setInterval(() => {
 			this.#onWorker(this.#lease.expire(performance.now()));
 		}, workerCheckIntervalMs);
+		this.#loadTimer = setInterval(() => {
+			this.#control.onLoad(this.#gate.load);
+		}, loadIntervalMs);
 		this.#log.write(logEvents.nodeStarted, {addresses});
 	}
 
 	/** Planned stop: takes no new work, lets calls in progress finish, then closes. */
 	async stop(): Promise<StopResult> {
 		this.#log.write(logEvents.nodeStopping);
-		this.#control.dispatch({type: 'stop-requested'});
+		this.#control.requestStop();
 		this.#entryServer.stop();
+		const {stopping, drainTimeoutMs} = this.#settings;
+		const limitMs = (stopping.withinSeconds ?? Number.POSITIVE_INFINITY) * msPerSecond;
+		await delay(stopping.lingerMs);
 		this.#gate.stop();
-		const [isDrained] = await Promise.all([this.#drain(), delay(departureMs)]);
+		const leftMs = Math.min(drainTimeoutMs, limitMs - stopping.lingerMs - closingReserveMs);
+		const [isDrained] = await Promise.all([this.#drain(leftMs), delay(departureMs)]);
 		if (!isDrained) {
 			this.#log.write(logEvents.drainTimedOut, {inProgress: this.#entry.inProgress});
 		}
@@ -123,8 +223,8 @@
 		return {isDrained};
 	}
 
-	async #drain(): Promise<boolean> {
-		const giveUpAt = performance.now() + this.#settings.drainTimeoutMs;
+	async #drain(timeoutMs: number): Promise<boolean> {
+		const giveUpAt = performance.now() + timeoutMs;
 		while (this.#entry.inProgress > 0 || !this.#gate.isIdle) {
 			if (performance.now() >= giveUpAt) {
 				return false;
@@ -138,6 +238,7 @@
 
 	async #close(): Promise<void> {
 		clearInterval(this.#workerTimer);
+		clearInterval(this.#loadTimer);
 		this.#entryServer.close();
 		this.#gateServer.close();
 		this.#operators.close();
@@ -150,25 +251,29 @@
 		if (worker) {
 			this.#log.write(logEvents.workerChanged, {worker});
 			this.#gate.setWorker(worker);
-			this.#control.dispatch({type: 'worker-changed', worker});
+			this.#control.onWorker(worker);
 		}
 	}
 
 	#read(): Readings {
-		const {configuration, routing, links, serving} = this.#control.blackboard;
+		const {routing, controlBytes, isRelay, isServing} = this.#control;
 		const counts = [...routing.endpoints.values()].map((endpoints) => endpoints.length);
 		return {
-			versionInForce: configuration.held?.version.number ?? 0,
-			controlBytes: this.#control.controlBytes,
+			versionInForce: routing.version,
+			controlBytes,
 			endpoints: counts.reduce((sum, count) => sum + count, 0),
 			gateRunning: this.#gate.runningCount,
 			gateWaiting: this.#gate.waitingCount,
-			isRelay: links.uplink.type === 'relay',
-			isServing: takesCalls(serving.state),
+			isRelay,
+			isServing,
 		};
 	}
 }
 
+function createRelayControl({settings, self, log, metrics}: ControlParts): Control {
+	return new ControlPlane(settings, self, log, metrics);
+}
+
 /** The node's first record. A later start of the same node has a higher incarnation. */
 function newRecord({dataCentre, addresses}: Settings): NodeRecord {
 	return {
--- a/packages/redwingmill-node/src/index.ts
+++ b/packages/redwingmill-node/src/index.ts
@@ -1,4 +1,4 @@
-export {Daemon, type StopResult} from './daemon.js';
+export {Daemon, type ControlParts, type DaemonOptions, type StopResult} from './daemon.js';
 export {ListenError, SettingsError} from './errors.js';
 export {headerNames} from './call/headers.js';
 export {ticketPath} from './call/entry-server.js';
@@ -11,3 +11,22 @@
 	type SettingsFault,
 } from './settings/read-settings.js';
 export {type Settings} from './settings/settings.js';
+export {statusOf, type AnswerFacts, type CallerProtocol} from './call/caller-protocol.js';
+export {
+	type WorkerCallFacts,
+	type WorkerProtocol,
+	type WorkerVerdict,
+} from './call/worker-protocol.js';
+export {type Control} from './control/control.js';
+export {StoreControl, type StoreControlOptions} from './control/store-control.js';
+export {
+	type ConfigurationDecoder,
+	type ConfigurationReading,
+	type ConfigurationSource,
+	type DecodedConfiguration,
+	type NodeRegistry,
+	type StorePorts,
+} from './control/store-ports.js';
+export {readRequestBody} from './call/read-request.js';
+export {listenOn} from './listen.js';
+export {Log} from './observe/log.js';
--- /dev/null
+++ b/packages/redwingmill-node/src/observe/call-log.ts
@@ -0,0 +1,59 @@
+import {type EntryFacts} from '../call/entry-exchange.js';
+import {type GateFacts} from '../call/gate-service.js';
+import {type Control} from '../control/control.js';
+import {type Log} from './log.js';
+import {logEvents} from './log-event.js';
+
+/** Writes a line for each call: at its entry node, and at the gate of the worker that it came to. */
+export class CallLog {
+	readonly #log: Log;
+	readonly #control: () => Control;
+	readonly #requestIdHeader: string;
+
+	constructor(log: Log, control: () => Control, requestIdHeader: string) {
+		this.#log = log;
+		this.#control = control;
+		this.#requestIdHeader = requestIdHeader;
+	}
+
+	onEntry({call, destination, answer, nodes}: EntryFacts): void {
+		const now = performance.now();
+		const outcome = answer?.outcome;
+		this.#log.writeCall(logEvents.callAnswered, outcome?.type !== 'ran', () => ({
+			request: call.requestId,
+			path: call.route.path,
+			service: destination,
+			version: this.#control().routing.version,
+			nodes,
+			outcome: outcome?.type ?? 'left',
+			reason: outcome && outcome.type !== 'ran' ? outcome.reason : undefined,
+			status: answer?.payload?.status,
+			retryAfterMs: rounded(answer?.retryAfterMs),
+			tookMs: rounded(now - call.startedAt),
+			leftMs: rounded(call.deadlineAt - now),
+		}));
+	}
+
+	onGate({request, answer, instance, arrivedAt, dispatchedAt}: GateFacts): void {
+		const now = performance.now();
+		const {outcome, retryAfterMs} = answer;
+		this.#log.writeCall(logEvents.callJudged, outcome.type !== 'ran', () => ({
+			request: request.request.headers[this.#requestIdHeader],
+			attempt: request.id,
+			service: request.service,
+			instance,
+			rank: request.rank,
+			outcome: outcome.type,
+			reason: outcome.type === 'ran' ? undefined : outcome.reason,
+			status: answer.payload?.status,
+			retryAfterMs: rounded(retryAfterMs),
+			waitedMs: rounded((dispatchedAt ?? now) - arrivedAt),
+			ranMs: dispatchedAt === undefined ? undefined : rounded(now - dispatchedAt),
+			leftMs: rounded(request.deadlineAt - now),
+		}));
+	}
+}
+
+function rounded(ms: number | undefined): number | undefined {
+	return ms === undefined ? undefined : Math.round(ms);
+}
--- /dev/null
+++ b/packages/redwingmill-node/src/observe/directory-log.ts
@@ -0,0 +1,21 @@
+import {type DirectoryNotice} from 'redwingmill-core';
+import {type Log} from './log.js';
+import {logEvents, type LogEvent} from './log-event.js';
+
+const events: Readonly<Record<DirectoryNotice['type'], LogEvent>> = {
+	'configuration-adopted': logEvents.configurationAdopted,
+	'node-joined': logEvents.nodeJoined,
+	'node-lapsed': logEvents.nodeLapsed,
+	'node-returned': logEvents.nodeReturned,
+	'node-left': logEvents.nodeLeft,
+	'registry-reached': logEvents.registryReached,
+	'registry-failed': logEvents.registryFailed,
+	'identity-renewed': logEvents.identityRenewed,
+	'directory-state': logEvents.servingChanged,
+	paused: logEvents.pauseDetected,
+};
+
+/** Writes what the directory tells operators as a numbered event. */
+export function logDirectoryNotice(log: Log, {type, ...fields}: DirectoryNotice): void {
+	log.write(events[type], fields);
+}
--- a/packages/redwingmill-node/src/observe/log.ts
+++ b/packages/redwingmill-node/src/observe/log.ts
@@ -1,13 +1,27 @@
+import {TokenBucket} from 'redwingmill-shared';
 import {createLogger, format, transports, type Logger} from 'winston';
 import {type Settings} from '../settings/settings.js';
-import {type LogEvent} from './log-event.js';
+import {LineSink} from './line-sink.js';
+import {logEvents, type LogEvent} from './log-event.js';
 
 /** Fields of a log line besides the event's own. */
 export type LogFields = Readonly<Record<string, unknown>>;
 
-/** Writes numbered events to standard output. */
+/** Lines on single calls: so many a second, and so many at once. The rest is counted. */
+const callLinesPerSecond = 100;
+const callLinesBurst = 400;
+/** Part of the burst that only calls that weren't run may use. */
+const failureReserve = 200;
+const dropReportIntervalMs = 5000;
+
+/** Writes numbered events to standard output, without ever waiting for its reader. */
 export class Log {
 	readonly #logger: Logger;
+	readonly #sink = new LineSink();
+	readonly #callLines = new TokenBucket(callLinesBurst, callLinesPerSecond, performance.now());
+	readonly #failureLines = new TokenBucket(failureReserve, callLinesPerSecond, performance.now());
+	#skipped = 0;
+	#reportedAt = 0;
 
 	constructor({log, dataCentre, addresses}: Settings) {
 		const lines = format.printf(
@@ -18,11 +32,37 @@
 			level: log.level,
 			format: format.combine(format.timestamp(), log.format === 'json' ? format.json() : lines),
 			defaultMeta: {dataCentre, node: addresses.control},
-			transports: [new transports.Console()],
+			transports: [new transports.Stream({stream: this.#sink})],
 		});
 	}
 
 	write({number, level, message}: LogEvent, fields: LogFields = {}): void {
 		this.#logger.log({level, message, event: number, ...fields});
 	}
+
+	/** Writes a line on a single call, as far as the bounds allow; failures have a reserve. */
+	writeCall(event: LogEvent, isFailure: boolean, fields: () => LogFields): void {
+		const now = performance.now();
+		const isAllowed = this.#callLines.take(now) || (isFailure && this.#failureLines.take(now));
+		if (isAllowed) {
+			this.write(event, fields());
+		} else {
+			this.#skipped += 1;
+		}
+
+		this.#reportDrops(now);
+	}
+
+	#reportDrops(now: number): void {
+		if (now - this.#reportedAt < dropReportIntervalMs) {
+			return;
+		}
+
+		const dropped = this.#sink.takeDropped();
+		this.#reportedAt = now;
+		if (dropped + this.#skipped > 0) {
+			this.write(logEvents.linesDropped, {skipped: this.#skipped, dropped});
+			this.#skipped = 0;
+		}
+	}
 }
--- a/packages/redwingmill-node/src/observe/metrics.ts
+++ b/packages/redwingmill-node/src/observe/metrics.ts
@@ -65,7 +65,9 @@
 		this.#retries.inc({reason});
 	}
 
-	countControl(event: ControlCounter | 'platform-retry' | 'link-overflow'): void {
+	countControl(
+		event: ControlCounter | 'platform-retry' | 'link-overflow' | 'configuration-unanswered',
+	): void {
 		this.#control.inc({event});
 	}
 
--- a/packages/redwingmill-node/src/operators/operators-server.ts
+++ b/packages/redwingmill-node/src/operators/operators-server.ts
@@ -1,10 +1,10 @@
 import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
-import {takesCalls, type Blackboard, type Worker} from 'redwingmill-core';
+import {type Worker} from 'redwingmill-core';
 import {readRequestBody} from '../call/read-request.js';
+import {type Control} from '../control/control.js';
 import {listenOn} from '../listen.js';
 import {type Metrics} from '../observe/metrics.js';
 import {parseAnnouncement} from './announcement.js';
-import {statusOf} from './status.js';
 
 /** Paths of the operators' port. */
 export const operatorsPaths = {
@@ -21,12 +21,12 @@
 /** HTTP face for operators and for the node's own worker. */
 export class OperatorsServer {
 	readonly #server: Server;
-	readonly #board: () => Blackboard;
+	readonly #control: Control;
 	readonly #metrics: Metrics;
 	readonly #onWorker: (worker: Worker) => void;
 
-	constructor(board: () => Blackboard, metrics: Metrics, onWorker: (worker: Worker) => void) {
-		this.#board = board;
+	constructor(control: Control, metrics: Metrics, onWorker: (worker: Worker) => void) {
+		this.#control = control;
 		this.#metrics = metrics;
 		this.#onWorker = onWorker;
 		this.#server = createServer((request, response) => {
@@ -51,8 +51,8 @@
 			}
 
 			case operatorsPaths.ready: {
-				const {state} = this.#board().serving;
-				reply(response, takesCalls(state) ? 200 : 503, {serving: state});
+				const {isServing} = this.#control;
+				reply(response, isServing ? 200 : 503, {isServing});
 				break;
 			}
 
@@ -62,7 +62,7 @@
 			}
 
 			case operatorsPaths.status: {
-				reply(response, 200, statusOf(this.#board()));
+				reply(response, 200, this.#control.status());
 				break;
 			}
 
--- a/packages/redwingmill-node/src/settings/settings.ts
+++ b/packages/redwingmill-node/src/settings/settings.ts
@@ -17,7 +17,13 @@
 		readonly control: string;
 		/** Takes operators' requests and the worker's announcements. */
 		readonly operators: string;
+		/** Tells whether callers should come, when that is asked at a port of its own. */
+		readonly ready?: string;
+		/** Takes the worker's announcements, when they come to a port of their own. */
+		readonly announcements?: string;
 	};
+	/** Service whose worker shares the host; workers elsewhere are told it as the caller. */
+	readonly caller?: string;
 	/** Object API of the platform. */
 	readonly platform: string;
 	/** Control addresses of some nodes of the same data centre. */
@@ -32,12 +38,28 @@
 		readonly slowStartMs: number;
 		readonly limitsConcurrency: boolean;
 		readonly withdraws: boolean;
+		/** Length of the sliding window in which retries are counted. */
+		readonly retryWindowSeconds: number;
+		/** Retries that the whole mesh may make per first attempt, for routes that name no share. */
+		readonly meshRetryShare: number;
+		/** Retries that the whole mesh may make in a window besides the routes' shares; each node has its part. */
+		readonly meshRetrySlack: number;
+		readonly deathsToQuarantine: number;
+		readonly isolatesSuspects: boolean;
+		/** How long one announcement of the worker holds. */
+		readonly workerLeaseMs: number;
 	};
 	readonly control: {
 		readonly distributionIntervalMs: number;
 		readonly sendsWholeTables: boolean;
 	};
 	readonly drainTimeoutMs: number;
+	readonly stopping: {
+		/** Time after the signal in which callers and other nodes may still come. */
+		readonly lingerMs: number;
+		/** Time from the signal to the process's end at the latest; absent bounds draining alone. */
+		readonly withinSeconds?: number;
+	};
 	readonly log: {
 		readonly level: LogLevel;
 		readonly format: LogFormat;
@@ -61,8 +83,16 @@
 			type: 'object',
 			additionalProperties: false,
 			required: ['proxy', 'gate', 'control', 'operators'],
-			properties: {proxy: address, gate: address, control: address, operators: address},
+			properties: {
+				proxy: address,
+				gate: address,
+				control: address,
+				operators: address,
+				ready: address,
+				announcements: address,
+			},
 		},
+		caller: {type: 'string', minLength: 1, maxLength: 253},
 		platform: address,
 		seeds: {type: 'array', items: address, maxItems: 32, default: []},
 		calls: {
@@ -89,6 +119,12 @@
 				slowStartMs: {...durationMs, default: 10_000},
 				limitsConcurrency: {type: 'boolean', default: true},
 				withdraws: {type: 'boolean', default: true},
+				retryWindowSeconds: {type: 'number', minimum: 0.1, maximum: 600, default: 10},
+				meshRetryShare: {type: 'number', minimum: 0, maximum: 1, default: 0.1},
+				meshRetrySlack: {type: 'number', minimum: 0, maximum: 100_000, default: 50},
+				deathsToQuarantine: {type: 'integer', minimum: 1, maximum: 100, default: 2},
+				isolatesSuspects: {type: 'boolean', default: true},
+				workerLeaseMs: {...durationMs, minimum: 100, default: 3000},
 			},
 		},
 		control: {
@@ -101,6 +137,15 @@
 			},
 		},
 		drainTimeoutMs: {...durationMs, default: 30_000},
+		stopping: {
+			type: 'object',
+			additionalProperties: false,
+			default: {},
+			properties: {
+				lingerMs: {...durationMs, default: 0},
+				withinSeconds: {type: 'number', minimum: 1, maximum: 3600},
+			},
+		},
 		log: {
 			type: 'object',
 			additionalProperties: false,
--- /dev/null
+++ b/packages/redwingmill-protocol/src/datagram-codec.ts
@@ -0,0 +1,120 @@
+import {create, fromBinary, toBinary, type MessageInitShape} from '@bufbuild/protobuf';
+import {type Datagram, type WorkerLoad} from 'redwingmill-core';
+import {ProtocolError} from './errors.js';
+import * as wire from './generated/redwingmill/v1/datagram_pb.js';
+import {decodeRecord, encodeRecord} from './record-codec.js';
+
+const hundred = 100;
+const tenthsPerMs = 10;
+
+/** Bytes of a datagram. */
+export function encodeDatagram(datagram: Datagram): Uint8Array {
+	const message = create(wire.DatagramSchema, {body: encodeBody(datagram)});
+	return toBinary(wire.DatagramSchema, message);
+}
+
+/** Throws {@link ProtocolError} on bytes that aren't a whole datagram. */
+export function decodeDatagram(bytes: Uint8Array): Datagram {
+	const {body} = parse(bytes);
+	switch (body.case) {
+		case 'announcement': {
+			const {record, version, wantsReply} = body.value;
+			return {
+				type: 'announcement',
+				record: decodeRecord(record),
+				version: Number(version),
+				wantsReply,
+			};
+		}
+
+		case 'pulse': {
+			const {incarnation, revision, version, load} = body.value;
+			return {
+				type: 'pulse',
+				incarnation: Number(incarnation),
+				revision,
+				version: Number(version),
+				load: load && decodeLoad(load),
+			};
+		}
+
+		case 'inquiry': {
+			return {type: 'inquiry'};
+		}
+
+		case 'outdated': {
+			return {type: 'outdated', incarnation: Number(body.value.incarnation)};
+		}
+
+		case 'suspicion': {
+			const {fingerprint, isCleared} = body.value;
+			return {type: 'suspicion', fingerprint, isCleared};
+		}
+
+		case undefined: {
+			throw new ProtocolError('A datagram has no body');
+		}
+	}
+}
+
+function parse(bytes: Uint8Array): wire.Datagram {
+	try {
+		return fromBinary(wire.DatagramSchema, bytes);
+	} catch (error) {
+		throw new ProtocolError('A datagram is malformed', {cause: error});
+	}
+}
+
+function encodeBody(datagram: Datagram): MessageInitShape<typeof wire.DatagramSchema>['body'] {
+	switch (datagram.type) {
+		case 'announcement': {
+			const {record, version, wantsReply} = datagram;
+			const value = {record: encodeRecord(record), version: BigInt(version), wantsReply};
+			return {case: 'announcement', value};
+		}
+
+		case 'pulse': {
+			const {incarnation, revision, version, load} = datagram;
+			const value = {
+				incarnation: BigInt(incarnation),
+				revision,
+				version: BigInt(version),
+				load: load && encodeLoad(load),
+			};
+			return {case: 'pulse', value};
+		}
+
+		case 'inquiry': {
+			return {case: 'inquiry', value: {}};
+		}
+
+		case 'outdated': {
+			return {case: 'outdated', value: {incarnation: BigInt(datagram.incarnation)}};
+		}
+
+		case 'suspicion': {
+			const {fingerprint, isCleared} = datagram;
+			return {case: 'suspicion', value: {fingerprint, isCleared}};
+		}
+	}
+}
+
+function encodeLoad({
+	callsPerSlot,
+	waitMs,
+	runMs,
+}: WorkerLoad): MessageInitShape<typeof wire.LoadSchema> {
+	return {
+		callsPerHundredSlots: Math.round(callsPerSlot * hundred),
+		waitMs: Math.round(waitMs),
+		runTenthsMs: Math.round(runMs * tenthsPerMs),
+	};
+}
+
+function decodeLoad({callsPerHundredSlots, waitMs, runTenthsMs}: wire.Load): WorkerLoad {
+	return {
+		callsPerSlot: callsPerHundredSlots / hundred,
+		waitMs,
+		runMs: runTenthsMs / tenthsPerMs,
+	};
+}
--- a/packages/redwingmill-protocol/src/index.ts
+++ b/packages/redwingmill-protocol/src/index.ts
@@ -7,3 +7,4 @@
 	type LinkResponse,
 } from './generated/redwingmill/v1/link_pb.js';
 export {decodeMessage, encodeMessage} from './message-codec.js';
+export {decodeDatagram, encodeDatagram} from './datagram-codec.js';
--- a/packages/redwingmill-protocol/src/message-codec.ts
+++ b/packages/redwingmill-protocol/src/message-codec.ts
@@ -1,10 +1,7 @@
 import {create, type MessageInitShape} from '@bufbuild/protobuf';
 import {
 	linkRoles,
-	memberStatuses,
-	workerStates,
 	type Message,
-	type NodeRecord,
 	type Refusal,
 	type Report,
 	type SectionDigest,
@@ -12,7 +9,9 @@
 	type Version,
 } from 'redwingmill-core';
 import {ProtocolError} from './errors.js';
+import {pick, required} from './fields.js';
 import * as wire from './generated/redwingmill/v1/link_pb.js';
+import {decodeRecord, encodeRecord} from './record-codec.js';
 
 type Init<Schema extends Parameters<typeof create>[0]> = MessageInitShape<Schema>;
 
@@ -244,37 +243,6 @@
 	}
 }
 
-function encodeRecord(record: NodeRecord): Init<typeof wire.NodeRecordSchema> {
-	const {worker} = record;
-	return {
-		address: record.address,
-		dataCentre: record.dataCentre,
-		incarnation: BigInt(record.incarnation),
-		revision: record.revision,
-		status: memberStatuses.indexOf(record.status) + 1,
-		gateAddress: record.gateAddress,
-		worker: worker && {...worker, state: workerStates.indexOf(worker.state) + 1},
-	};
-}
-
-function decodeRecord(record: wire.NodeRecord | undefined): NodeRecord {
-	const {worker, ...fields} = required(record);
-	return {
-		address: fields.address,
-		dataCentre: fields.dataCentre,
-		incarnation: Number(fields.incarnation),
-		revision: fields.revision,
-		status: pick(memberStatuses, fields.status),
-		gateAddress: fields.gateAddress,
-		worker: worker && {
-			service: worker.service,
-			address: worker.address,
-			slots: worker.slots,
-			state: pick(workerStates, worker.state),
-		},
-	};
-}
-
 function encodeReport({held, staged, refused}: Report): Init<typeof wire.ReportSchema> {
 	return {
 		held: held && encodeVersion(held),
@@ -329,16 +297,3 @@
 function decodeDigest(digest: bigint): string {
 	return digest.toString(hexadecimal).padStart(digestDigits, '0');
 }
-
-/** Value of a wire enumeration, whose numbers start at 1. */
-function pick<Value extends string>(values: readonly Value[], number: number): Value {
-	return required(values[number - 1]);
-}
-
-function required<Value>(value: Value | undefined): Value {
-	if (value === undefined) {
-		throw new ProtocolError('A field that the protocol requires is missing');
-	}
-
-	return value;
-}
--- /dev/null
+++ b/packages/redwingmill-protocol/src/record-codec.ts
@@ -0,0 +1,38 @@
+import {type MessageInitShape} from '@bufbuild/protobuf';
+import {memberStatuses, workerStates, type NodeRecord} from 'redwingmill-core';
+import {pick, required} from './fields.js';
+import type * as wire from './generated/redwingmill/v1/link_pb.js';
+
+/** Record of a node as it is sent. */
+export function encodeRecord(record: NodeRecord): MessageInitShape<typeof wire.NodeRecordSchema> {
+	const {worker} = record;
+	return {
+		address: record.address,
+		dataCentre: record.dataCentre,
+		incarnation: BigInt(record.incarnation),
+		revision: record.revision,
+		status: memberStatuses.indexOf(record.status) + 1,
+		gateAddress: record.gateAddress,
+		worker: worker && {...worker, state: workerStates.indexOf(worker.state) + 1},
+	};
+}
+
+/** Throws {@link ProtocolError} on a record that isn't complete. */
+export function decodeRecord(record: wire.NodeRecord | undefined): NodeRecord {
+	const {worker, ...fields} = required(record);
+	return {
+		address: fields.address,
+		dataCentre: fields.dataCentre,
+		incarnation: Number(fields.incarnation),
+		revision: fields.revision,
+		status: pick(memberStatuses, fields.status),
+		gateAddress: fields.gateAddress,
+		worker: worker && {
+			service: worker.service,
+			address: worker.address,
+			slots: worker.slots,
+			state: pick(workerStates, worker.state),
+			...(worker.instance === '' ? {} : {instance: worker.instance}),
+		},
+	};
+}
--- a/packages/redwingmill-text/src/__tests__/unit/parse-text.test.ts
+++ b/packages/redwingmill-text/src/__tests__/unit/parse-text.test.ts
@@ -25,7 +25,7 @@
 			const {services, routes} = parsed.configuration;
 			expect(services.map(({name}) => name)).to.deep.equal(['a', 'b']);
 			expect(routes.map(({path}) => path)).to.deep.equal(['/b/long', '/b']);
-			expect(routes[1]).to.include({priority: 'normal', deadlineMs: 5000, retryShare: 0.1});
+			expect(routes[1]).to.include({rank: 1, deadlineMs: 5000, retryShare: 0.1});
 			expect(routes[1].idempotent).to.not.include('POST');
 		}
 	});
--- a/packages/redwingmill-text/src/index.ts
+++ b/packages/redwingmill-text/src/index.ts
@@ -1,6 +1,8 @@
 export {
+	anyMethod,
 	priorities,
 	type Configuration,
+	type Destination,
 	type Priority,
 	type Route,
 	type Service,
--- a/packages/redwingmill-text/src/parse-text.ts
+++ b/packages/redwingmill-text/src/parse-text.ts
@@ -247,7 +247,7 @@
 		service,
 		methods,
 		idempotent,
-		priority: priority ?? 'normal',
+		rank: priorities.indexOf(priority ?? 'normal'),
 		deadlineMs: deadline ?? defaultDeadlineMs,
 		retryShare: retryShare ?? defaultRetryShare,
 	};
--- a/test/support/fake-call-path.ts
+++ b/test/support/fake-call-path.ts
@@ -13,7 +13,6 @@
 	type WorkerResult,
 } from 'redwingmill-core';
 import {Random} from 'redwingmill-shared';
-import {type Route} from 'redwingmill-text';
 import {FakeClock} from './fake-clock.js';
 
 /** Steps of a call at which a fault can begin. */
@@ -69,16 +68,6 @@
 const hopMs = 1;
 const resendLimit = 3;
 const withdrawTimeoutMs = 500;
-const route: Route = {
-	path: '/',
-	service: 'coding',
-	methods: [],
-	idempotent: [],
-	priority: 'normal',
-	deadlineMs,
-	retryShare: 1,
-};
-
 /** Real entry calls and real gates over a fake network, with the workers' own record of runs. */
 export class FakeCallPath {
 	readonly clock = new FakeClock();
@@ -95,7 +84,7 @@
 	isCallerGone = false;
 	hook: StepHook | undefined;
 	readonly #chooser: EndpointChooser;
-	readonly #budget = new RetryBudget();
+	readonly #budget = new RetryBudget(10_000);
 	#attempts = 0;
 
 	constructor(seed: number) {
@@ -168,7 +157,7 @@
 	newEntryCall(plan: CallerPlan, pinned: FakeHost | undefined): EntryCall<string> {
 		return new EntryCall(
 			{
-				route,
+				retryAllowance: {share: 1, slack: 5},
 				isIdempotent: plan.isIdempotent,
 				deadlineAt: this.clock.now + deadlineMs,
 				endpoints: this.hosts.map((host) => host.endpoint),
@@ -285,6 +274,10 @@
 					break;
 				}
 
+				case 'worker-gone': {
+					break;
+				}
+
 				case 'suspect': {
 					for (const other of this.hosts.filter((each) => each !== host)) {
 						const {fingerprint, isCleared} = effect;
@@ -440,7 +433,9 @@
 		const call: GateCall = {
 			id: `attempt ${attempt}`,
 			ticket: this.#options.ticket,
-			priority: 'normal',
+			service: 'coding',
+			group: '/',
+			rank: 1,
 			deadlineAt: this.#deadlineAt,
 			struckNodes,
 			fingerprint: () => this.#plan.name,
@@ -569,5 +564,5 @@
 }
 
 function toGateAnswer(answer: Answer<string>): GateAnswer<string> {
-	return {...answer, load: 0, isRetried: false};
+	return {...answer, load: {callsPerSlot: 0, waitMs: 0, runMs: serviceMs}, isRetried: false};
 }
--- a/xo.config.js
+++ b/xo.config.js
@@ -1,7 +1,7 @@
 /** @type {import('xo').FlatXoConfig} */
 const config = [
 	{
-		ignores: ['**/dist/**', 'packages/redwingmill-protocol/src/generated/**'],
+		ignores: ['**/dist/**', 'target/**', 'packages/redwingmill-protocol/src/generated/**'],
 	},
 	{
 		prettier: 'compat',
@@ -35,7 +35,13 @@
 		},
 	},
 	{
-		files: ['**/main.ts', '.ci/*.js', '**/child-processes.ts', '**/stand-in-worker.ts'],
+		files: [
+			'**/main.ts',
+			'.ci/*.js',
+			'platform/build.js',
+			'**/child-processes.ts',
+			'**/stand-in-worker.ts',
+		],
 		rules: {
 			'unicorn/no-process-exit': 'off',
 		},
