--- /dev/null
+++ b/packages/redwingmill-core/src/__tests__/unit/worker-lease.test.ts
@@ -0,0 +1,56 @@
+import {expect} from 'chai';
+import {WorkerLease, type Worker} from '../../index.js';
+
+const leaseMs = 3000;
+
+function workerWith(fields: Partial<Worker> = {}): Worker {
+	const worker = {service: 'coding', address: '10.0.0.1:9000', slots: 6, state: 'ready'} as const;
+	return {...worker, instance: 'one', startedAt: 100, ...fields};
+}
+
+describe('WorkerLease', () => {
+	it('ignores an announcement that was overtaken by a later one', () => {
+		const lease = new WorkerLease(leaseMs);
+		lease.renew(workerWith({state: 'draining'}), 0, {startedAt: 100, sequence: 5});
+		const late = lease.renew(workerWith(), 1, {startedAt: 100, sequence: 4});
+		expect(late.type).to.equal('outdated');
+	});
+
+	it('ignores what an earlier life of the host said, however late it comes', () => {
+		const lease = new WorkerLease(leaseMs);
+		lease.renew(workerWith({instance: 'two'}), 0, {startedAt: 200, sequence: 0});
+		const late = lease.renew(workerWith(), 1, {startedAt: 100, sequence: 90});
+		expect(late.type).to.equal('outdated');
+	});
+
+	it('takes a new life under an old identity, whose sequence starts anew', () => {
+		const lease = new WorkerLease(leaseMs);
+		lease.renew(workerWith(), 0, {startedAt: 100, sequence: 50});
+		const again = lease.renew(workerWith({startedAt: 900}), 1, {startedAt: 900, sequence: 0});
+		expect(again.type).to.equal('changed');
+	});
+
+	it('never makes a worker ready again that has left', () => {
+		const lease = new WorkerLease(leaseMs);
+		lease.renew(workerWith(), 0, {startedAt: 100, sequence: 1});
+		expect(lease.leave('one')?.state).to.equal('draining');
+		expect(lease.renew(workerWith(), 1, {startedAt: 100, sequence: 2}).type).to.equal('outdated');
+		const reborn = lease.renew(workerWith({startedAt: 101}), 2, {startedAt: 101, sequence: 0});
+		expect(reborn.type).to.equal('changed');
+	});
+
+	it('remembers a departure that came before any announcement', () => {
+		const lease = new WorkerLease(leaseMs);
+		expect(lease.leave('one')).to.equal(undefined);
+		expect(lease.renew(workerWith(), 1, {startedAt: 100, sequence: 2}).type).to.equal('outdated');
+	});
+
+	it('ends with silence, and comes back with the next announcement', () => {
+		const lease = new WorkerLease(leaseMs);
+		lease.renew(workerWith(), 0, {startedAt: 100, sequence: 1});
+		expect(lease.expire(leaseMs)).to.equal(undefined);
+		expect(lease.expire(leaseMs + 1)?.state).to.equal('absent');
+		const back = lease.renew(workerWith(), leaseMs + 2, {startedAt: 100, sequence: 2});
+		expect(back.type).to.equal('changed');
+	});
+});
--- a/packages/redwingmill-core/src/call/call-ledger.ts
+++ b/packages/redwingmill-core/src/call/call-ledger.ts
@@ -4,6 +4,8 @@
 export type Answer<Payload> = {
 	readonly outcome: Outcome;
 	readonly payload?: Payload;
+	/** Time that the worker ran the call, in milliseconds; absent when it didn't answer. */
+	readonly ranMs?: number;
 	/** Time after which the caller should come back, when that makes sense. */
 	readonly retryAfterMs?: number;
 };
--- a/packages/redwingmill-core/src/call/endpoint-chooser.ts
+++ b/packages/redwingmill-core/src/call/endpoint-chooser.ts
@@ -1,6 +1,7 @@
 import {type Random} from 'redwingmill-shared';
 import {type Endpoint} from '../model/routing-table.js';
 import {expectedCompletion, freshCompletion, type CompletionState} from './expected-completion.js';
+import {RunTimes} from './run-times.js';
 import {type WorkerLoad} from './worker-load.js';
 
 /** How an endpoint is chosen; `least-loaded`, `random` and `round-robin` are baselines of measurements. */
@@ -22,11 +23,21 @@
 	readonly dataCentre: string;
 };
 
+/** What choosing may take into account of a call. */
+export type CallNeeds = {
+	/** Names calls that take similar time. */
+	readonly group: string;
+	/** Monotonic milliseconds by which an answer is worth most; absent when only the deadline counts. */
+	readonly targetAt?: number;
+};
+
 /** What this node knows of an endpoint by its own calls. */
 type EndpointState = {
 	readonly since: number;
 	inFlight: number;
 	completion: CompletionState;
+	/** Run time relative to the mean of the service's workers, when an endpoint was last chosen. */
+	slowness: number;
 	/** Calls in progress per slot, as the gate said with its last answer. */
 	load: number;
 	loadAt: number;
@@ -44,6 +55,9 @@
 const failureSmoothing = 0.1;
 /** Part of the time left for a call within which the own data centre must be expected to answer. */
 const timelyShare = 0.8;
+const noNeeds: CallNeeds = {group: ''};
+/** Bounds of how much slower or faster than the mean a worker is taken to be. */
+const slownessBounds = {least: 0.2, most: 8} as const;
 /** Load at which the local data centre lacks capacity. */
 const fullLoad = 2;
 
@@ -52,6 +66,8 @@
 	readonly #options: ChoiceOptions;
 	readonly #random: Random;
 	#states = new Map<string, EndpointState>();
+	/** Run times by group, as a worker of the service's mean speed would take. */
+	readonly #groups = new RunTimes();
 	#turn = 0;
 
 	constructor(options: ChoiceOptions, random: Random) {
@@ -78,7 +94,7 @@
 		endpoints: readonly Endpoint[],
 		excluded: ReadonlySet<string>,
 		now: number,
-		targetAt?: number,
+		needs: CallNeeds = noNeeds,
 	): Endpoint | undefined {
 		if (endpoints.length === 1) {
 			return excluded.has(endpoints[0].node) ? undefined : endpoints[0];
@@ -87,7 +103,7 @@
 		const open = endpoints.filter((endpoint) => !excluded.has(endpoint.node));
 		const usable = this.#withoutEjected(open, endpoints.length, now);
 		if (this.#options.policy === 'expected-completion') {
-			return this.#soonest(usable, now, targetAt);
+			return this.#soonest(usable, now, needs);
 		}
 
 		const local = usable.filter((endpoint) => endpoint.dataCentre === this.#options.dataCentre);
@@ -125,6 +141,14 @@
 		state.completion = withOutcome(state.completion, 0);
 	}
 
+	/** @param ranMs - time that the worker ran a call of the group; absent when the gate didn't say. */
+	onRan(endpoint: Endpoint, group: string, ranMs: number | undefined): void {
+		const state = this.#stateOf(endpoint);
+		if (ranMs !== undefined) {
+			this.#groups.record(group, ranMs / state.slowness);
+		}
+	}
+
 	/** Counts a failure of the endpoint itself; several in a row eject it for a while. */
 	onFailure(endpoint: Endpoint, now: number): void {
 		const state = this.#stateOf(endpoint);
@@ -152,13 +176,17 @@
 	#soonest(
 		endpoints: readonly Endpoint[],
 		now: number,
-		targetAt: number | undefined,
+		{group, targetAt}: CallNeeds,
 	): Endpoint | undefined {
-		const knownRunMs = this.#meanRunMs(endpoints);
+		const meanRunMs = this.#meanRunMs(endpoints);
+		const groupRunMs = this.#groups.expectedMs(group);
 		const candidates = endpoints.map((endpoint) => {
-			const {completion, inFlight} = this.#stateOf(endpoint);
+			const state = this.#stateOf(endpoint);
+			const {completion, inFlight} = state;
 			const isLocal = endpoint.dataCentre === this.#options.dataCentre;
-			const inputs = {slots: endpoint.slots, inFlight, isLocal, knownRunMs, now};
+			state.slowness = slownessOf(completion.load, meanRunMs);
+			const runMs = groupRunMs * state.slowness;
+			const inputs = {slots: endpoint.slots, inFlight, isLocal, runMs, now};
 			return {endpoint, isLocal, expectedMs: expectedCompletion(completion, inputs)};
 		});
 		const bySoonest = candidates.toSorted((a, b) => a.expectedMs - b.expectedMs);
@@ -251,6 +279,15 @@
 	}
 }
 
+/** Run time of a worker relative to the mean of its service's; 1 for one that is unknown. */
+function slownessOf(load: WorkerLoad | undefined, meanRunMs: number | undefined): number {
+	if (load === undefined || meanRunMs === undefined || meanRunMs <= 0) {
+		return 1;
+	}
+
+	return Math.min(slownessBounds.most, Math.max(slownessBounds.least, load.runMs / meanRunMs));
+}
+
 function withOutcome(state: CompletionState, failure: 0 | 1): CompletionState {
 	const failureShare = state.failureShare + failureSmoothing * (failure - state.failureShare);
 	return {...state, failureShare};
@@ -261,6 +298,7 @@
 		since,
 		inFlight: 0,
 		completion: freshCompletion,
+		slowness: 1,
 		load: 0,
 		loadAt: 0,
 		failures: 0,
--- a/packages/redwingmill-core/src/call/entry-call.ts
+++ b/packages/redwingmill-core/src/call/entry-call.ts
@@ -43,6 +43,8 @@
 
 /** Fixed facts of a call at its entry node. */
 export type EntryCallOptions = {
+	/** Names calls that take similar time. */
+	readonly group: string;
 	readonly retryAllowance: RetryAllowance;
 	readonly isIdempotent: boolean;
 	/** Monotonic milliseconds by which an answer is worth most; absent when only the deadline counts. */
@@ -167,6 +169,7 @@
 		switch (answer.outcome.type) {
 			case 'ran': {
 				this.#chooser.onSuccess(this.#currentEndpoint());
+				this.#chooser.onRan(this.#currentEndpoint(), this.#options.group, answer.ranMs);
 				return this.#final(answer);
 			}
 
@@ -247,9 +250,8 @@
 	}
 
 	#attempt(now: number): EntryAction<Payload> | undefined {
-		const {pinned, endpoints} = this.#options;
-		const endpoint =
-			pinned ?? this.#chooser.choose(endpoints, this.#tried, now, this.#options.targetAt);
+		const {pinned, endpoints, group, targetAt} = this.#options;
+		const endpoint = pinned ?? this.#chooser.choose(endpoints, this.#tried, now, {group, targetAt});
 		if (endpoint === undefined) {
 			return undefined;
 		}
--- a/packages/redwingmill-core/src/call/expected-completion.ts
+++ b/packages/redwingmill-core/src/call/expected-completion.ts
@@ -19,8 +19,8 @@
 	readonly inFlight: number;
 	/** Whether the endpoint is in the own data centre. */
 	readonly isLocal: boolean;
-	/** Mean run time of the service's other endpoints, in milliseconds; absent when none is known. */
-	readonly knownRunMs?: number;
+	/** Expected time that the worker runs the call, in milliseconds. */
+	readonly runMs: number;
 	/** Monotonic milliseconds. */
 	readonly now: number;
 };
@@ -28,8 +28,6 @@
 /** State of an endpoint that nothing is known of. */
 export const freshCompletion: CompletionState = {loadAt: 0, sent: 0, failureShare: 0};
 
-/** Assumed until any endpoint of the service has told its run time. */
-const unknownRunMs = 50;
 /** Round trip to another data centre of the region, plus what its bytes are worth waiting for. */
 const remoteCostMs = 10;
 /** A failed attempt costs the caller another one, at a worker that is told nothing of its haste. */
@@ -43,8 +41,7 @@
  */
 export function expectedCompletion(state: CompletionState, inputs: CompletionInputs): number {
 	const {load, loadAt, sent, failureShare} = state;
-	const {slots, inFlight, isLocal, knownRunMs, now} = inputs;
-	const runMs = load?.runMs ?? knownRunMs ?? unknownRunMs;
+	const {slots, inFlight, isLocal, runMs, now} = inputs;
 	const queueMs = Math.max(0, (load?.waitMs ?? 0) - (now - loadAt));
 	const busyShare = Math.max(inFlight / slots, (load?.callsPerSlot ?? 0) + sent / slots);
 	const addedMs = busyShare > 1 ? (sent * runMs) / slots : 0;
--- a/packages/redwingmill-core/src/call/gate.ts
+++ b/packages/redwingmill-core/src/call/gate.ts
@@ -465,10 +465,12 @@
 		switch (result.type) {
 			case 'answered': {
 				this.#limit.onSuccess();
-				this.#runTimes.record(call.group, now - startedAt);
+				const ranMs = now - startedAt;
+				const {payload, bytes} = result;
+				this.#runTimes.record(call.group, ranMs);
 				return [
 					...toEffects(this.#crashes.onRanWell(call, now)),
-					this.#settle(call, {outcome: {type: 'ran'}, payload: result.payload}, result.bytes, now),
+					this.#settle(call, {outcome: {type: 'ran'}, payload, ranMs}, bytes, now),
 				];
 			}
 
--- a/packages/redwingmill-core/src/index.ts
+++ b/packages/redwingmill-core/src/index.ts
@@ -37,6 +37,7 @@
 	choicePolicies,
 	EndpointChooser,
 	type ChoiceOptions,
+	type CallNeeds,
 	type ChoicePolicy,
 } from './call/endpoint-chooser.js';
 export * from './call/entry-call.js';
--- a/packages/redwingmill-node/src/call/answer-header.ts
+++ b/packages/redwingmill-node/src/call/answer-header.ts
@@ -13,8 +13,8 @@
 const decimals = 2;
 
 /** Text of the header: its fields in a fixed order. */
-export function formatAnswer({outcome, retryAfterMs, load}: AnswerHeader): string {
-	const numbers = [retryAfterMs, load?.callsPerSlot, load?.waitMs, load?.runMs];
+export function formatAnswer({outcome, retryAfterMs, ranMs, load}: AnswerHeader): string {
+	const numbers = [retryAfterMs, ranMs, load?.callsPerSlot, load?.waitMs, load?.runMs];
 	return [
 		outcome.type,
 		outcome.type === 'ran' ? '' : outcome.reason,
@@ -27,14 +27,14 @@
 /** The header. A text that says nothing sure says that the call may have run. */
 export function parseAnswer(text: string): AnswerHeader {
 	const [type, reason, ...parts] = text.split(separator);
-	const [retryAfterMs, callsPerSlot, waitMs, runMs] = parts.map((part) =>
+	const [retryAfterMs, ranMs, callsPerSlot, waitMs, runMs] = parts.map((part) =>
 		part === '' ? undefined : Number(part),
 	);
 	const load: WorkerLoad | undefined =
 		callsPerSlot === undefined || waitMs === undefined || runMs === undefined
 			? undefined
 			: {callsPerSlot, waitMs, runMs};
-	return {outcome: toOutcome(type, reason), retryAfterMs, load};
+	return {outcome: toOutcome(type, reason), retryAfterMs, ranMs, load};
 }
 
 function toOutcome(type: string, reason: string): Outcome {
--- a/packages/redwingmill-node/src/call/entry-service.ts
+++ b/packages/redwingmill-node/src/call/entry-service.ts
@@ -13,7 +13,7 @@
 	type Ticket,
 	type WorkerLoad,
 } from 'redwingmill-core';
-import {type Random} from 'redwingmill-shared';
+import {digestOf, type Random} from 'redwingmill-shared';
 import {anyMethod, type Route} from 'redwingmill-text';
 import {type Control} from '../control/control.js';
 import {type Metrics} from '../observe/metrics.js';
@@ -60,6 +60,8 @@
 /** Time after the deadline in which the gate's own answer may still come. */
 const deadlineGraceMs = 20;
 const msPerSecond = 1000;
+const idRadix = 36;
+const addressDigits = 4;
 /** Part of the mesh's budget that nodes spend on retries; the calls that a repeated run makes take the rest. */
 const retryPart = 0.6;
 
@@ -103,7 +105,7 @@
 		const {choice, slowStartMs} = calls;
 		this.#chooser = new EndpointChooser({policy: choice, slowStartMs, dataCentre}, parts.random);
 		const {address, incarnation} = parts.control.self;
-		this.#idPrefix = `${address}/${incarnation}/`;
+		this.#idPrefix = idPrefixOf(address, incarnation);
 	}
 
 	/** Takes over changed settings. */
@@ -213,7 +215,7 @@
 	/** @internal */
 	nextId(): string {
 		this.#sequence += 1;
-		return this.#idPrefix + String(this.#sequence);
+		return this.#idPrefix + this.#sequence.toString(idRadix);
 	}
 
 	/** @internal */
@@ -274,6 +276,7 @@
 		const {idempotent} = route;
 		return new EntryCall(
 			{
+				group: route.path,
 				retryAllowance: {
 					share: retryPart * route.retryShare,
 					slack: (retryPart * meshRetrySlack) / Math.max(1, this.#control.nodeCount),
@@ -322,3 +325,8 @@
 		return endpoint.node === this.#control.self.address;
 	}
 }
+
+/** Short, as it goes with every attempt; unique by the node's address and its incarnation. */
+function idPrefixOf(address: string, incarnation: number): string {
+	return `${digestOf(address).slice(0, addressDigits)}${incarnation.toString(idRadix)}-`;
+}
--- a/packages/redwingmill-node/src/call/gate-server.ts
+++ b/packages/redwingmill-node/src/call/gate-server.ts
@@ -167,6 +167,11 @@
 			[headerNames.answer]: formatAnswer({...answer, load: this.#service.load}),
 			'content-length': payload?.body.length ?? 0,
 		};
+		// Nodes know how long they keep connections; each byte here goes with every call.
+		for (const name of ['connection', 'keep-alive', 'date']) {
+			response.removeHeader(name);
+		}
+
 		response.writeHead(payload?.status ?? noAnswerStatus, headers);
 		response.end(payload?.body);
 	}
--- /dev/null
+++ b/packages/redwingmill-protocol/src/__tests__/unit/datagram-codec.test.ts
@@ -0,0 +1,55 @@
+import {expect} from 'chai';
+import {type Datagram} from 'redwingmill-core';
+import {decodeDatagram, encodeDatagram, ProtocolError} from '../../index.js';
+
+const datagrams: readonly Datagram[] = [
+	{
+		type: 'announcement',
+		record: {
+			address: '10.0.0.1:7300',
+			dataCentre: 'dc-a',
+			incarnation: 1_775_726_659_321_288,
+			revision: 3,
+			status: 'live',
+			gateAddress: '10.0.0.1:8662',
+			worker: {
+				service: 'coding',
+				address: '10.0.0.1:8660',
+				slots: 6,
+				state: 'ready',
+				instance: 'i-1',
+			},
+		},
+		version: 42,
+		wantsReply: true,
+	},
+	{
+		type: 'pulse',
+		incarnation: 1_775_726_659_321_288,
+		revision: 3,
+		version: 42,
+		load: {callsPerSlot: 1.25, waitMs: 30, runMs: 64.5},
+	},
+	{type: 'inquiry'},
+	{type: 'outdated', incarnation: 1_775_726_659_321_288},
+	{type: 'suspicion', fingerprint: 'GET /codes/1', isCleared: false},
+];
+
+describe('datagram codec', () => {
+	for (const datagram of datagrams) {
+		it(`gives back a ${datagram.type} as it was`, () => {
+			expect(decodeDatagram(encodeDatagram(datagram))).to.deep.equal(datagram);
+		});
+	}
+
+	it('fits a pulse into one small datagram', () => {
+		expect(encodeDatagram(datagrams[1]).length).to.be.below(40);
+	});
+
+	it('refuses bytes that are no whole datagram', () => {
+		const bytes = encodeDatagram(datagrams[0]);
+		for (const part of [bytes.slice(0, 9), new Uint8Array([1, 2, 3]), new Uint8Array()]) {
+			expect(() => decodeDatagram(part)).to.throw(ProtocolError);
+		}
+	});
+});
--- a/test/support/fake-call-path.ts
+++ b/test/support/fake-call-path.ts
@@ -157,6 +157,7 @@
 	newEntryCall(plan: CallerPlan, pinned: FakeHost | undefined): EntryCall<string> {
 		return new EntryCall(
 			{
+				group: '/',
 				retryAllowance: {share: 1, slack: 5},
 				isIdempotent: plan.isIdempotent,
 				deadlineAt: this.clock.now + deadlineMs,
