--- a/packages/redwingmill-shared/src/random.ts
+++ b/packages/redwingmill-shared/src/random.ts
@@ -1,7 +1,9 @@
 import {unsafeUniformIntDistribution, xoroshiro128plus, type RandomGenerator} from 'pure-rand';
+import {digestOf} from './digest.js';
 
 const resolution = 0x7f_ff_ff_ff;
-const mixFactors = [0x85_eb_ca_6b, 0xc2_b2_ae_35] as const;
+const mixedDigits = 8;
+const hexadecimal = 16;
 
 /** Seeded pseudo-random numbers. Two generators with one seed give the same sequence. */
 export class Random {
@@ -29,11 +31,8 @@
 
 /**
  * Spreads seeds that are close to each other, such as the start times of nodes that start together:
- * the generator's first numbers would be close as well. The finalizer of MurmurHash3.
+ * the generator's first numbers would be close as well.
  */
 function mix(seed: number): number {
-	let hash = Math.trunc(seed);
-	hash = Math.imul(hash ^ (hash >>> 16), mixFactors[0]);
-	hash = Math.imul(hash ^ (hash >>> 13), mixFactors[1]);
-	return hash ^ (hash >>> 16);
+	return Number.parseInt(digestOf(String(seed)).slice(0, mixedDigits), hexadecimal);
 }
--- /dev/null
+++ b/test/matrix/directory.test.ts
@@ -0,0 +1,228 @@
+import {expect} from 'chai';
+import fc from 'fast-check';
+import {documentOf, FakeDirectoryMesh} from '../support/fake-directory-mesh.js';
+
+const seed = 20_261_204;
+const addresses = ['a/1', 'a/2', 'a/3', 'b/1', 'b/2', 'b/3', 'c/1', 'c/2', 'c/3'] as const;
+/** Time in which a change must be in force everywhere. */
+const boundMs = 2000;
+/** Time after which a silent node must be out of every choice. */
+const lapseBoundMs = 2500;
+
+function startedMesh(): FakeDirectoryMesh {
+	const mesh = new FakeDirectoryMesh(seed);
+	mesh.write(documentOf(1));
+	for (const address of addresses) {
+		mesh.start(address);
+	}
+
+	mesh.run(1000);
+	return mesh;
+}
+
+function heldBy(mesh: FakeDirectoryMesh): Array<number | undefined> {
+	return [...mesh.nodes.values()].map((node) => node.versions.at(-1));
+}
+
+describe('nodes that find each other through the store', () => {
+	it('all know each other within a second of a common start', () => {
+		const mesh = startedMesh();
+		for (const address of addresses) {
+			expect(mesh.endpointsOf(address), address).to.deep.equal([...addresses]);
+		}
+	});
+
+	it('ask the store a few times, and leave it alone afterwards', () => {
+		const mesh = startedMesh();
+		expect(mesh.storeCalls).to.equal(2 * addresses.length);
+		mesh.run(5000);
+		expect(mesh.storeCalls).to.equal(2 * addresses.length);
+	});
+
+	it('hear of a worker that drains, or comes, at once', () => {
+		const mesh = startedMesh();
+		mesh.announceWorker('a/1', 'draining');
+		mesh.run(10);
+		expect(mesh.endpointsOf('c/3')).not.to.include('a/1');
+		mesh.announceWorker('a/1', 'ready');
+		mesh.run(10);
+		expect(mesh.endpointsOf('c/3')).to.include('a/1');
+	});
+
+	it('hear of it also when datagrams get lost', () => {
+		const mesh = startedMesh();
+		mesh.lossShare = 0.3;
+		mesh.announceWorker('a/1', 'draining');
+		mesh.run(boundMs);
+		for (const address of addresses) {
+			expect(mesh.endpointsOf(address), address).not.to.include('a/1');
+		}
+	});
+
+	it('leave out a node that falls silent, and take it back when it speaks', () => {
+		const mesh = startedMesh();
+		mesh.nodes.get('b/2')!.isPaused = true;
+		mesh.run(lapseBoundMs);
+		expect(mesh.endpointsOf('a/1')).not.to.include('b/2');
+		mesh.nodes.get('b/2')!.isPaused = false;
+		mesh.run(1500);
+		expect(mesh.endpointsOf('a/1')).to.include('b/2');
+		expect(mesh.endpointsOf('b/2')).to.deep.equal([...addresses]);
+	});
+
+	it('find a node that restarts while the store is away, and give it the configuration', () => {
+		const mesh = startedMesh();
+		mesh.reachesStore = () => false;
+		mesh.kill('a/1');
+		mesh.run(500);
+		mesh.start('a/1');
+		mesh.run(boundMs);
+		expect(mesh.endpointsOf('a/1')).to.deep.equal([...addresses]);
+		expect(mesh.endpointsOf('c/1')).to.deep.equal([...addresses]);
+		expect(mesh.nodes.get('a/1')!.directory.blackboard.standing.state).to.equal('serving');
+	});
+
+	it('follow a node whose clock went back before its restart', () => {
+		const mesh = startedMesh();
+		mesh.reachesStore = () => false;
+		mesh.kill('a/1');
+		mesh.start('a/1', {incarnation: 0, service: 'diary'});
+		mesh.run(boundMs);
+		expect(mesh.endpointsOf('c/1', 'diary')).to.deep.equal(['a/1']);
+		expect(mesh.endpointsOf('c/1')).not.to.include('a/1');
+	});
+
+	it('stop using a node that stops, while its own proxy goes on', () => {
+		const mesh = startedMesh();
+		mesh.dispatch(mesh.nodes.get('a/1')!, {type: 'stop-requested'});
+		mesh.run(10);
+		expect(mesh.endpointsOf('b/1')).not.to.include('a/1');
+		expect(mesh.endpointsOf('a/1')).to.include('a/1');
+	});
+
+	it('start with a few addresses when the store is away from the start', () => {
+		const mesh = new FakeDirectoryMesh(seed);
+		mesh.write(documentOf(1));
+		mesh.start('a/1');
+		mesh.run(500);
+		mesh.reachesStore = () => false;
+		mesh.start('a/2', {seeds: ['a/1']});
+		mesh.run(boundMs);
+		expect(mesh.endpointsOf('a/2')).to.deep.equal(['a/1', 'a/2']);
+	});
+});
+
+describe('the configuration from the store', () => {
+	it('is in force everywhere in time, also where the watch brought nothing', () => {
+		const mesh = startedMesh();
+		mesh.watches = (address) => address === 'b/1';
+		mesh.write(documentOf(8));
+		mesh.run(boundMs);
+		expect(heldBy(mesh)).to.deep.equal(addresses.map(() => 8));
+	});
+
+	it('reaches nodes that are cut off from the store through the others', () => {
+		const mesh = startedMesh();
+		mesh.reachesStore = (address) => address.startsWith('c');
+		mesh.write(documentOf(8));
+		mesh.run(2 * boundMs);
+		expect(heldBy(mesh)).to.deep.equal(addresses.map(() => 8));
+	});
+
+	it('never goes back, whatever comes in whatever order', () => {
+		const mesh = startedMesh();
+		mesh.write(documentOf(9));
+		mesh.run(50);
+		const node = mesh.nodes.get('a/1')!;
+		mesh.dispatch(node, {type: 'configuration-read', document: documentOf(5), origin: 'store'});
+		mesh.dispatch(node, {type: 'configuration-read', document: documentOf(1), origin: 'node'});
+		expect(node.versions).to.deep.equal([1, 9]);
+	});
+
+	it('keeps the promises through any sequence of cuts, losses, deaths and changes', () => {
+		const anyStep = fc.record({
+			fault: fc.constantFrom(
+				'write' as const,
+				'kill' as const,
+				'cut data centre' as const,
+				'cut store' as const,
+				'lose' as const,
+				'drain' as const,
+				'heal' as const,
+			),
+			node: fc.nat({max: addresses.length - 1}),
+			afterMs: fc.integer({min: 1, max: 1500}),
+		});
+		fc.assert(
+			fc.property(fc.array(anyStep, {maxLength: 15}), (steps) => {
+				const mesh = startedMesh();
+				const draining = new Set<string>();
+				let version = 1;
+				for (const {fault, node, afterMs} of steps) {
+					const address = addresses[node];
+					switch (fault) {
+						case 'write': {
+							version += 1 + node;
+							mesh.write(documentOf(version));
+							break;
+						}
+
+						case 'kill': {
+							mesh.kill(address);
+							mesh.start(address);
+							draining.delete(address);
+							break;
+						}
+
+						case 'cut data centre': {
+							const cut = address[0];
+							mesh.isLinked = (from, to) => (from[0] === cut) === (to[0] === cut);
+							break;
+						}
+
+						case 'cut store': {
+							mesh.reachesStore = (each) => each[0] !== address[0];
+							mesh.watches = mesh.reachesStore;
+							break;
+						}
+
+						case 'lose': {
+							mesh.lossShare = 0.2;
+							break;
+						}
+
+						case 'drain': {
+							mesh.announceWorker(address, 'draining');
+							draining.add(address);
+							break;
+						}
+
+						case 'heal': {
+							mesh.isLinked = () => true;
+							mesh.reachesStore = () => true;
+							mesh.watches = () => true;
+							mesh.lossShare = 0;
+							break;
+						}
+					}
+
+					mesh.run(afterMs);
+				}
+
+				mesh.isLinked = () => true;
+				mesh.reachesStore = () => true;
+				mesh.watches = () => true;
+				mesh.lossShare = 0;
+				mesh.run(2 * boundMs);
+				const expected = addresses.filter((address) => !draining.has(address));
+				for (const node of mesh.nodes.values()) {
+					const ordered = [...node.versions].toSorted((a, b) => a - b);
+					expect(node.versions, node.address).to.deep.equal(ordered);
+					expect(node.versions.at(-1), node.address).to.equal(version);
+					expect(mesh.endpointsOf(node.address), node.address).to.deep.equal(expected);
+				}
+			}),
+			{seed, numRuns: 150},
+		);
+	});
+});
--- /dev/null
+++ b/test/support/fake-directory-mesh.ts
@@ -0,0 +1,255 @@
+import {
+	createDirectory,
+	defaultDirectoryLimits,
+	initialDirectory,
+	type ConfigurationDocument,
+	type Directory,
+	type DirectoryEffect,
+	type DirectoryEvent,
+	type NodeRecord,
+	type WorkerState,
+} from 'redwingmill-core';
+import {Random} from 'redwingmill-shared';
+import {FakeClock} from './fake-clock.js';
+
+/** A node of the fake mesh. */
+export type DirectoryNode = {
+	readonly address: string;
+	readonly directory: Directory;
+	/** Versions held, in order, in this life. */
+	readonly versions: number[];
+	isUp: boolean;
+	isPaused: boolean;
+};
+
+const hopMs = 1;
+const storeMs = 4;
+const tickMs = 100;
+const slots = 6;
+
+/** A configuration whose one route leads to `service`. */
+export function documentOf(version: number, service = 'coding'): ConfigurationDocument {
+	const services = ['coding', 'diary'].map((name) => ({name, dependsOn: []}));
+	const route = {
+		path: '/',
+		service,
+		methods: [],
+		idempotent: [],
+		rank: 0,
+		deadlineMs: 1000,
+		retryShare: 0,
+	};
+	return {version, configuration: {services, routes: [route]}, source: version};
+}
+
+/** Real directories over a fake network and a fake store. */
+export class FakeDirectoryMesh {
+	readonly clock = new FakeClock();
+	readonly nodes = new Map<string, DirectoryNode>();
+	/** Whether a datagram from one node to another arrives. */
+	isLinked: (from: string, to: string) => boolean = () => true;
+	/** Whether a node reaches the store. */
+	reachesStore: (address: string) => boolean = () => true;
+	/** Whether changes of the configuration come to a node by themselves. */
+	watches: (address: string) => boolean = () => true;
+	lossShare = 0;
+	storeCalls = 0;
+	readonly #random: Random;
+	readonly #registry = new Map<string, NodeRecord>();
+	#document: ConfigurationDocument | undefined;
+
+	constructor(seed: number) {
+		this.#random = new Random(seed);
+	}
+
+	/** Starts a node, or starts it anew with a higher incarnation. */
+	start(
+		address: string,
+		options: {incarnation?: number; service?: string; seeds?: readonly string[]} = {},
+	): DirectoryNode {
+		const {incarnation = Math.round(this.clock.now) + 1, service = 'coding', seeds = []} = options;
+		const self: NodeRecord = {
+			address,
+			dataCentre: address.split('/')[0],
+			incarnation,
+			revision: 1,
+			status: 'live',
+			gateAddress: `gate of ${address}`,
+		};
+		const node: DirectoryNode = {
+			address,
+			directory: createDirectory(initialDirectory(self, this.clock.now), {
+				limits: defaultDirectoryLimits,
+				seeds,
+				random: new Random(incarnation + address.length),
+			}),
+			versions: [],
+			isUp: true,
+			isPaused: false,
+		};
+		this.nodes.set(address, node);
+		this.#tick(node);
+		if (seeds.length > 0) {
+			this.dispatch(node, {type: 'seeds-known', addresses: seeds});
+		}
+
+		this.#readStore(node);
+		this.announceWorker(address, 'ready', service);
+		return node;
+	}
+
+	kill(address: string): void {
+		this.#node(address).isUp = false;
+	}
+
+	announceWorker(address: string, state: WorkerState, service = 'coding'): void {
+		const worker = {service, address: `worker of ${address}`, slots, state, instance: address};
+		this.dispatch(this.#node(address), {type: 'worker-changed', worker});
+	}
+
+	/** The operator writes a version. */
+	write(document: ConfigurationDocument): void {
+		this.#document = document;
+		for (const node of this.nodes.values()) {
+			if (this.watches(node.address)) {
+				this.#readStore(node);
+			}
+		}
+	}
+
+	run(durationMs: number): void {
+		this.clock.runUntil(this.clock.now + durationMs);
+	}
+
+	/** Addresses of the nodes that a node would send calls for a service to. */
+	endpointsOf(address: string, service = 'coding'): string[] {
+		const {routing} = this.#node(address).directory.blackboard;
+		return (routing.endpoints.get(service) ?? []).map(({node}) => node).toSorted();
+	}
+
+	dispatch(node: DirectoryNode, event: DirectoryEvent): void {
+		if (!node.isUp || node.isPaused) {
+			return;
+		}
+
+		for (const effect of node.directory.dispatch(event, this.clock.now)) {
+			this.#perform(node, effect);
+		}
+
+		const held = node.directory.blackboard.adoption.held?.version;
+		if (held !== undefined && held !== node.versions.at(-1)) {
+			node.versions.push(held);
+		}
+	}
+
+	#tick(node: DirectoryNode): void {
+		this.dispatch(node, {type: 'tick'});
+		if (node.isUp) {
+			this.clock.after(tickMs, () => {
+				this.#tick(node);
+			});
+		}
+	}
+
+	#perform(node: DirectoryNode, effect: DirectoryEffect): void {
+		switch (effect.type) {
+			case 'send': {
+				const {to, datagram} = effect;
+				const isLost = this.#random.fraction() < this.lossShare;
+				if (!isLost && this.isLinked(node.address, to)) {
+					this.clock.after(hopMs, () => {
+						const receiver = this.nodes.get(to);
+						if (receiver) {
+							this.dispatch(receiver, {type: 'datagram', from: node.address, datagram});
+						}
+					});
+				}
+
+				break;
+			}
+
+			case 'write-record': {
+				this.#callStore(
+					node,
+					() => {
+						this.#registry.set(effect.record.address, effect.record);
+					},
+					(isDone) => ({type: 'record-written', isDone}),
+				);
+				break;
+			}
+
+			case 'list-registry': {
+				let records: readonly NodeRecord[] | undefined;
+				this.#callStore(
+					node,
+					() => {
+						records = [...this.#registry.values()];
+					},
+					() => ({type: 'registry-listed', records}),
+				);
+				break;
+			}
+
+			case 'read-configuration': {
+				this.#readStore(node);
+				break;
+			}
+
+			case 'ask-configuration': {
+				this.clock.after(2 * hopMs, () => {
+					const holder = this.#node(effect.node);
+					const document = holder.directory.blackboard.adoption.held;
+					if (document && holder.isUp && this.isLinked(node.address, holder.address)) {
+						this.dispatch(node, {type: 'configuration-read', document, origin: 'node'});
+					}
+				});
+				break;
+			}
+
+			case 'load-heard':
+			case 'suspect':
+			case 'notify': {
+				break;
+			}
+		}
+	}
+
+	#callStore(
+		node: DirectoryNode,
+		act: () => void,
+		toEvent: (isDone: boolean) => DirectoryEvent,
+	): void {
+		this.storeCalls += 1;
+		const isDone = this.reachesStore(node.address);
+		this.clock.after(storeMs, () => {
+			if (isDone) {
+				act();
+			}
+
+			this.dispatch(node, toEvent(isDone));
+		});
+	}
+
+	#readStore(node: DirectoryNode): void {
+		const isReached = this.reachesStore(node.address);
+		this.clock.after(storeMs, () => {
+			if (isReached && this.#document) {
+				this.dispatch(node, {
+					type: 'configuration-read',
+					document: this.#document,
+					origin: 'store',
+				});
+			}
+		});
+	}
+
+	#node(address: string): DirectoryNode {
+		const node = this.nodes.get(address);
+		if (node === undefined) {
+			throw new TypeError(`No node ${address}`);
+		}
+
+		return node;
+	}
+}
