--- a/packages/redwingmill-node/src/call/caller-protocol.ts
+++ b/packages/redwingmill-node/src/call/caller-protocol.ts
@@ -1,5 +1,5 @@
 import {type OutgoingHttpHeaders} from 'node:http';
-import {type NotRunReason, type Outcome} from 'redwingmill-core';
+import {type NotRunReason, type Outcome, type UnknownReason} from 'redwingmill-core';
 import {headerNames} from './headers.js';
 
 /** What an answer to a caller tells besides the worker's own answer. */
@@ -31,6 +31,11 @@
 const notRunStatus = 503;
 const unknownStatus = 502;
 const deadlineStatus = 504;
+/** Unknown outcomes for lack of time. */
+const timeReasons: ReadonlySet<UnknownReason> = new Set<UnknownReason>([
+	'deadline-passed',
+	'worker-timeout',
+]);
 const msPerSecond = 1000;
 
 /** Status of an answer that isn't a worker's: one for each way in which a call can fail. */
@@ -45,7 +50,7 @@
 		}
 
 		case 'unknown': {
-			return outcome.reason === 'deadline-passed' ? deadlineStatus : unknownStatus;
+			return timeReasons.has(outcome.reason) ? deadlineStatus : unknownStatus;
 		}
 	}
 }
