Unframed answers that end in a reset aren't whole; calls leave the data centre only in time; returning callers go last

Change: a guard on the worker's connections; endpoints elsewhere are asked only while they are expected to answer in time; the longest time given on a route tells a first try from a later one.

--- a/packages/redwingmill-core/src/call/admission.ts
+++ b/packages/redwingmill-core/src/call/admission.ts
@@ -25,6 +25,8 @@
 
 /** Part of its usual run time that a call must have left for a free slot to be worth giving. */
 const leastRunShare = 0.5;
+/** How long a call that is late already may wait. */
+const lateWaitMs = 100;
 const admitted: AdmissionVerdict = {type: 'admitted'};
 
 /**
@@ -42,11 +44,22 @@
 		return tooClose(inputs);
 	}
 
-	return targetAt !== undefined && doneAt > targetAt
-		? {type: 'refused', reason: 'queue-too-slow', retryAfterMs: doneAt - targetAt}
+	// A call that is late already is worth a short wait, behind those that aren't.
+	const latestAt = targetAt === undefined || isLate(inputs) ? now + runMs + lateWaitMs : targetAt;
+	return targetAt !== undefined && doneAt > latestAt
+		? {type: 'refused', reason: 'queue-too-slow', retryAfterMs: doneAt - latestAt}
 		: admitted;
 }
 
+/** Whether a call can't be answered by its target even if it runs at once. */
+export function isLate({
+	now,
+	targetAt,
+	runMs,
+}: Pick<AdmissionInputs, 'now' | 'targetAt' | 'runMs'>): boolean {
+	return targetAt !== undefined && now + runMs * leastRunShare > targetAt;
+}
+
 function tooClose({waitMs}: AdmissionInputs): AdmissionVerdict {
 	return {type: 'refused', reason: 'deadline-too-close', retryAfterMs: waitMs};
 }
--- a/packages/redwingmill-core/src/call/endpoint-chooser.ts
+++ b/packages/redwingmill-core/src/call/endpoint-chooser.ts
@@ -103,10 +103,11 @@
 		const open = endpoints.filter((endpoint) => !excluded.has(endpoint.node));
 		const usable = this.#withoutEjected(open, endpoints.length, now);
 		if (this.#options.policy === 'expected-completion') {
-			return this.#soonest(usable, now, needs);
+			const hasLocal = endpoints.some((endpoint) => this.#isLocal(endpoint));
+			return this.#soonest(usable, hasLocal, now, needs);
 		}
 
-		const local = usable.filter((endpoint) => endpoint.dataCentre === this.#options.dataCentre);
+		const local = usable.filter((endpoint) => this.#isLocal(endpoint));
 		const hasCapacity = local.some((endpoint) => this.#loadOf(endpoint, now) < fullLoad);
 		return this.#pick(hasCapacity ? local : usable, now);
 	}
@@ -171,10 +172,13 @@
 
 	/**
 	 * The endpoint with the soonest expected answer. One in the own data centre goes first while it
-	 * can answer in time: a call that leaves costs bytes on the links between data centres.
+	 * can answer in time: a call that leaves costs bytes on the links between data centres. One
+	 * elsewhere is asked only while it is expected to answer in time; where all are overloaded, calls
+	 * that are refused at one data centre after the other would load the links for nothing.
 	 */
 	#soonest(
 		endpoints: readonly Endpoint[],
+		hasLocal: boolean,
 		now: number,
 		{group, targetAt}: CallNeeds,
 	): Endpoint | undefined {
@@ -183,19 +187,26 @@
 		const candidates = endpoints.map((endpoint) => {
 			const state = this.#stateOf(endpoint);
 			const {completion, inFlight} = state;
-			const isLocal = endpoint.dataCentre === this.#options.dataCentre;
+			const isLocal = this.#isLocal(endpoint);
 			state.slowness = slownessOf(completion.load, meanRunMs);
 			const runMs = groupRunMs * state.slowness;
 			const inputs = {slots: endpoint.slots, inFlight, isLocal, runMs, now};
 			return {endpoint, isLocal, expectedMs: expectedCompletion(completion, inputs)};
 		});
 		const bySoonest = candidates.toSorted((a, b) => a.expectedMs - b.expectedMs);
-		const allowedMs = targetAt === undefined ? undefined : (targetAt - now) * timelyShare;
-		const timely =
-			allowedMs === undefined
-				? undefined
-				: bySoonest.find(({isLocal, expectedMs}) => isLocal && expectedMs <= allowedMs);
-		return (timely ?? bySoonest.at(0))?.endpoint;
+		const leftMs = targetAt === undefined ? Number.POSITIVE_INFINITY : targetAt - now;
+		const soonestLocal = bySoonest.find(({isLocal}) => isLocal);
+		const soonest = bySoonest.at(0);
+		if (soonestLocal && soonestLocal.expectedMs <= leftMs * timelyShare) {
+			return soonestLocal.endpoint;
+		}
+
+		const isWorthLeaving = !hasLocal || (soonest !== undefined && soonest.expectedMs <= leftMs);
+		return (isWorthLeaving ? soonest : soonestLocal)?.endpoint;
+	}
+
+	#isLocal({dataCentre}: Endpoint): boolean {
+		return dataCentre === this.#options.dataCentre;
 	}
 
 	/** Mean run time of the endpoints whose load is known, for those whose isn't. */
--- a/packages/redwingmill-core/src/call/entry-call.ts
+++ b/packages/redwingmill-core/src/call/entry-call.ts
@@ -62,12 +62,20 @@
 
 const noEndpointRetryMs = 500;
 /** Gates asked for one call; each costs a round trip. */
-const maximumPlacements = 6;
+const maximumPlacements = 4;
 /** Refusals after which the worker may have seen the call. */
 const arrivedReasons: ReadonlySet<NotRunReason> = new Set<NotRunReason>([
 	'worker-shed',
 	'worker-replaced',
 ]);
+/** Refusals for lack of room. */
+const loadReasons: ReadonlySet<NotRunReason> = new Set<NotRunReason>([
+	'queue-full',
+	'queue-too-slow',
+	'waited-too-long',
+	'displaced',
+	'deadline-too-close',
+]);
 /** Refusals by which an endpoint shows that it isn't what it announces. */
 const workerFaults: ReadonlySet<NotRunReason> = new Set<NotRunReason>([
 	'worker-absent',
@@ -89,6 +97,8 @@
 	#attempts = 0;
 	/** Attempts that may have reached a worker. */
 	#arrivals = 0;
+	/** Whether only lack of room has kept the call from running so far. */
+	#isOnlyLoad = true;
 	/** Shortest time after which one of the gates that refused wants the call back. */
 	#retryAfterMs: number | undefined;
 	#struckNodes: readonly string[] = [];
@@ -200,6 +210,7 @@
 		const isHopeless = reason === 'quarantined';
 		const hasArrived = reason !== undefined && arrivedReasons.has(reason);
 		this.#noteRetryAfter(retryAfterMs);
+		this.#isOnlyLoad &&= reason !== undefined && loadReasons.has(reason);
 		if (!mayRetry || isHopeless) {
 			return this.#final(answer);
 		}
@@ -211,6 +222,7 @@
 	/** The call may have run, so only idempotent ones are tried again. */
 	#onUnknown(reason: UnknownReason, now: number): EntryAction<Payload> {
 		this.#doubt ??= reason;
+		this.#isOnlyLoad = false;
 		const retry = this.#options.isIdempotent ? this.#retry(now) : undefined;
 		return retry ?? this.#final({outcome: {type: 'unknown', reason}});
 	}
@@ -250,7 +262,9 @@
 	}
 
 	#attempt(now: number): EntryAction<Payload> | undefined {
-		const {pinned, endpoints, group, targetAt} = this.#options;
+		const {pinned, endpoints, group} = this.#options;
+		// A call that failed goes wherever it can be run; one that finds no room looks at the costs.
+		const targetAt = this.#isOnlyLoad ? this.#options.targetAt : undefined;
 		const endpoint = pinned ?? this.#chooser.choose(endpoints, this.#tried, now, {group, targetAt});
 		if (endpoint === undefined) {
 			return undefined;
--- a/packages/redwingmill-core/src/call/gate.ts
+++ b/packages/redwingmill-core/src/call/gate.ts
@@ -1,5 +1,5 @@
 import {type Worker} from '../model/node-record.js';
-import {judgeAdmission} from './admission.js';
+import {isLate, judgeAdmission} from './admission.js';
 import {CallLedger, type Answer} from './call-ledger.js';
 import {ConcurrencyLimit} from './concurrency-limit.js';
 import {CrashWatch, type SuspicionReport} from './crash-watch.js';
@@ -108,6 +108,8 @@
 /** Part of its usual run time that a waiting call must have left. */
 const leastRunShare = 0.5;
 const ticketPrefix = 'ticket ';
+/** Puts late calls of a rank behind all others, in their own order. */
+const lateSetbackMs = 1e6;
 
 /** A call that the worker is running. */
 type Running = {
@@ -240,7 +242,7 @@
 		}
 
 		this.#ledgerOf(call).open(this.keyOf(call), now);
-		this.#queue.add(call, call.rank, dueAtOf(call));
+		this.#queue.add(call, call.rank, this.#dueAtOf(call, now));
 		const effects = displaced ? [this.#refuse(displaced, 'displaced', now)] : [];
 		return [...effects, ...this.#fill(now)];
 	}
@@ -371,7 +373,7 @@
 		}
 
 		const {deadlineAt, targetAt, group, rank} = call;
-		const waitMs = this.#expectedWaitMs(rank, dueAtOf(call));
+		const waitMs = this.#expectedWaitMs(rank, this.#dueAtOf(call, now));
 		const runMs = this.#runTimes.expectedMs(group);
 		return judgeAdmission({now, deadlineAt, targetAt, waitMs, runMs});
 	}
@@ -400,6 +402,16 @@
 		return aheadMs / limit;
 	}
 
+	/** Place in the queue: calls that can still meet their target go before those that can't. */
+	#dueAtOf({targetAt, deadlineAt, group}: GateCall, now: number): number {
+		const runMs = this.#runTimes.expectedMs(group);
+		if (targetAt === undefined) {
+			return deadlineAt;
+		}
+
+		return isLate({now, targetAt, runMs}) ? targetAt + lateSetbackMs : targetAt;
+	}
+
 	#hasRoom(rank: number): boolean {
 		const isWaiting = this.#running.size >= this.#limit.value;
 		return !this.#limits.isLimiting || !isWaiting || this.#queue.hasRoom(rank, this.#bound);
@@ -554,7 +566,7 @@
 			return this.#crashes.remainingMs(call, now);
 		}
 
-		return this.#expectedWaitMs(call.rank, dueAtOf(call));
+		return this.#expectedWaitMs(call.rank, this.#dueAtOf(call, now));
 	}
 
 	#refuseWaiting(now: number): Array<GateEffect<Payload>> {
@@ -576,10 +588,6 @@
 	}
 }
 
-function dueAtOf({targetAt, deadlineAt}: GateCall): number {
-	return targetAt ?? deadlineAt;
-}
-
 function toEffects(report: SuspicionReport | undefined) {
 	return report ? [{type: 'suspect', ...report} as const] : [];
 }
--- a/packages/redwingmill-node/src/call/entry-server.ts
+++ b/packages/redwingmill-node/src/call/entry-server.ts
@@ -127,10 +127,13 @@
 	): void {
 		const requestedMs = numberHeader(request.headers, this.#options.protocol.deadlineHeader);
 		const waitMs = Math.min(route.deadlineMs, requestedMs ?? route.deadlineMs);
+		const waitedMs = requestedMs === undefined ? 0 : this.#service.waitedMs(route, requestedMs);
+		const {targetMs} = route;
 		const times = {
 			startedAt,
 			deadlineAt: startedAt + waitMs,
-			targetAt: route.targetMs === undefined ? undefined : startedAt + route.targetMs,
+			// An answer is worth most within the target of the caller's first try.
+			targetAt: targetMs === undefined ? undefined : startedAt + targetMs - waitedMs,
 		};
 		readLiveRequest(request, this.#bodyLimitBytes, (result) => {
 			switch (result.type) {
--- a/packages/redwingmill-node/src/call/entry-service.ts
+++ b/packages/redwingmill-node/src/call/entry-service.ts
@@ -1,4 +1,5 @@
 import {
+	CallerPatience,
 	EndpointChooser,
 	EntryCall,
 	formatTicket,
@@ -76,6 +77,7 @@
 	readonly #random: Random;
 	readonly #budgets = new Map<string, RetryBudget>();
 	readonly #splits: SplitChooser;
+	readonly #patience = new CallerPatience();
 	readonly #onAnswered: ((facts: EntryFacts) => void) | undefined;
 	readonly #deadlines = new DeadlineTimer();
 	readonly #idPrefix: string;
@@ -123,6 +125,7 @@
 		this.#chooser.retain(endpoints, performance.now());
 		this.#client.retain(new Set(endpoints.map((endpoint) => endpoint.gateAddress)));
 		this.#splits.retain(routing.routes.map(({route}) => route));
+		this.#patience.retain(new Set(routing.routes.map(({route}) => route.path)));
 		for (const service of this.#budgets.keys()) {
 			if (!routing.endpoints.has(service)) {
 				this.#budgets.delete(service);
@@ -157,6 +160,11 @@
 			: {type: 'refused', reason: 'route-inactive', retryAfterMs: routeRetryMs};
 	}
 
+	/** Milliseconds that a caller has been waiting before it came with this try. */
+	waitedMs({path}: Route, givenMs: number): number {
+		return this.#patience.waitedMs(path, givenMs, performance.now());
+	}
+
 	/** Takes a call through the mesh. `onAnswer` is called exactly once, unless the call is cancelled. */
 	begin(call: CallerCall, onAnswer: (answer: EntryAnswer) => void): EntryHandle {
 		const {request, route} = call;
--- a/packages/redwingmill-node/src/call/gate-service.ts
+++ b/packages/redwingmill-node/src/call/gate-service.ts
@@ -1,6 +1,6 @@
 import {createHash} from 'node:crypto';
 import {connect} from 'node:net';
-import {Pool} from 'undici';
+import {type Pool} from 'undici';
 import {
 	Gate,
 	type Answer,
@@ -16,6 +16,7 @@
 import {beginExchange, type Exchange, type ExchangeResult} from './exchange.js';
 import {DeadlineTimer} from './deadline-timer.js';
 import {type CallRequest, type Payload} from './payload.js';
+import {createWorkerPool} from './worker-pool.js';
 import {type WorkerProtocol} from './worker-protocol.js';
 
 /** A call on its way through the gate. */
@@ -72,7 +73,6 @@
 const fingerprintDigits = 32;
 const evictionIntervalMs = 1000;
 const waitingCheckIntervalMs = 10;
-const workerConnectTimeoutMs = 500;
 /** How long a worker that broke off a call has to take a connection to count as alive. */
 const crashCheckTimeoutMs = 200;
 
@@ -121,11 +121,7 @@
 		this.#worker = worker;
 		if (isAnother) {
 			void this.#pool?.close();
-			this.#pool = new Pool(`http://${worker.address}`, {
-				connections: this.#options.workerConnections,
-				pipelining: 1,
-				connect: {timeout: workerConnectTimeoutMs, noDelay: true},
-			});
+			this.#pool = createWorkerPool(worker.address, this.#options.workerConnections);
 		}
 
 		this.#perform(this.#gate.setWorker(worker, performance.now()));
--- /dev/null
+++ b/packages/redwingmill-node/src/call/worker-pool.ts
@@ -0,0 +1,86 @@
+import {type IncomingHttpHeaders} from 'node:http';
+import {buildConnector, Client, Pool, type Dispatcher} from 'undici';
+import {BrokenAnswerError} from '../errors.js';
+
+/** State of the one connection of a client. */
+type ConnectionState = {
+	/** Whether the connection ended with an error instead of being closed by the worker. */
+	hasFailed: boolean;
+};
+
+const connectTimeoutMs = 500;
+
+/** Connections to a worker, one call at a time on each. */
+export function createWorkerPool(address: string, connections: number): Pool {
+	return new Pool(`http://${address}`, {
+		connections,
+		pipelining: 1,
+		factory: (origin, options) => createClient(origin, options as Client.Options),
+	});
+}
+
+/**
+ * An answer without a length ends with its connection. The client takes a reset for such an end; only
+ * the connection itself tells a whole answer from one that was cut off.
+ */
+function createClient(origin: URL, options: Client.Options): Dispatcher {
+	const state: ConnectionState = {hasFailed: false};
+	const connect = buildConnector({timeout: connectTimeoutMs});
+	const client = new Client(origin, {
+		...options,
+		connect(connection, callback) {
+			connect(connection, (...result) => {
+				state.hasFailed = false;
+				result[1]?.once('error', () => {
+					state.hasFailed = true;
+				});
+				callback(...result);
+			});
+		},
+	});
+	return client.compose(
+		(dispatch) => (call, handler) => dispatch(call, new WholeAnswerHandler(handler, state)),
+	);
+}
+
+/** Turns the end of an answer into an error when the connection has failed. */
+class WholeAnswerHandler implements Dispatcher.DispatchHandler {
+	readonly #handler: Dispatcher.DispatchHandler;
+	readonly #state: ConnectionState;
+
+	constructor(handler: Dispatcher.DispatchHandler, state: ConnectionState) {
+		this.#handler = handler;
+		this.#state = state;
+	}
+
+	onRequestStart(controller: Dispatcher.DispatchController, context: unknown): void {
+		this.#handler.onRequestStart?.(controller, context);
+	}
+
+	onResponseStart(
+		controller: Dispatcher.DispatchController,
+		status: number,
+		headers: IncomingHttpHeaders,
+		message?: string,
+	): void {
+		this.#handler.onResponseStart?.(controller, status, headers, message);
+	}
+
+	onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+		this.#handler.onResponseData?.(controller, chunk);
+	}
+
+	onResponseEnd(controller: Dispatcher.DispatchController, trailers: IncomingHttpHeaders): void {
+		if (this.#state.hasFailed) {
+			const error = new BrokenAnswerError('The connection failed before the answer was complete');
+			this.#handler.onResponseError?.(controller, error);
+			return;
+		}
+
+		this.#handler.onResponseEnd?.(controller, trailers);
+	}
+
+	onResponseError(controller: Dispatcher.DispatchController, error: Error): void {
+		this.#handler.onResponseError?.(controller, error);
+	}
+}
--- a/packages/redwingmill-node/src/errors.ts
+++ b/packages/redwingmill-node/src/errors.ts
@@ -11,3 +11,6 @@
 
 /** An exchange that this node gave up itself. */
 export const AbortedExchangeError = BaseError.subclass('AbortedExchangeError');
+
+/** A connection failed while an answer that ends with it was read. */
+export const BrokenAnswerError = BaseError.subclass('BrokenAnswerError');
