Stops that cut nothing off, silent nodes and stalled workers are noticed

Change: after a linger the entry refuses what is new and closes with answers flushed; the directory tells of silent nodes, and calls that wait for them are decided anew; a gate refuses calls for a worker that has answered nothing for several usual run times.

--- a/packages/redwingmill-core/src/__tests__/unit/gate.test.ts
+++ b/packages/redwingmill-core/src/__tests__/unit/gate.test.ts
@@ -201,6 +201,22 @@
 		expect(dispatched(effects)).to.deep.equal(['two']);
 	});
 
+	it('gives a worker that has stopped answering one call now and then, and no more', () => {
+		const gate = gateWith(2);
+		for (const [index, id] of ['warm', 'a', 'b', 'c'].entries()) {
+			gate.arrive(callWith(id), index);
+		}
+
+		gate.finish('warm', {type: 'answered', payload: '', bytes: 0}, 50);
+		expect(answers(gate.tick(400))).to.deep.equal([]);
+		expect(answers(gate.tick(600))).to.deep.equal(['not-run worker-stalled']);
+		expect(answers(gate.arrive(callWith('d'), 610))).to.deep.equal([]);
+		gate.finish('a', {type: 'timed-out'}, 700);
+		expect(answers(gate.arrive(callWith('e'), 720))).to.deep.equal(['not-run worker-stalled']);
+		gate.finish('b', {type: 'answered', payload: '', bytes: 0}, 800);
+		expect(answers(gate.arrive(callWith('f'), 810))).to.deep.equal([]);
+	});
+
 	it('refuses what waits when the worker leaves, and lets what runs finish', () => {
 		const gate = gateWith(1);
 		gate.arrive(callWith('running'), 0);
--- a/packages/redwingmill-core/src/call/entry-call.ts
+++ b/packages/redwingmill-core/src/call/entry-call.ts
@@ -82,6 +82,7 @@
 	'worker-shed',
 	'worker-unreachable',
 	'worker-replaced',
+	'worker-stalled',
 ]);
 
 /** Decides the attempts of one call at its entry node, until there is a final answer. */
@@ -153,6 +154,12 @@
 		}
 	}
 
+	/** Action after the node of the attempt fell silent: its gate can't be asked what became of it. */
+	onSilent(now: number): EntryAction<Payload> {
+		this.#chooser.onFinished(this.#currentEndpoint(), undefined, now);
+		return this.#onUnknown('gate-silent', now);
+	}
+
 	/** Action after the gate was asked to withdraw the attempt. */
 	onWithdraw(result: WithdrawResult<Payload>, now: number): EntryAction<Payload> {
 		this.#chooser.onFinished(this.#currentEndpoint(), undefined, now);
--- a/packages/redwingmill-core/src/call/gate.ts
+++ b/packages/redwingmill-core/src/call/gate.ts
@@ -6,6 +6,7 @@
 import {isPassing, type NotRunReason, type UnknownReason} from './outcome.js';
 import {RankQueue} from './rank-queue.js';
 import {RunTimes} from './run-times.js';
+import {StallWatch} from './stall-watch.js';
 import {SuspectList} from './suspect-list.js';
 import {type WorkerLoad} from './worker-load.js';
 
@@ -104,7 +105,7 @@
 	isLimiting: true,
 };
 
-const shortestRetryAfterMs = 100;
+const shortestRetryAfterMs = 200;
 /** Part of its usual run time that a waiting call must have left. */
 const leastRunShare = 0.5;
 const ticketPrefix = 'ticket ';
@@ -131,6 +132,7 @@
 	readonly #limit = new ConcurrencyLimit(1);
 	readonly #runTimes = new RunTimes();
 	readonly #crashes: CrashWatch;
+	readonly #stall = new StallWatch();
 	#worker: Worker | undefined;
 	#isStopping = false;
 	/** A suspect that waits until the worker runs nothing else; meanwhile nothing is dispatched. */
@@ -191,6 +193,7 @@
 		if (isAnother) {
 			this.#limit.reset();
 			this.#runTimes.reset();
+			this.#stall.onProgress(now);
 		}
 
 		this.#limit.resize(worker?.slots ?? 1);
@@ -255,6 +258,10 @@
 		}
 
 		this.#running.delete(key);
+		if (result.type !== 'timed-out' && result.type !== 'aborted') {
+			this.#stall.onProgress(now);
+		}
+
 		this.#runningSuspects -= running.isSuspect ? 1 : 0;
 		return [...this.#conclude(running, result, now), ...this.#fill(now)];
 	}
@@ -311,7 +318,12 @@
 		this.#calls.evict(now);
 		this.#tickets.evict(now);
 		const late = this.#takeWaiting((call) => this.#isHopeless(call, now));
-		return [...late.map((call) => this.#refuse(call, 'waited-too-long', now)), ...this.#fill(now)];
+		const stuck = this.#isStalled(now) ? this.#takeWaiting(() => true) : [];
+		return [
+			...late.map((call) => this.#refuse(call, 'waited-too-long', now)),
+			...stuck.map((call) => this.#refuse(call, 'worker-stalled', now)),
+			...this.#fill(now),
+		];
 	}
 
 	#ledgerOf(call: Pick<GateCall, 'ticket'>): CallLedger<Payload> {
@@ -364,7 +376,11 @@
 			return 'deadline-passed';
 		}
 
-		return this.#crashes.suspicionOf(call, now) === 'quarantined' ? 'quarantined' : undefined;
+		if (this.#crashes.suspicionOf(call, now) === 'quarantined') {
+			return 'quarantined';
+		}
+
+		return this.#isStalled(now) && !this.#stall.mayTry(now) ? 'worker-stalled' : undefined;
 	}
 
 	#judge(call: GateCall, now: number) {
@@ -383,6 +399,12 @@
 		return now + this.#runTimes.expectedMs(group) * leastRunShare >= deadlineAt;
 	}
 
+	#isStalled(now: number): boolean {
+		return (
+			this.#limits.isLimiting && this.#stall.isStalled(this.#running.size, this.#runTimes, now)
+		);
+	}
+
 	#acceptsCalls(): boolean {
 		return !this.#isStopping && this.#worker?.state === 'ready';
 	}
@@ -427,6 +449,11 @@
 
 			const isSuspect = this.#needsIsolation(call, now);
 			this.#runningSuspects += isSuspect ? 1 : 0;
+			if (this.#running.size === 0) {
+				this.#stall.onProgress(now);
+			}
+
+			this.#stall.onDispatch(now);
 			this.#running.set(this.keyOf(call), {call, startedAt: now, isSuspect});
 			effects.push({type: 'dispatch', call});
 		}
--- a/packages/redwingmill-core/src/call/outcome.ts
+++ b/packages/redwingmill-core/src/call/outcome.ts
@@ -12,6 +12,7 @@
 	'worker-shed',
 	'worker-unreachable',
 	'worker-replaced',
+	'worker-stalled',
 	'queue-full',
 	'queue-too-slow',
 	'waited-too-long',
@@ -27,6 +28,7 @@
 /** Why it isn't known whether a call was run. */
 export const unknownReasons = [
 	'gate-gone',
+	'gate-silent',
 	'gate-unreached',
 	'worker-died',
 	'answer-lost',
@@ -55,6 +57,7 @@
 	'worker-shed',
 	'worker-unreachable',
 	'worker-replaced',
+	'worker-stalled',
 	'queue-full',
 	'queue-too-slow',
 	'waited-too-long',
--- a/packages/redwingmill-core/src/call/run-times.ts
+++ b/packages/redwingmill-core/src/call/run-times.ts
@@ -14,6 +14,11 @@
 		return this.#meanMs ?? initialRunMs;
 	}
 
+	/** Expected time of the group that runs longest, in milliseconds. */
+	get longestMs(): number {
+		return Math.max(this.meanMs, ...this.#groups.values());
+	}
+
 	/** Expected time of a call of this group, in milliseconds. */
 	expectedMs(group: string): number {
 		return this.#groups.get(group) ?? this.meanMs;
--- a/packages/redwingmill-core/src/directory/directory-event.ts
+++ b/packages/redwingmill-core/src/directory/directory-event.ts
@@ -32,6 +32,8 @@
 	| {readonly type: 'read-configuration'}
 	| {readonly type: 'ask-configuration'; readonly node: string; readonly gateAddress: string}
 	| {readonly type: 'load-heard'; readonly node: string; readonly load: WorkerLoad}
+	/** A node fell silent: what it was asked will most likely not be answered. */
+	| {readonly type: 'node-silent'; readonly node: string}
 	| {
 			readonly type: 'suspect';
 			readonly fingerprint: string;
--- a/packages/redwingmill-core/src/directory/pulse-controller.ts
+++ b/packages/redwingmill-core/src/directory/pulse-controller.ts
@@ -70,7 +70,10 @@
 			records.delete(address);
 		} else if (contact.lapsedAt === undefined && silentMs > intervalMs * limits.pulsesToLapse) {
 			contacts.set(address, {...contact, lapsedAt: now});
-			update.emit({type: 'notify', notice: {type: 'node-lapsed', peer: address, silentMs}});
+			update.emit(
+				{type: 'node-silent', node: address},
+				{type: 'notify', notice: {type: 'node-lapsed', peer: address, silentMs}},
+			);
 		} else if (isPulseDue(members, address, contact, {now, intervalMs, limits})) {
 			contacts.set(address, {...contact, sentAt: now});
 			update.emit({type: 'send', to: address, datagram});
--- a/packages/redwingmill-node/src/call/entry-exchange.ts
+++ b/packages/redwingmill-node/src/call/entry-exchange.ts
@@ -63,6 +63,18 @@
 		}
 	}
 
+	/** The node that the call was sent to fell silent; its gate can't be asked either. */
+	onSilent(node: string): void {
+		const attempt = this.#attempt;
+		if (attempt?.endpoint.node !== node || this.#isOver) {
+			return;
+		}
+
+		this.#attempt = undefined;
+		this.#exchange?.abort();
+		this.#decide(this.#options.call.onSilent(performance.now()), 'silent');
+	}
+
 	#perform(action: EntryAction<Payload>): void {
 		switch (action.type) {
 			case 'attempt': {
@@ -108,9 +120,13 @@
 	}
 
 	#onResult(result: AttemptResult<Payload>): void {
-		const action = this.#options.call.onAttempt(result, performance.now());
+		this.#decide(this.#options.call.onAttempt(result, performance.now()), reasonOf(result));
+	}
+
+	/** @param reason - why the last attempt wasn't the last word. */
+	#decide(action: EntryAction<Payload>, reason: string): void {
 		if (action.type === 'attempt') {
-			this.#options.service.onRetry(reasonOf(result));
+			this.#options.service.onRetry(reason);
 		}
 
 		this.#perform(action);
@@ -127,12 +143,7 @@
 				return;
 			}
 
-			const action = this.#options.call.onWithdraw(result, performance.now());
-			if (action.type === 'attempt') {
-				this.#options.service.onRetry(result.type);
-			}
-
-			this.#perform(action);
+			this.#decide(this.#options.call.onWithdraw(result, performance.now()), result.type);
 		});
 	}
 
@@ -156,7 +167,7 @@
 		const {service, destination} = this.#options;
 		this.#isOver = true;
 		this.#disarm();
-		service.onFinished({call: this.#options, destination, answer, nodes: this.#nodes});
+		service.onFinished(this, {call: this.#options, destination, answer, nodes: this.#nodes});
 	}
 }
 
--- a/packages/redwingmill-node/src/call/entry-server.ts
+++ b/packages/redwingmill-node/src/call/entry-server.ts
@@ -1,6 +1,7 @@
 import {type Buffer} from 'node:buffer';
 import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
 import {type Socket} from 'node:net';
+import {setTimeout as delay} from 'node:timers/promises';
 import {parseTicket, type CallerLimits, type NotRunReason, type Outcome} from 'redwingmill-core';
 import {type Route} from 'redwingmill-text';
 import {listenOn} from '../listen.js';
@@ -19,6 +20,11 @@
 const maximumHeaderBytes = 16 * 1024;
 /** How often connections are checked for heads that take too long. */
 const checkIntervalMs = 1000;
+/** Time for sending answers before connections are cut at a stop. */
+const flushMs = 300;
+const closingCheckIntervalMs = 20;
+/** Time in which a node that was stopped may be back. */
+const restartMs = 500;
 /** Added to the idle time that callers are promised, so that a request at its end still arrives. */
 const idleGraceMs = 1000;
 const defaultLimits: Omit<CallerLimits, 'bodyBytes'> = {
@@ -42,6 +48,7 @@
 	readonly #options: EntryServerOptions;
 	#bodyLimitBytes: number;
 	#isStopping = false;
+	#isRefusing = false;
 
 	constructor(service: EntryService, options: EntryServerOptions) {
 		this.#service = service;
@@ -80,18 +87,45 @@
 		this.#isStopping = true;
 	}
 
-	close(): void {
+	/** Takes no new connections, and refuses new calls on those that are open. */
+	refuse(): void {
+		this.#isRefusing = true;
 		this.#server.close();
+		this.#server.closeIdleConnections();
+	}
+
+	/** Closes connections, with some time for answers that are still being sent. */
+	async close(): Promise<void> {
+		this.#server.close();
+		await this.#untilClosed(flushMs);
 		this.#server.closeAllConnections();
 	}
 
+	async #untilClosed(limitMs: number): Promise<void> {
+		const giveUpAt = performance.now() + limitMs;
+		while (performance.now() < giveUpAt && (await this.#countConnections()) > 0) {
+			this.#server.closeIdleConnections();
+			await delay(closingCheckIntervalMs);
+		}
+	}
+
+	async #countConnections(): Promise<number> {
+		return new Promise((resolve) => {
+			this.#server.getConnections((_error, count) => {
+				resolve(count);
+			});
+		});
+	}
+
 	#handle(request: IncomingMessage, response: ServerResponse): void {
 		const startedAt = performance.now();
 		const path = request.url ?? '/';
 		const isTicket = path.startsWith(`${ticketPath}?`);
 		const target = isTicket ? (new URL(path, 'http://node').searchParams.get('path') ?? '') : path;
 		const lookup = this.#service.findRoute(request.method ?? 'GET', target, hostOf(request));
-		if (lookup.type === 'refused') {
+		if (this.#isRefusing) {
+			this.#refuseStopping(request, response, startedAt);
+		} else if (lookup.type === 'refused') {
 			const outcome = refusalOf(request, lookup.reason);
 			request.resume();
 			this.#respond(
@@ -107,6 +141,13 @@
 		}
 	}
 
+	/** The node ends soon: the caller is told to come back, when another life takes its call. */
+	#refuseStopping(request: IncomingMessage, response: ServerResponse, startedAt: number): void {
+		const outcome = refusalOf(request, 'not-serving');
+		request.resume();
+		this.#respond(response, {outcome, retryAfterMs: restartMs, isRetried: false}, startedAt);
+	}
+
 	#giveTicket(response: ServerResponse, route: Route): void {
 		this.#service.takeTicket(route, (ticket) => {
 			if (ticket === undefined) {
--- a/packages/redwingmill-node/src/call/entry-service.ts
+++ b/packages/redwingmill-node/src/call/entry-service.ts
@@ -80,9 +80,9 @@
 	readonly #patience = new CallerPatience();
 	readonly #onAnswered: ((facts: EntryFacts) => void) | undefined;
 	readonly #deadlines = new DeadlineTimer();
+	readonly #exchanges = new Set<EntryExchange>();
 	readonly #idPrefix: string;
 	#sequence = 0;
-	#inProgress = 0;
 
 	constructor(
 		settings: Settings,
@@ -116,7 +116,7 @@
 	}
 
 	get inProgress(): number {
-		return this.#inProgress;
+		return this.#exchanges.size;
 	}
 
 	/** Takes over the endpoints of a new routing table. */
@@ -133,6 +133,14 @@
 		}
 	}
 
+	/** A node fell silent: calls that wait for it are decided anew. */
+	onSilent(node: string): void {
+		this.#client.drop(node);
+		for (const exchange of this.#exchanges) {
+			exchange.onSilent(node);
+		}
+	}
+
 	/** Takes the load of another node's worker. */
 	onLoad(node: string, load: WorkerLoad): void {
 		for (const endpoints of this.#control.routing.endpoints.values()) {
@@ -185,7 +193,7 @@
 			service: this,
 			onAnswer,
 		});
-		this.#inProgress += 1;
+		this.#exchanges.add(exchange);
 		exchange.begin();
 		return exchange;
 	}
@@ -270,8 +278,8 @@
 	}
 
 	/** @internal */
-	onFinished(facts: EntryFacts): void {
-		this.#inProgress -= 1;
+	onFinished(exchange: EntryExchange, facts: EntryFacts): void {
+		this.#exchanges.delete(exchange);
 		this.#onAnswered?.(facts);
 	}
 
--- a/packages/redwingmill-node/src/call/gate-client.ts
+++ b/packages/redwingmill-node/src/call/gate-client.ts
@@ -32,6 +32,8 @@
 	readonly #connectionsPerGate: number;
 	readonly #answerLimitBytes: number;
 	readonly #pools = new Map<string, Pool>();
+	/** Control address of the node behind each gate. */
+	readonly #nodes = new Map<string, string>();
 
 	constructor(connectionsPerGate: number, answerLimitBytes: number) {
 		this.#connectionsPerGate = connectionsPerGate;
@@ -43,11 +45,22 @@
 		for (const [address, pool] of this.#pools) {
 			if (!addresses.has(address)) {
 				this.#pools.delete(address);
+				this.#nodes.delete(address);
 				void pool.close();
 			}
 		}
 	}
 
+	/** Cuts the connections to a node that fell silent; they won't come back to life. */
+	drop(node: string): void {
+		for (const [address, pool] of this.#pools) {
+			if (this.#nodes.get(address) === node) {
+				this.#pools.delete(address);
+				void pool.destroy();
+			}
+		}
+	}
+
 	async close(): Promise<void> {
 		await Promise.all([...this.#pools.values()].map(async (pool) => pool.destroy()));
 	}
@@ -56,7 +69,7 @@
 		const {endpoint, request} = attempt;
 		const headers = {...request.headers, ...attemptHeaders(attempt)};
 		return beginExchange(
-			this.#poolOf(endpoint.gateAddress),
+			this.#poolOf(endpoint.gateAddress, endpoint.node),
 			{...request, headers},
 			{answerLimitBytes: this.#answerLimitBytes},
 			(result) => {
@@ -72,7 +85,7 @@
 			[headerNames.age]: String(Math.ceil(performance.now() - attempt.startedAt)),
 		};
 		return beginExchange(
-			this.#poolOf(endpoint.gateAddress),
+			this.#poolOf(endpoint.gateAddress, endpoint.node),
 			{method: 'POST', path: gatePaths.withdraw, headers, body: emptyBody},
 			{answerLimitBytes: this.#answerLimitBytes},
 			(result) => {
@@ -86,7 +99,7 @@
 		const {endpoint} = attempt;
 		const headers = attemptHeaders(attempt);
 		beginExchange(
-			this.#poolOf(endpoint.gateAddress),
+			this.#poolOf(endpoint.gateAddress, endpoint.node),
 			{method: 'POST', path: gatePaths.cancel, headers, body: emptyBody},
 			{answerLimitBytes: this.#answerLimitBytes},
 			() => undefined,
@@ -94,9 +107,12 @@
 	}
 
 	/** Takes a ticket's number from a gate; undefined when the gate doesn't answer. */
-	takeTicket({gateAddress}: Endpoint, onResult: (sequence: number | undefined) => void): void {
+	takeTicket(
+		{gateAddress, node}: Endpoint,
+		onResult: (sequence: number | undefined) => void,
+	): void {
 		beginExchange(
-			this.#poolOf(gateAddress),
+			this.#poolOf(gateAddress, node),
 			{method: 'POST', path: gatePaths.ticket, headers: {}, body: emptyBody},
 			{answerLimitBytes: this.#answerLimitBytes},
 			(result) => {
@@ -106,7 +122,7 @@
 		);
 	}
 
-	#poolOf(address: string): Pool {
+	#poolOf(address: string, node: string): Pool {
 		const known = this.#pools.get(address);
 		if (known) {
 			return known;
@@ -119,6 +135,7 @@
 			connect: {timeout: connectTimeoutMs, noDelay: true},
 		});
 		this.#pools.set(address, pool);
+		this.#nodes.set(address, node);
 		return pool;
 	}
 }
--- a/packages/redwingmill-node/src/control/control-plane.ts
+++ b/packages/redwingmill-node/src/control/control-plane.ts
@@ -180,6 +180,11 @@
 		return () => undefined;
 	}
 
+	/** Exchanges with a node end with its connection. */
+	registerSilenceHandler(): Teardown {
+		return () => undefined;
+	}
+
 	dispatch(event: Event): void {
 		for (const effect of this.#engine.dispatch(event, performance.now())) {
 			this.#perform(effect);
--- a/packages/redwingmill-node/src/control/control.ts
+++ b/packages/redwingmill-node/src/control/control.ts
@@ -6,6 +6,9 @@
 /** Told of the load of another node's worker. */
 export type LoadHandler = (node: string, load: WorkerLoad) => void;
 
+/** Told of a node that fell silent. */
+export type SilenceHandler = (node: string) => void;
+
 /** The control plane as the call path sees it: what to route by, and whom to tell what. */
 export type Control = {
 	/** The own record, as the others know it. */
@@ -39,4 +42,5 @@
 	registerRoutingListener: (listener: (routing: RoutingTable) => void) => Teardown;
 	registerSuspectHandler: (handler: SuspectHandler) => Teardown;
 	registerLoadHandler: (handler: LoadHandler) => Teardown;
+	registerSilenceHandler: (handler: SilenceHandler) => Teardown;
 };
--- a/packages/redwingmill-node/src/control/store-control.ts
+++ b/packages/redwingmill-node/src/control/store-control.ts
@@ -21,7 +21,12 @@
 import {type Metrics} from '../observe/metrics.js';
 import {type Settings} from '../settings/settings.js';
 import {ConfigurationWatch} from './configuration-watch.js';
-import {type Control, type LoadHandler, type SuspectHandler} from './control.js';
+import {
+	type Control,
+	type LoadHandler,
+	type SilenceHandler,
+	type SuspectHandler,
+} from './control.js';
 import {DatagramSocket} from './datagram-socket.js';
 import {type StorePorts} from './store-ports.js';
 
@@ -53,6 +58,7 @@
 	readonly #documentListeners = new Set<(document: ConfigurationDocument) => void>();
 	#suspectHandler: SuspectHandler | undefined;
 	#loadHandler: LoadHandler | undefined;
+	#silenceHandler: SilenceHandler | undefined;
 	#stopWatch: Teardown | undefined;
 	#timer: NodeJS.Timeout | undefined;
 	#isStopped = false;
@@ -225,6 +231,13 @@
 		};
 	}
 
+	registerSilenceHandler(handler: SilenceHandler): Teardown {
+		this.#silenceHandler = handler;
+		return () => {
+			this.#silenceHandler = undefined;
+		};
+	}
+
 	#dispatch(event: DirectoryEvent): void {
 		if (this.#isStopped) {
 			return;
@@ -275,6 +288,11 @@
 				break;
 			}
 
+			case 'node-silent': {
+				this.#silenceHandler?.(effect.node);
+				break;
+			}
+
 			case 'suspect': {
 				this.#suspectHandler?.(effect.fingerprint, effect.node, effect.isCleared);
 				break;
--- a/packages/redwingmill-node/src/daemon.ts
+++ b/packages/redwingmill-node/src/daemon.ts
@@ -187,6 +187,9 @@
 		this.#control.registerRoutingListener((routing) => {
 			this.#entry.onRouting(routing);
 		});
+		this.#control.registerSilenceHandler((node) => {
+			this.#entry.onSilent(node);
+		});
 		this.#control.registerLoadHandler((node, load) => {
 			this.#entry.onLoad(node, load);
 		});
@@ -211,6 +214,7 @@
 		const {stopping, drainTimeoutMs} = this.#settings;
 		const limitMs = (stopping.withinSeconds ?? Number.POSITIVE_INFINITY) * msPerSecond;
 		await delay(stopping.lingerMs);
+		this.#entryServer.refuse();
 		this.#gate.stop();
 		const leftMs = Math.min(drainTimeoutMs, limitMs - stopping.lingerMs - closingReserveMs);
 		const [isDrained] = await Promise.all([this.#drain(leftMs), delay(departureMs)]);
@@ -239,7 +243,7 @@
 	async #close(): Promise<void> {
 		clearInterval(this.#workerTimer);
 		clearInterval(this.#loadTimer);
-		this.#entryServer.close();
+		await this.#entryServer.close();
 		this.#gateServer.close();
 		this.#operators.close();
 		await this.#control.stop();
--- a/test/support/fake-directory-mesh.ts
+++ b/test/support/fake-directory-mesh.ts
@@ -221,6 +221,7 @@
 			}
 
 			case 'load-heard':
+			case 'node-silent':
 			case 'suspect':
 			case 'notify': {
 				break;
