--- a/packages/redwingmill-node/src/call/deadline-timer.ts
+++ b/packages/redwingmill-node/src/call/deadline-timer.ts
@@ -1,4 +1,4 @@
-const sweepIntervalMs = 10;
+const sweepIntervalMs = 20;
 
 type Entry = {
 	readonly deadlineAt: number;
--- a/packages/redwingmill-node/src/call/gate-service.ts
+++ b/packages/redwingmill-node/src/call/gate-service.ts
@@ -72,7 +72,7 @@
 const longestPlainFingerprint = 100;
 const fingerprintDigits = 32;
 const evictionIntervalMs = 1000;
-const waitingCheckIntervalMs = 10;
+const waitingCheckIntervalMs = 20;
 /** How long a worker that broke off a call has to take a connection to count as alive. */
 const crashCheckTimeoutMs = 200;
 
--- a/packages/redwingmill-node/src/call/read-request.ts
+++ b/packages/redwingmill-node/src/call/read-request.ts
@@ -10,8 +10,7 @@
 /**
  * Reads a whole body up to a limit, then looks whether the sender is still there. A process that
  * was held up reads requests whose senders have left long since; the end of such a connection lies
- * right behind the request, and is read before the next turn of the event loop. `onResult` is
- * called exactly once.
+ * right behind the request. `onResult` is called exactly once.
  */
 export function readLiveRequest(
 	request: IncomingMessage,
@@ -19,7 +18,7 @@
 	onResult: (result: BodyResult) => void,
 ): void {
 	readRequestBody(request, limitBytes, (result) => {
-		setImmediate(() => {
+		afterNextPoll(() => {
 			const {socket} = request;
 			onResult(socket.destroyed || socket.readableEnded ? {type: 'broken'} : result);
 		});
@@ -82,3 +81,13 @@
 		finish({type: 'broken'});
 	});
 }
+
+/**
+ * Runs `callback` when the event loop has polled its sockets once more. The poll that brought the last
+ * bytes stops there; the end of the connection comes with the next one, between two immediates.
+ */
+function afterNextPoll(callback: () => void): void {
+	setImmediate(() => {
+		setImmediate(callback);
+	});
+}
--- a/packages/redwingmill-node/src/control/store-control.ts
+++ b/packages/redwingmill-node/src/control/store-control.ts
@@ -106,7 +106,8 @@
 
 	/** A node that stops goes on serving until its callers have left. */
 	get isServing(): boolean {
-		return this.#board.standing.state !== 'starting';
+		const {standing, adoption} = this.#board;
+		return standing.state !== 'starting' && adoption.held !== undefined;
 	}
 
 	/** Whether new callers should come here. */
