A reset that arrives with the last bytes is told from an orderly end

Ruled out: our error listener being late; no error is emitted at all. Change: at the end of such a connection the peer's address is asked; after a reset there is none.

--- a/packages/redwingmill-node/src/call/worker-pool.ts
+++ b/packages/redwingmill-node/src/call/worker-pool.ts
@@ -1,5 +1,6 @@
 import {type Buffer} from 'node:buffer';
 import {type IncomingHttpHeaders} from 'node:http';
+import {type Socket} from 'node:net';
 import {buildConnector, Client, Pool, type Dispatcher} from 'undici';
 import {BrokenAnswerError} from '../errors.js';
 
@@ -32,9 +33,7 @@
 		connect(connection, callback) {
 			connect(connection, (...result) => {
 				state.hasFailed = false;
-				result[1]?.once('error', () => {
-					state.hasFailed = true;
-				});
+				watchForFailure(result[1] ?? undefined, state);
 				callback(...result);
 			});
 		},
@@ -44,6 +43,19 @@
 	);
 }
 
+/**
+ * A reset that arrives together with data is reported as a plain end; then the connection has no
+ * other side any more, where one that was closed in order still has.
+ */
+function watchForFailure(socket: Socket | undefined, state: ConnectionState): void {
+	socket?.once('error', () => {
+		state.hasFailed = true;
+	});
+	socket?.once('end', () => {
+		state.hasFailed ||= socket.remoteAddress === undefined;
+	});
+}
+
 /** Turns the end of an answer into an error when the connection has failed. */
 class WholeAnswerHandler implements Dispatcher.DispatchHandler {
 	readonly #handler: Dispatcher.DispatchHandler;
