A caller's first try is known by its request; a leaving node serves until its callers have left

The longest time given is no sign; now a request that was refused here is remembered until it comes again. Cause (no endpoint 665 times within six seconds): a node that was told to stop took its worker out for the whole stop, though the worker lives; now only for the end of it. Cause (slots idle at slow workers): a call could wait no longer than its target allowed, which is nothing where a run takes as long as the target; 80 ms are always allowed.

--- a/packages/redwingmill-core/src/__tests__/unit/admission.test.ts
+++ b/packages/redwingmill-core/src/__tests__/unit/admission.test.ts
@@ -19,6 +19,11 @@
 		expect(verdict).to.deep.equal({type: 'refused', reason: 'queue-too-slow', retryAfterMs: 60});
 	});
 
+	it('lets a call that is late already wait for a moment', () => {
+		expect(judgeAdmission(inputsWith({targetAt: 900, waitMs: 50})).type).to.equal('admitted');
+		expect(judgeAdmission(inputsWith({targetAt: 900, waitMs: 150})).type).to.equal('refused');
+	});
+
 	it('lets a call without a target wait up to its deadline', () => {
 		expect(judgeAdmission(inputsWith({targetAt: undefined, waitMs: 1100})).type).to.equal(
 			'admitted',
--- /dev/null
+++ b/packages/redwingmill-core/src/__tests__/unit/refused-calls.test.ts
@@ -0,0 +1,31 @@
+import {expect} from 'chai';
+import {RefusedCalls} from '../../index.js';
+
+describe('RefusedCalls', () => {
+	it('knows the first try of a caller that comes back, also after several refusals', () => {
+		const refused = new RefusedCalls();
+		expect(refused.takeFirstTry('GET /pages/1', 0)).to.equal(0);
+		refused.remember('GET /pages/1', 0, 5);
+		expect(refused.takeFirstTry('GET /pages/2', 300)).to.equal(300);
+		expect(refused.takeFirstTry('GET /pages/1', 300)).to.equal(0);
+		refused.remember('GET /pages/1', 0, 305);
+		expect(refused.takeFirstTry('GET /pages/1', 700)).to.equal(0);
+		expect(refused.takeFirstTry('GET /pages/1', 800)).to.equal(800);
+	});
+
+	it('takes a request that comes much later for a new one', () => {
+		const refused = new RefusedCalls();
+		refused.remember('GET /pages/1', 0, 5);
+		expect(refused.takeFirstTry('GET /pages/1', 10_000)).to.equal(10_000);
+	});
+
+	it('stays within its bound', () => {
+		const refused = new RefusedCalls();
+		for (let call = 0; call < 20_000; call++) {
+			refused.remember(`GET /${call}`, 0, 1);
+		}
+
+		expect(refused.takeFirstTry('GET /0', 2)).to.equal(2);
+		expect(refused.takeFirstTry('GET /19999', 2)).to.equal(0);
+	});
+});
--- a/packages/redwingmill-core/src/call/admission.ts
+++ b/packages/redwingmill-core/src/call/admission.ts
@@ -25,8 +25,8 @@
 
 /** Part of its usual run time that a call must have left for a free slot to be worth giving. */
 const leastRunShare = 0.5;
-/** How long a call that is late already may wait. */
-const lateWaitMs = 100;
+/** How long a call may wait whatever its target is; keeps slots busy between two calls. */
+const lateWaitMs = 80;
 const admitted: AdmissionVerdict = {type: 'admitted'};
 
 /**
@@ -44,8 +44,8 @@
 		return tooClose(inputs);
 	}
 
-	// A call that is late already is worth a short wait, behind those that aren't.
-	const latestAt = targetAt === undefined || isLate(inputs) ? now + runMs + lateWaitMs : targetAt;
+	// A call that can't be in time is worth a short wait all the same: refused, it would be later still.
+	const latestAt = Math.max(targetAt ?? deadlineAt, now + runMs + lateWaitMs);
 	return targetAt !== undefined && doneAt > latestAt
 		? {type: 'refused', reason: 'queue-too-slow', retryAfterMs: doneAt - latestAt}
 		: admitted;
--- a/packages/redwingmill-core/src/directory/directory-board.ts
+++ b/packages/redwingmill-core/src/directory/directory-board.ts
@@ -61,7 +61,7 @@
 	readonly isKnown: boolean;
 };
 
-export const directoryStates = ['starting', 'serving', 'stopping'] as const;
+export const directoryStates = ['starting', 'serving', 'stopping', 'leaving'] as const;
 export type DirectoryState = (typeof directoryStates)[number];
 
 /** State of a node that finds the others through the store. Immutable; replaced by section. */
--- a/packages/redwingmill-core/src/directory/directory-event.ts
+++ b/packages/redwingmill-core/src/directory/directory-event.ts
@@ -21,7 +21,9 @@
 			readonly document: ConfigurationDocument;
 			readonly origin: 'store' | 'node';
 	  }
-	| {readonly type: 'stop-requested'};
+	| {readonly type: 'stop-requested'}
+	/** The gate is about to refuse calls. */
+	| {readonly type: 'leave-requested'};
 
 /** What the directory wants done. Plain data. */
 export type DirectoryEffect =
--- a/packages/redwingmill-core/src/directory/member-actions.ts
+++ b/packages/redwingmill-core/src/directory/member-actions.ts
@@ -18,7 +18,7 @@
 	const {self} = board.members;
 	const version = board.adoption.held?.version ?? 0;
 	// The own proxy goes on using the worker; the others are to leave.
-	const record = board.standing.state === 'stopping' ? {...self, status: 'left' as const} : self;
+	const record = board.standing.state === 'leaving' ? {...self, status: 'left' as const} : self;
 	return {type: 'announcement', record, version, wantsReply};
 }
 
--- a/packages/redwingmill-core/src/directory/peers-controller.ts
+++ b/packages/redwingmill-core/src/directory/peers-controller.ts
@@ -48,7 +48,7 @@
 				break;
 			}
 
-			case 'stop-requested': {
+			case 'leave-requested': {
 				changeSelf(update, {}, context);
 				break;
 			}
--- a/packages/redwingmill-core/src/directory/standing-controller.ts
+++ b/packages/redwingmill-core/src/directory/standing-controller.ts
@@ -10,7 +10,7 @@
 export class StandingController implements DirectoryController {
 	handle(update: DirectoryUpdate, event: DirectoryEvent, context: DirectoryContext): void {
 		const {standing} = update.pending;
-		const next = event.type === 'stop-requested' ? 'stopping' : nextState(update.pending, context);
+		const next = requestedState(event) ?? nextState(update.pending, context);
 		if (next !== standing.state) {
 			update.set('standing', {state: next, since: context.now});
 			const notice = {type: 'directory-state', from: standing.state, to: next} as const;
@@ -19,6 +19,22 @@
 	}
 }
 
+function requestedState({type}: DirectoryEvent): DirectoryState | undefined {
+	switch (type) {
+		case 'stop-requested': {
+			return 'stopping';
+		}
+
+		case 'leave-requested': {
+			return 'leaving';
+		}
+
+		default: {
+			return undefined;
+		}
+	}
+}
+
 /** A node serves once it holds a configuration and has had the chance to find the others. */
 function nextState(board: DirectoryBoard, {now, limits}: DirectoryContext): DirectoryState {
 	const {standing, adoption, registry, members} = board;
--- a/packages/redwingmill-core/src/index.ts
+++ b/packages/redwingmill-core/src/index.ts
@@ -31,7 +31,7 @@
 export {contentFor, textOf, type TextContent} from './model/text-content.js';
 export {isNewerVersion, isSameVersion, type Version} from './model/version.js';
 export {CallLedger, type Answer, type CallEntry, type LedgerBounds} from './call/call-ledger.js';
-export {CallerPatience} from './call/caller-patience.js';
+export {RefusedCalls} from './call/refused-calls.js';
 export {RankQueue} from './call/rank-queue.js';
 export {ConcurrencyLimit} from './call/concurrency-limit.js';
 export {
--- a/packages/redwingmill-node/src/call/entry-server.ts
+++ b/packages/redwingmill-node/src/call/entry-server.ts
@@ -168,18 +168,21 @@
 	): void {
 		const requestedMs = numberHeader(request.headers, this.#options.protocol.deadlineHeader);
 		const waitMs = Math.min(route.deadlineMs, requestedMs ?? route.deadlineMs);
-		const waitedMs = requestedMs === undefined ? 0 : this.#service.waitedMs(route, requestedMs);
+		const name = `${request.method ?? 'GET'} ${hostOf(request) ?? ''}${request.url ?? '/'}`;
+		const firstTryAt = this.#service.firstTryAt(name, startedAt);
 		const {targetMs} = route;
-		const times = {
+		const facts = {
+			name,
 			startedAt,
+			firstTryAt,
 			deadlineAt: startedAt + waitMs,
 			// An answer is worth most within the target of the caller's first try.
-			targetAt: targetMs === undefined ? undefined : startedAt + targetMs - waitedMs,
+			targetAt: targetMs === undefined ? undefined : firstTryAt + targetMs,
 		};
 		readLiveRequest(request, this.#bodyLimitBytes, (result) => {
 			switch (result.type) {
 				case 'complete': {
-					this.#begin(request, response, result.body, {route, ...times});
+					this.#begin(request, response, result.body, {route, ...facts});
 					break;
 				}
 
@@ -202,7 +205,7 @@
 		request: IncomingMessage,
 		response: ServerResponse,
 		body: Buffer | undefined,
-		call: Pick<CallerCall, 'route' | 'startedAt' | 'targetAt' | 'deadlineAt'>,
+		call: Omit<CallerCall, 'request' | 'requestId'>,
 	): void {
 		const {protocol} = this.#options;
 		let isAnswered = false;
--- a/packages/redwingmill-node/src/call/entry-service.ts
+++ b/packages/redwingmill-node/src/call/entry-service.ts
@@ -1,10 +1,10 @@
 import {
-	CallerPatience,
 	EndpointChooser,
 	EntryCall,
 	formatTicket,
 	matchRoute,
 	parseTicket,
+	RefusedCalls,
 	RetryBudget,
 	type Answer,
 	type AttemptResult,
@@ -39,7 +39,11 @@
 	readonly route: Route;
 	/** The caller's name for the request; absent when it gave none. */
 	readonly requestId?: string;
+	/** Names the request by its contents. */
+	readonly name: string;
 	readonly startedAt: number;
+	/** Time at which the caller first came with the request. */
+	readonly firstTryAt: number;
 	/** Time by which an answer is worth most; absent when only the deadline counts. */
 	readonly targetAt?: number;
 	readonly deadlineAt: number;
@@ -77,7 +81,7 @@
 	readonly #random: Random;
 	readonly #budgets = new Map<string, RetryBudget>();
 	readonly #splits: SplitChooser;
-	readonly #patience = new CallerPatience();
+	readonly #refused = new RefusedCalls();
 	readonly #onAnswered: ((facts: EntryFacts) => void) | undefined;
 	readonly #deadlines = new DeadlineTimer();
 	readonly #exchanges = new Set<EntryExchange>();
@@ -125,7 +129,6 @@
 		this.#chooser.retain(endpoints, performance.now());
 		this.#client.retain(new Set(endpoints.map((endpoint) => endpoint.gateAddress)));
 		this.#splits.retain(routing.routes.map(({route}) => route));
-		this.#patience.retain(new Set(routing.routes.map(({route}) => route.path)));
 		for (const service of this.#budgets.keys()) {
 			if (!routing.endpoints.has(service)) {
 				this.#budgets.delete(service);
@@ -168,9 +171,9 @@
 			: {type: 'refused', reason: 'route-inactive', retryAfterMs: routeRetryMs};
 	}
 
-	/** Milliseconds that a caller has been waiting before it came with this try. */
-	waitedMs({path}: Route, givenMs: number): number {
-		return this.#patience.waitedMs(path, givenMs, performance.now());
+	/** Time at which the caller of a request first came with it, in monotonic milliseconds. */
+	firstTryAt(request: string, now: number): number {
+		return this.#refused.takeFirstTry(request, now);
 	}
 
 	/** Takes a call through the mesh. `onAnswer` is called exactly once, unless the call is cancelled. */
@@ -280,6 +283,11 @@
 	/** @internal */
 	onFinished(exchange: EntryExchange, facts: EntryFacts): void {
 		this.#exchanges.delete(exchange);
+		const {call, answer} = facts;
+		if (answer?.outcome.type === 'not-run') {
+			this.#refused.remember(call.name, call.firstTryAt, performance.now());
+		}
+
 		this.#onAnswered?.(facts);
 	}
 
--- a/packages/redwingmill-node/src/control/control-plane.ts
+++ b/packages/redwingmill-node/src/control/control-plane.ts
@@ -124,6 +124,11 @@
 		this.dispatch({type: 'stop-requested'});
 	}
 
+	/** The others were told when the stop began. */
+	leave(): void {
+		// Nothing to do.
+	}
+
 	onWorker(worker: Worker): void {
 		this.dispatch({type: 'worker-changed', worker});
 	}
--- a/packages/redwingmill-node/src/control/control.ts
+++ b/packages/redwingmill-node/src/control/control.ts
@@ -30,8 +30,10 @@
 	findNode: (dataCentre: string, address: string) => NodeRecord | undefined;
 	start: () => Promise<void>;
 	stop: () => Promise<void>;
-	/** A planned stop begins: the others are told. */
+	/** A planned stop begins: new callers are to stay away. */
 	requestStop: () => void;
+	/** The gate takes no more calls: the others are told. */
+	leave: () => void;
 	onWorker: (worker: Worker) => void;
 	onLoad: (load: WorkerLoad) => void;
 	/** Another node answered, so it lives. */
--- a/packages/redwingmill-node/src/control/store-control.ts
+++ b/packages/redwingmill-node/src/control/store-control.ts
@@ -164,6 +164,10 @@
 		this.#dispatch({type: 'stop-requested'});
 	}
 
+	leave(): void {
+		this.#dispatch({type: 'leave-requested'});
+	}
+
 	onWorker(worker: Worker): void {
 		this.#dispatch({type: 'worker-changed', worker});
 	}
--- a/packages/redwingmill-node/src/daemon.ts
+++ b/packages/redwingmill-node/src/daemon.ts
@@ -30,6 +30,8 @@
 /** Time in which the others learn that this node leaves, before it closes its ports. */
 const departureMs = 1000;
 const drainCheckIntervalMs = 20;
+/** Time in which word of the departure reaches the others, before the gate refuses. */
+const leavingMs = 50;
 const msPerSecond = 1000;
 /** Kept free at the end of the time for a stop, for closing. */
 const closingReserveMs = 700;
@@ -215,9 +217,12 @@
 		const limitMs = (stopping.withinSeconds ?? Number.POSITIVE_INFINITY) * msPerSecond;
 		await delay(stopping.lingerMs);
 		this.#entryServer.refuse();
+		this.#control.leave();
+		await delay(leavingMs);
 		this.#gate.stop();
-		const leftMs = Math.min(drainTimeoutMs, limitMs - stopping.lingerMs - closingReserveMs);
-		const [isDrained] = await Promise.all([this.#drain(leftMs), delay(departureMs)]);
+		const usedMs = stopping.lingerMs + leavingMs + closingReserveMs;
+		const isDrained = await this.#drain(Math.min(drainTimeoutMs, limitMs - usedMs));
+		await delay(stopping.lingerMs > 0 ? 0 : departureMs);
 		if (!isDrained) {
 			this.#log.write(logEvents.drainTimedOut, {inProgress: this.#entry.inProgress});
 		}
--- a/test/matrix/directory.test.ts
+++ b/test/matrix/directory.test.ts
@@ -96,6 +96,9 @@
 		const mesh = startedMesh();
 		mesh.dispatch(mesh.nodes.get('a/1')!, {type: 'stop-requested'});
 		mesh.run(10);
+		expect(mesh.endpointsOf('b/1')).to.include('a/1');
+		mesh.dispatch(mesh.nodes.get('a/1')!, {type: 'leave-requested'});
+		mesh.run(10);
 		expect(mesh.endpointsOf('b/1')).not.to.include('a/1');
 		expect(mesh.endpointsOf('a/1')).to.include('a/1');
 	});
