--- a/packages/redwingmill-node/src/call/gate-service.ts
+++ b/packages/redwingmill-node/src/call/gate-service.ts
@@ -50,6 +50,8 @@
 	readonly answer: Answer<Payload>;
 	/** Identity of the worker at the end; absent when it tells none. */
 	readonly instance?: string;
+	/** Load of the worker at the end. */
+	readonly load: WorkerLoad;
 	/** Monotonic milliseconds at which the call came. */
 	readonly arrivedAt: number;
 	/** Monotonic milliseconds at which it was given to the worker; absent when it wasn't. */
@@ -261,7 +263,8 @@
 	#tell(key: string, answer: Answer<Payload>): void {
 		const open = this.#requests.get(key);
 		if (open) {
-			this.#options.onAnswered?.({...open, answer, instance: this.#worker?.instance});
+			const {instance} = this.#worker ?? {};
+			this.#options.onAnswered?.({...open, answer, instance, load: this.load});
 		}
 	}
 
--- a/packages/redwingmill-node/src/observe/call-log.ts
+++ b/packages/redwingmill-node/src/observe/call-log.ts
@@ -4,6 +4,8 @@
 import {type Log} from './log.js';
 import {logEvents} from './log-event.js';
 
+const loadDecimals = 2;
+
 /** Writes a line for each call: at its entry node, and at the gate of the worker that it came to. */
 export class CallLog {
 	readonly #log: Log;
@@ -34,7 +36,7 @@
 		}));
 	}
 
-	onGate({request, answer, instance, arrivedAt, dispatchedAt}: GateFacts): void {
+	onGate({request, answer, instance, load, arrivedAt, dispatchedAt}: GateFacts): void {
 		const now = performance.now();
 		const {outcome, retryAfterMs} = answer;
 		this.#log.writeCall(logEvents.callJudged, outcome.type !== 'ran', () => ({
@@ -47,6 +49,9 @@
 			reason: outcome.type === 'ran' ? undefined : outcome.reason,
 			status: answer.payload?.status,
 			retryAfterMs: rounded(retryAfterMs),
+			callsPerSlot: Number(load.callsPerSlot.toFixed(loadDecimals)),
+			usualRunMs: rounded(load.runMs),
+			queueMs: rounded(load.waitMs),
 			waitedMs: rounded((dispatchedAt ?? now) - arrivedAt),
 			ranMs: dispatchedAt === undefined ? undefined : rounded(now - dispatchedAt),
 			leftMs: rounded(request.deadlineAt - now),
