--- a/packages/redwingmill-core/src/__tests__/unit/gate.test.ts
+++ b/packages/redwingmill-core/src/__tests__/unit/gate.test.ts
@@ -201,6 +201,15 @@
 		expect(dispatched(effects)).to.deep.equal(['two']);
 	});
 
+	it('hands back a call that others overtake instead of holding it to its end', () => {
+		const gate = gateWith(1, {});
+		gate.arrive(callWith('running'), 0);
+		gate.arrive(callWith('overtaken', {rank: 2, targetAt: 100, deadlineAt: 2000}), 0);
+		gate.arrive(callWith('urgent', {rank: 0}), 0);
+		expect(answers(gate.tick(150))).to.deep.equal([]);
+		expect(answers(gate.tick(250))).to.deep.equal(['not-run waited-too-long']);
+	});
+
 	it('gives a worker that has stopped answering one call now and then, and no more', () => {
 		const gate = gateWith(2);
 		for (const [index, id] of ['warm', 'a', 'b', 'c'].entries()) {
--- a/packages/redwingmill-core/src/call/gate.ts
+++ b/packages/redwingmill-core/src/call/gate.ts
@@ -106,6 +106,8 @@
 };
 
 const shortestRetryAfterMs = 200;
+/** Time that a call waits beyond its target at most, while others go before it. */
+const longestDelayMs = 160;
 /** Part of its usual run time that a waiting call must have left. */
 const leastRunShare = 0.5;
 const ticketPrefix = 'ticket ';
@@ -394,9 +396,17 @@
 		return judgeAdmission({now, deadlineAt, targetAt, waitMs, runMs});
 	}
 
-	/** Whether a waiting call can't be answered before its caller stops waiting. */
-	#isHopeless({deadlineAt, group}: GateCall, now: number): boolean {
-		return now + this.#runTimes.expectedMs(group) * leastRunShare >= deadlineAt;
+	/**
+	 * Whether a waiting call can't be answered before its caller stops waiting, or has been overtaken
+	 * for so long that its caller does better to ask again.
+	 */
+	#isHopeless(call: GateCall, now: number): boolean {
+		const {deadlineAt, targetAt, group} = call;
+		const runMs = this.#runTimes.expectedMs(group);
+		const soonestAt = now + runMs * leastRunShare;
+		const admittedAt = this.#ledgerOf(call).get(this.keyOf(call))?.admittedAt ?? now;
+		const overtakenAt = Math.max(targetAt ?? deadlineAt, admittedAt + longestDelayMs + runMs);
+		return soonestAt >= deadlineAt || soonestAt > overtakenAt;
 	}
 
 	#isStalled(now: number): boolean {
--- a/packages/redwingmill-core/src/call/run-times.ts
+++ b/packages/redwingmill-core/src/call/run-times.ts
@@ -1,6 +1,6 @@
 const smoothing = 0.1;
 /** Assumed until the first call of any group has finished. */
-const initialRunMs = 1;
+const initialRunMs = 20;
 /** Groups kept; the operators' routes bound them, so this only guards against mistakes. */
 const maximumGroups = 5000;
 
@@ -39,9 +39,5 @@
 }
 
 function smoothed(meanMs: number | undefined, runMs: number): number {
-	const previous = meanMs ?? initialRunMs;
-	// The first measurement counts in full once it can be told from the assumption.
-	return meanMs === undefined && runMs > initialRunMs
-		? runMs
-		: previous + smoothing * (runMs - previous);
+	return meanMs === undefined ? runMs : meanMs + smoothing * (runMs - meanMs);
 }
