--- a/packages/redwingmill-node/src/__tests__/unit/node-headers.test.ts
+++ b/packages/redwingmill-node/src/__tests__/unit/node-headers.test.ts
@@ -34,7 +34,14 @@
 	});
 
 	it('takes nothing else for an attempt', () => {
-		for (const text of ['', ';', 'id', 'id;service;group;;;x;y', 'id;service;group;;']) {
+		for (const text of [
+			'',
+			';',
+			'id',
+			'id;service;group;;;x;y',
+			'id;service;group;;',
+			'%;s;g;;;1;2',
+		]) {
 			expect(parseAttempt(text), text).to.equal(undefined);
 		}
 	});
--- a/packages/redwingmill-node/src/call/attempt-header.ts
+++ b/packages/redwingmill-node/src/call/attempt-header.ts
@@ -37,6 +37,15 @@
 
 /** The header, or undefined when the text isn't one. */
 export function parseAttempt(text: string): AttemptHeader | undefined {
+	try {
+		return readAttempt(text);
+	} catch {
+		// A text that isn't encoded as a header is none.
+		return undefined;
+	}
+}
+
+function readAttempt(text: string): AttemptHeader | undefined {
 	const [id, service, group, caller, struckNodes, ...numbers] = text.split(separator);
 	const [rank, deadlineMs, targetMs, ticket, incarnation] = numbers.map((part) => toNumber(part));
 	if (!id || service === undefined || rank === undefined || deadlineMs === undefined) {
--- a/packages/redwingmill-node/src/call/exchange.ts
+++ b/packages/redwingmill-node/src/call/exchange.ts
@@ -52,18 +52,22 @@
 ): Exchange {
 	const handler = new ExchangeHandler(limits, onResult);
 	const {method, path, headers, body} = request;
-	dispatcher.dispatch(
-		{
-			method,
-			path,
-			headers: headers as Record<string, string>,
-			body: body ?? null,
-			// Deadlines are kept by the caller of this function.
-			headersTimeout: 0,
-			bodyTimeout: 0,
-		},
-		handler,
-	);
+	const options = {
+		method,
+		path,
+		headers: headers as Record<string, string>,
+		body: body ?? null,
+		// Deadlines are kept by the caller of this function.
+		headersTimeout: 0,
+		bodyTimeout: 0,
+	};
+	try {
+		dispatcher.dispatch(options, handler);
+	} catch {
+		// The client takes no such request, or is closed: nothing was sent.
+		handler.refuse();
+	}
+
 	return handler;
 }
 
@@ -92,6 +96,11 @@
 		this.#controller?.abort(new AbortedExchangeError('The exchange was given up'));
 	}
 
+	/** Nothing was sent. */
+	refuse(): void {
+		this.#finish({type: 'refused'});
+	}
+
 	onRequestStart(controller: Dispatcher.DispatchController): void {
 		this.#controller = controller;
 		if (this.#isOver) {
--- a/packages/redwingmill-node/src/control/datagram-socket.ts
+++ b/packages/redwingmill-node/src/control/datagram-socket.ts
@@ -18,6 +18,7 @@
 	readonly #socket: Socket;
 	readonly #handlers: DatagramHandlers;
 	#bytes = 0;
+	#isClosed = false;
 
 	constructor(handlers: DatagramHandlers) {
 		this.#handlers = handlers;
@@ -46,6 +47,10 @@
 	}
 
 	send(to: string, datagram: Datagram): void {
+		if (this.#isClosed) {
+			return;
+		}
+
 		const {host, port} = splitAddress(to);
 		const bytes = encodeDatagram(datagram);
 		this.#bytes += bytes.length + headerBytes;
@@ -53,6 +58,7 @@
 	}
 
 	close(): void {
+		this.#isClosed = true;
 		this.#socket.close();
 	}
 
