--- a/packages/redwingmill-core/src/call/endpoint-chooser.ts
+++ b/packages/redwingmill-core/src/call/endpoint-chooser.ts
@@ -1,7 +1,7 @@
 import {type Random} from 'redwingmill-shared';
 import {type Endpoint} from '../model/routing-table.js';
 import {expectedCompletion, freshCompletion, type CompletionState} from './expected-completion.js';
-import {RunTimes} from './run-times.js';
+import {GroupMeans} from './group-means.js';
 import {type WorkerLoad} from './worker-load.js';
 
 /** How an endpoint is chosen; `least-loaded`, `random` and `round-robin` are baselines of measurements. */
@@ -29,6 +29,8 @@
 	readonly group: string;
 	/** Monotonic milliseconds by which an answer is worth most; absent when only the deadline counts. */
 	readonly targetAt?: number;
+	/** Bytes of the request and its expected answer; absent when they don't matter. */
+	readonly bytes?: number;
 };
 
 /** What this node knows of an endpoint by its own calls. */
@@ -56,6 +58,11 @@
 /** Part of the time left for a call within which the own data centre must be expected to answer. */
 const timelyShare = 0.8;
 const noNeeds: CallNeeds = {group: ''};
+/** Run time assumed until the first call has finished. */
+const initialRunMs = 20;
+/** Time that is worth waiting rather than sending a kilobyte to another data centre. */
+const remoteCostPerKbMs = 12;
+const bytesPerKb = 1024;
 /** Bounds of how much slower or faster than the mean a worker is taken to be. */
 const slownessBounds = {least: 0.2, most: 8} as const;
 /** Load at which the local data centre lacks capacity. */
@@ -67,7 +74,7 @@
 	readonly #random: Random;
 	#states = new Map<string, EndpointState>();
 	/** Run times by group, as a worker of the service's mean speed would take. */
-	readonly #groups = new RunTimes();
+	readonly #groups = new GroupMeans(initialRunMs);
 	#turn = 0;
 
 	constructor(options: ChoiceOptions, random: Random) {
@@ -173,17 +180,18 @@
 	/**
 	 * The endpoint with the soonest expected answer. One in the own data centre goes first while it
 	 * can answer in time: a call that leaves costs bytes on the links between data centres. One
-	 * elsewhere is asked only while it is expected to answer in time; where all are overloaded, calls
-	 * that are refused at one data centre after the other would load the links for nothing.
+	 * elsewhere is asked only while it is expected to answer in time, and sooner by what the call's
+	 * bytes are worth; where all are overloaded, calls that are refused at one data centre after the
+	 * other would load the links for nothing.
 	 */
 	#soonest(
 		endpoints: readonly Endpoint[],
 		hasLocal: boolean,
 		now: number,
-		{group, targetAt}: CallNeeds,
+		{group, targetAt, bytes = 0}: CallNeeds,
 	): Endpoint | undefined {
 		const meanRunMs = this.#meanRunMs(endpoints);
-		const groupRunMs = this.#groups.expectedMs(group);
+		const groupRunMs = this.#groups.expected(group);
 		const candidates = endpoints.map((endpoint) => {
 			const state = this.#stateOf(endpoint);
 			const {completion, inFlight} = state;
@@ -201,8 +209,10 @@
 			return soonestLocal.endpoint;
 		}
 
-		const isWorthLeaving = !hasLocal || (soonest !== undefined && soonest.expectedMs <= leftMs);
-		return (isWorthLeaving ? soonest : soonestLocal)?.endpoint;
+		const bytesMs = (bytes / bytesPerKb) * remoteCostPerKbMs;
+		const isInTime = soonest !== undefined && soonest.expectedMs <= leftMs;
+		const isSooner = soonestLocal === undefined || isEarlier(soonest, soonestLocal, bytesMs);
+		return (!hasLocal || (isInTime && isSooner) ? soonest : soonestLocal)?.endpoint;
 	}
 
 	#isLocal({dataCentre}: Endpoint): boolean {
@@ -290,6 +300,15 @@
 	}
 }
 
+/** Whether one endpoint is expected to answer more than `marginMs` before another. */
+function isEarlier(
+	one: {readonly expectedMs: number} | undefined,
+	other: {readonly expectedMs: number},
+	marginMs: number,
+): boolean {
+	return one !== undefined && one.expectedMs + marginMs < other.expectedMs;
+}
+
 /** Run time of a worker relative to the mean of its service's; 1 for one that is unknown. */
 function slownessOf(load: WorkerLoad | undefined, meanRunMs: number | undefined): number {
 	if (load === undefined || meanRunMs === undefined || meanRunMs <= 0) {
--- a/packages/redwingmill-core/src/call/entry-call.ts
+++ b/packages/redwingmill-core/src/call/entry-call.ts
@@ -45,6 +45,8 @@
 export type EntryCallOptions = {
 	/** Names calls that take similar time. */
 	readonly group: string;
+	/** Bytes of the request and its expected answer; absent when they don't matter. */
+	readonly bytes?: number;
 	readonly retryAllowance: RetryAllowance;
 	readonly isIdempotent: boolean;
 	/** Monotonic milliseconds by which an answer is worth most; absent when only the deadline counts. */
@@ -269,10 +271,11 @@
 	}
 
 	#attempt(now: number): EntryAction<Payload> | undefined {
-		const {pinned, endpoints, group} = this.#options;
+		const {pinned, endpoints, group, bytes} = this.#options;
 		// A call that failed goes wherever it can be run; one that finds no room looks at the costs.
 		const targetAt = this.#isOnlyLoad ? this.#options.targetAt : undefined;
-		const endpoint = pinned ?? this.#chooser.choose(endpoints, this.#tried, now, {group, targetAt});
+		const endpoint =
+			pinned ?? this.#chooser.choose(endpoints, this.#tried, now, {group, targetAt, bytes});
 		if (endpoint === undefined) {
 			return undefined;
 		}
--- a/packages/redwingmill-core/src/call/expected-completion.ts
+++ b/packages/redwingmill-core/src/call/expected-completion.ts
@@ -32,6 +32,8 @@
 const remoteCostMs = 10;
 /** A failed attempt costs the caller another one, at a worker that is told nothing of its haste. */
 const failureCostMs = 400;
+/** Part of the time that has passed by which a queue is shorter: new calls have come to it. */
+const workedOffShare = 0.3;
 /** How much a worker whose slots are all taken is slower than an idle one. */
 const fullnessShare = 0.3;
 
@@ -42,7 +44,8 @@
 export function expectedCompletion(state: CompletionState, inputs: CompletionInputs): number {
 	const {load, loadAt, sent, failureShare} = state;
 	const {slots, inFlight, isLocal, runMs, now} = inputs;
-	const queueMs = Math.max(0, (load?.waitMs ?? 0) - (now - loadAt));
+	const workedOffMs = (now - loadAt) * workedOffShare;
+	const queueMs = Math.max(0, (load?.waitMs ?? 0) - workedOffMs);
 	const busyShare = Math.max(inFlight / slots, (load?.callsPerSlot ?? 0) + sent / slots);
 	const addedMs = busyShare > 1 ? (sent * runMs) / slots : 0;
 	const slowedMs = runMs * (1 + fullnessShare * Math.min(1, busyShare));
--- a/packages/redwingmill-core/src/call/gate.ts
+++ b/packages/redwingmill-core/src/call/gate.ts
@@ -3,9 +3,9 @@
 import {CallLedger, type Answer} from './call-ledger.js';
 import {ConcurrencyLimit} from './concurrency-limit.js';
 import {CrashWatch, type SuspicionReport} from './crash-watch.js';
+import {GroupMeans} from './group-means.js';
 import {isPassing, type NotRunReason, type UnknownReason} from './outcome.js';
 import {RankQueue} from './rank-queue.js';
-import {RunTimes} from './run-times.js';
 import {StallWatch} from './stall-watch.js';
 import {SuspectList} from './suspect-list.js';
 import {type WorkerLoad} from './worker-load.js';
@@ -110,6 +110,8 @@
 const longestDelayMs = 160;
 /** Part of its usual run time that a waiting call must have left. */
 const leastRunShare = 0.5;
+/** Run time assumed until the first call has finished. */
+const initialRunMs = 20;
 const ticketPrefix = 'ticket ';
 /** Puts late calls of a rank behind all others, in their own order. */
 const lateSetbackMs = 1e6;
@@ -132,7 +134,7 @@
 	readonly #calls: CallLedger<Payload>;
 	readonly #tickets: CallLedger<Payload>;
 	readonly #limit = new ConcurrencyLimit(1);
-	readonly #runTimes = new RunTimes();
+	readonly #runTimes = new GroupMeans(initialRunMs);
 	readonly #crashes: CrashWatch;
 	readonly #stall = new StallWatch();
 	#worker: Worker | undefined;
@@ -170,7 +172,7 @@
 		return {
 			callsPerSlot: (this.#running.size + this.waitingCount) / (this.#worker?.slots ?? 1),
 			waitMs: this.#expectedWaitMs(Number.POSITIVE_INFINITY, Number.POSITIVE_INFINITY),
-			runMs: this.#runTimes.meanMs,
+			runMs: this.#runTimes.mean,
 		};
 	}
 
@@ -392,7 +394,7 @@
 
 		const {deadlineAt, targetAt, group, rank} = call;
 		const waitMs = this.#expectedWaitMs(rank, this.#dueAtOf(call, now));
-		const runMs = this.#runTimes.expectedMs(group);
+		const runMs = this.#runTimes.expected(group);
 		return judgeAdmission({now, deadlineAt, targetAt, waitMs, runMs});
 	}
 
@@ -402,7 +404,7 @@
 	 */
 	#isHopeless(call: GateCall, now: number): boolean {
 		const {deadlineAt, targetAt, group} = call;
-		const runMs = this.#runTimes.expectedMs(group);
+		const runMs = this.#runTimes.expected(group);
 		const soonestAt = now + runMs * leastRunShare;
 		const admittedAt = this.#ledgerOf(call).get(this.keyOf(call))?.admittedAt ?? now;
 		const overtakenAt = Math.max(targetAt ?? deadlineAt, admittedAt + longestDelayMs + runMs);
@@ -426,9 +428,9 @@
 			return 0;
 		}
 
-		let aheadMs = this.#runTimes.meanMs;
+		let aheadMs = this.#runTimes.mean;
 		for (const call of this.#queue.ahead(rank, dueAt)) {
-			aheadMs += this.#runTimes.expectedMs(call.group);
+			aheadMs += this.#runTimes.expected(call.group);
 		}
 
 		return aheadMs / limit;
@@ -436,7 +438,7 @@
 
 	/** Place in the queue: calls that can still meet their target go before those that can't. */
 	#dueAtOf({targetAt, deadlineAt, group}: GateCall, now: number): number {
-		const runMs = this.#runTimes.expectedMs(group);
+		const runMs = this.#runTimes.expected(group);
 		if (targetAt === undefined) {
 			return deadlineAt;
 		}
--- a/packages/redwingmill-core/src/call/stall-watch.ts
+++ b/packages/redwingmill-core/src/call/stall-watch.ts
@@ -1,4 +1,4 @@
-import {type RunTimes} from './run-times.js';
+import {type GroupMeans} from './group-means.js';
 
 /** A stall is declared after this many times the usual run time without any answer. */
 const usualRuns = 6;
@@ -25,8 +25,8 @@
 	}
 
 	/** @param running - calls that the worker has. */
-	isStalled(running: number, runTimes: RunTimes, now: number): boolean {
-		const limitMs = Math.max(shortestStallMs, usualRuns * runTimes.longestMs);
+	isStalled(running: number, runTimes: GroupMeans, now: number): boolean {
+		const limitMs = Math.max(shortestStallMs, usualRuns * runTimes.highest);
 		return running > 0 && now - this.#progressAt > limitMs;
 	}
 
--- a/packages/redwingmill-node/src/call/entry-service.ts
+++ b/packages/redwingmill-node/src/call/entry-service.ts
@@ -2,6 +2,7 @@
 	EndpointChooser,
 	EntryCall,
 	formatTicket,
+	GroupMeans,
 	matchRoute,
 	parseTicket,
 	RefusedCalls,
@@ -65,6 +66,7 @@
 /** Time after the deadline in which the gate's own answer may still come. */
 const deadlineGraceMs = 20;
 const msPerSecond = 1000;
+const initialAnswerBytes = 1024;
 const idRadix = 36;
 const addressDigits = 4;
 /** Part of the mesh's budget that nodes spend on retries; the calls that a repeated run makes take the rest. */
@@ -82,6 +84,8 @@
 	readonly #budgets = new Map<string, RetryBudget>();
 	readonly #splits: SplitChooser;
 	readonly #refused = new RefusedCalls();
+	/** Bytes of answers by route. */
+	readonly #answerBytes = new GroupMeans(initialAnswerBytes);
 	readonly #onAnswered: ((facts: EntryFacts) => void) | undefined;
 	readonly #deadlines = new DeadlineTimer();
 	readonly #exchanges = new Set<EntryExchange>();
@@ -284,6 +288,10 @@
 	onFinished(exchange: EntryExchange, facts: EntryFacts): void {
 		this.#exchanges.delete(exchange);
 		const {call, answer} = facts;
+		if (answer?.payload) {
+			this.#answerBytes.record(call.route.path, answer.payload.body.length);
+		}
+
 		if (answer?.outcome.type === 'not-run') {
 			this.#refused.remember(call.name, call.firstTryAt, performance.now());
 		}
@@ -301,6 +309,7 @@
 		return new EntryCall(
 			{
 				group: route.path,
+				bytes: (request.body?.length ?? 0) + this.#answerBytes.expected(route.path),
 				retryAllowance: {
 					share: retryPart * route.retryShare,
 					slack: (retryPart * meshRetrySlack) / Math.max(1, this.#control.nodeCount),
