--- a/packages/redwingmill-core/src/call/gate.ts
+++ b/packages/redwingmill-core/src/call/gate.ts
@@ -1,8 +1,11 @@
 import {type Worker} from '../model/node-record.js';
 import {isLate, judgeAdmission} from './admission.js';
-import {CallLedger, type Answer} from './call-ledger.js';
+import {type Answer} from './call-ledger.js';
 import {ConcurrencyLimit} from './concurrency-limit.js';
 import {CrashWatch, type SuspicionReport} from './crash-watch.js';
+import {type GateCall, type GateEffect, type WorkerResult} from './gate-call.js';
+import {type GateLimits} from './gate-limits.js';
+import {GateMemory, type CallName, type Withdrawal} from './gate-memory.js';
 import {GroupMeans} from './group-means.js';
 import {isPassing, type NotRunReason, type UnknownReason} from './outcome.js';
 import {RankQueue} from './rank-queue.js';
@@ -10,101 +13,6 @@
 import {SuspectList} from './suspect-list.js';
 import {type WorkerLoad} from './worker-load.js';
 
-/** A call at the gate of its worker's node. */
-export type GateCall = {
-	/** Unique name of this attempt, given by the entry node. */
-	readonly id: string;
-	/** Number of the ticket, when the call has one. */
-	readonly ticket?: number;
-	/** Service that the call is for; the gate refuses it when its worker is of another one. */
-	readonly service: string;
-	/** Names calls that take similar time. */
-	readonly group: string;
-	/** 0 is the most urgent. */
-	readonly rank: number;
-	/** Monotonic milliseconds by which an answer is worth most; absent when only the deadline counts. */
-	readonly targetAt?: number;
-	/** Monotonic milliseconds at which the caller stops waiting. */
-	readonly deadlineAt: number;
-	/** Nodes whose workers died of this call, as far as the entry node knows. */
-	readonly struckNodes: readonly string[];
-	/** Names the request by its contents. */
-	readonly fingerprint: () => string;
-};
-
-/** What became of a call that the worker was given. */
-export type WorkerResult<Payload> =
-	| {readonly type: 'answered'; readonly payload: Payload; readonly bytes: number}
-	/** The worker said that it didn't run the call. */
-	| {readonly type: 'shed'}
-	/** Another worker has taken the address; it didn't run the call. */
-	| {readonly type: 'misdirected'}
-	/** No connection: no byte of the call was sent. */
-	| {readonly type: 'unreachable'}
-	/** The worker ended before the answer was complete. */
-	| {readonly type: 'died'}
-	/** The worker lives, but its answer was lost, cut short or not its own. */
-	| {readonly type: 'lost'}
-	| {readonly type: 'timed-out'}
-	| {readonly type: 'aborted'}
-	| {readonly type: 'too-large'};
-
-/** What the gate wants done. */
-export type GateEffect<Payload> =
-	| {readonly type: 'dispatch'; readonly call: GateCall}
-	/** Answers everyone who waits for the call, or only the attempt `id`. */
-	| {
-			readonly type: 'answer';
-			readonly key: string;
-			readonly id?: string;
-			readonly answer: Answer<Payload>;
-	  }
-	/** Ends the exchange with the worker: nobody waits any more. */
-	| {readonly type: 'abort'; readonly key: string}
-	/** Tells the other nodes that a worker died of a request, or that one suspected ran well. */
-	| ({readonly type: 'suspect'} & SuspicionReport)
-	/** The worker can't be reached, or isn't the one announced; it counts as absent from now on. */
-	| {readonly type: 'worker-gone'};
-
-/** Result of asking the gate to withdraw an attempt. */
-export type Withdrawal<Payload> =
-	| {readonly type: 'never-admitted'}
-	| {readonly type: 'open'; readonly key: string}
-	| {readonly type: 'done'; readonly answer: Answer<Payload>}
-	| {readonly type: 'forgotten'};
-
-/** Bounds of a gate. */
-export type GateLimits = {
-	/** Waiting calls per slot of the worker. */
-	readonly queuePerSlot: number;
-	readonly retentionMs: number;
-	readonly ticketRetentionMs: number;
-	readonly keptBytes: number;
-	readonly keptEntries: number;
-	readonly quarantineMs: number;
-	/** Different workers that have to die of a request before it is refused. */
-	readonly deathsToQuarantine: number;
-	/** Runs a suspected request only while the worker runs nothing else. */
-	readonly isolatesSuspects: boolean;
-	/** Added to the age of a withdrawn attempt for the time its request was under way. */
-	readonly withdrawMarginMs: number;
-	/** Without it, every call goes to the worker at once; the baseline of measurements. */
-	readonly isLimiting: boolean;
-};
-
-export const defaultGateLimits: GateLimits = {
-	queuePerSlot: 4,
-	retentionMs: 30_000,
-	ticketRetentionMs: 600_000,
-	keptBytes: 4 * 1024 * 1024,
-	keptEntries: 20_000,
-	quarantineMs: 60_000,
-	deathsToQuarantine: 2,
-	isolatesSuspects: true,
-	withdrawMarginMs: 5000,
-	isLimiting: true,
-};
-
 const shortestRetryAfterMs = 200;
 /** Time that a call waits beyond its target at most, while others go before it. */
 const longestDelayMs = 160;
@@ -112,7 +20,6 @@
 const leastRunShare = 0.5;
 /** Run time assumed until the first call has finished. */
 const initialRunMs = 20;
-const ticketPrefix = 'ticket ';
 /** Puts late calls of a rank behind all others, in their own order. */
 const lateSetbackMs = 1e6;
 
@@ -131,8 +38,7 @@
 	readonly #limits: GateLimits;
 	readonly #queue = new RankQueue<GateCall>();
 	readonly #running = new Map<string, Running>();
-	readonly #calls: CallLedger<Payload>;
-	readonly #tickets: CallLedger<Payload>;
+	readonly #memory: GateMemory<Payload>;
 	readonly #limit = new ConcurrencyLimit(1);
 	readonly #runTimes = new GroupMeans(initialRunMs);
 	readonly #crashes: CrashWatch;
@@ -142,24 +48,13 @@
 	/** A suspect that waits until the worker runs nothing else; meanwhile nothing is dispatched. */
 	#heldSuspect: GateCall | undefined;
 	#runningSuspects = 0;
-	#issuedTickets = 0;
-	#forgottenTickets = 0;
 
 	/** @param node - control address of the gate's node. */
 	constructor(limits: GateLimits, node: string, now: number) {
 		this.#limits = limits;
 		const {quarantineMs, deathsToQuarantine} = limits;
 		this.#crashes = new CrashWatch(new SuspectList(quarantineMs, deathsToQuarantine), node, now);
-		const {retentionMs, ticketRetentionMs, keptBytes, keptEntries} = limits;
-		const bounds = {maximumBytes: keptBytes, maximumEntries: keptEntries};
-		this.#calls = new CallLedger({...bounds, retentionMs});
-		this.#tickets = new CallLedger({
-			...bounds,
-			retentionMs: ticketRetentionMs,
-			onForgotten: (key) => {
-				this.#forgottenTickets = Math.max(this.#forgottenTickets, ticketOf(key));
-			},
-		});
+		this.#memory = new GateMemory(limits);
 	}
 
 	/** Calls that may wait. */
@@ -212,18 +107,17 @@
 
 	/** Gives out the number of a new ticket. */
 	issueTicket(): number {
-		this.#issuedTickets += 1;
-		return this.#issuedTickets;
+		return this.#memory.issueTicket();
 	}
 
 	/** Key under which a call's answer is given out: its ticket's, or its own. */
-	keyOf(call: Pick<GateCall, 'id' | 'ticket'>): string {
-		return call.ticket === undefined ? call.id : `${ticketPrefix}${call.ticket}`;
+	keyOf(call: CallName): string {
+		return this.#memory.keyOf(call);
 	}
 
 	/** Admits a call, joins it to one with the same ticket, or refuses it. */
 	arrive(call: GateCall, now: number): Array<GateEffect<Payload>> {
-		const settled = this.#settledAnswer(call);
+		const settled = this.#memory.settledAnswer(call);
 		if (settled === 'joined') {
 			return [];
 		}
@@ -248,7 +142,7 @@
 			return [this.#refuse(call, 'queue-full', now)];
 		}
 
-		this.#ledgerOf(call).open(this.keyOf(call), now);
+		this.#memory.open(call, now);
 		this.#queue.add(call, call.rank, this.#dueAtOf(call, now));
 		const effects = displaced ? [this.#refuse(displaced, 'displaced', now)] : [];
 		return [...effects, ...this.#fill(now)];
@@ -275,26 +169,8 @@
 	 *
 	 * @param ageMs - time since the entry node began the attempt.
 	 */
-	withdraw(call: Pick<GateCall, 'id' | 'ticket'>, ageMs: number, now: number): Withdrawal<Payload> {
-		const key = this.keyOf(call);
-		const entry = this.#ledgerOf(call).get(key);
-		switch (entry?.type) {
-			case 'open': {
-				return {type: 'open', key};
-			}
-
-			case 'done': {
-				return {type: 'done', answer: entry.answer};
-			}
-
-			case 'tombstone': {
-				return {type: 'never-admitted'};
-			}
-
-			case undefined: {
-				return this.#withdrawUnseen(call, ageMs, now);
-			}
-		}
+	withdraw(call: CallName, ageMs: number, now: number): Withdrawal<Payload> {
+		return this.#memory.withdraw(call, ageMs, now);
 	}
 
 	/** The caller went away: a waiting call is dropped, a running one is ended at the worker. */
@@ -319,8 +195,7 @@
 
 	/** Refuses calls whose time is up and forgets what is no longer kept. */
 	tick(now: number): Array<GateEffect<Payload>> {
-		this.#calls.evict(now);
-		this.#tickets.evict(now);
+		this.#memory.evict(now);
 		const late = this.#takeWaiting((call) => this.#isHopeless(call, now));
 		const stuck = this.#isStalled(now) ? this.#takeWaiting(() => true) : [];
 		return [
@@ -330,42 +205,6 @@
 		];
 	}
 
-	#ledgerOf(call: Pick<GateCall, 'ticket'>): CallLedger<Payload> {
-		return call.ticket === undefined ? this.#calls : this.#tickets;
-	}
-
-	/** Answer that is settled before admission, 'joined' when the call waits for an earlier one. */
-	#settledAnswer(call: GateCall): Answer<Payload> | 'joined' | undefined {
-		if (this.#calls.get(call.id)?.type === 'tombstone') {
-			return {outcome: {type: 'not-run', reason: 'withdrawn'}};
-		}
-
-		const entry = this.#ledgerOf(call).get(this.keyOf(call));
-		switch (entry?.type) {
-			case 'open': {
-				return 'joined';
-			}
-
-			case 'done': {
-				return entry.answer;
-			}
-
-			default: {
-				return call.ticket === undefined ? undefined : this.#judgeTicket(call.ticket);
-			}
-		}
-	}
-
-	#judgeTicket(ticket: number): Answer<Payload> | undefined {
-		if (ticket > this.#issuedTickets) {
-			return {outcome: {type: 'not-run', reason: 'ticket-invalid'}};
-		}
-
-		return ticket <= this.#forgottenTickets
-			? {outcome: {type: 'unknown', reason: 'evicted'}}
-			: undefined;
-	}
-
 	#refusalOf(call: GateCall, now: number): NotRunReason | undefined {
 		const isOwn = this.#worker?.service === call.service;
 		if (this.#worker === undefined || this.#worker.state === 'absent' || !isOwn) {
@@ -406,7 +245,7 @@
 		const {deadlineAt, targetAt, group} = call;
 		const runMs = this.#runTimes.expected(group);
 		const soonestAt = now + runMs * leastRunShare;
-		const admittedAt = this.#ledgerOf(call).get(this.keyOf(call))?.admittedAt ?? now;
+		const admittedAt = this.#memory.admittedAt(call) ?? now;
 		const overtakenAt = Math.max(targetAt ?? deadlineAt, admittedAt + longestDelayMs + runMs);
 		return soonestAt >= deadlineAt || soonestAt > overtakenAt;
 	}
@@ -574,30 +413,22 @@
 		bytes: number,
 		now: number,
 	): GateEffect<Payload> {
-		const key = this.keyOf(call);
-		this.#ledgerOf(call).finish(key, answer, bytes, now);
-		return {type: 'answer', key, answer};
+		this.#memory.settle(call, answer, bytes, now);
+		return {type: 'answer', key: this.keyOf(call), answer};
 	}
 
-	/** A ticket whose call wasn't run may be used again; an attempt without one is over. */
 	#refuse(
 		call: GateCall,
 		reason: NotRunReason,
 		now: number,
 		retryAfterMs = this.#retryAfterMs(call, reason, now),
 	): GateEffect<Payload> {
-		const key = this.keyOf(call);
 		const answer: Answer<Payload> = {
 			outcome: {type: 'not-run', reason},
 			retryAfterMs: isPassing(reason) ? Math.max(shortestRetryAfterMs, retryAfterMs) : undefined,
 		};
-		if (call.ticket === undefined) {
-			this.#calls.finish(key, answer, 0, now);
-		} else {
-			this.#tickets.reopen(key);
-		}
-
-		return {type: 'answer', key, answer};
+		this.#memory.refuse(call, answer, now);
+		return {type: 'answer', key: this.keyOf(call), answer};
 	}
 
 	#retryAfterMs(call: GateCall, reason: NotRunReason, now: number): number {
@@ -611,26 +442,8 @@
 	#refuseWaiting(now: number): Array<GateEffect<Payload>> {
 		return this.#takeWaiting(() => true).map((call) => this.#refuse(call, 'draining', now));
 	}
-
-	#withdrawUnseen(
-		call: Pick<GateCall, 'id' | 'ticket'>,
-		ageMs: number,
-		now: number,
-	): Withdrawal<Payload> {
-		const ledger = this.#ledgerOf(call);
-		if (!ledger.remembersSince(now - ageMs - this.#limits.withdrawMarginMs)) {
-			return {type: 'forgotten'};
-		}
-
-		this.#calls.bury(call.id, now);
-		return {type: 'never-admitted'};
-	}
 }
 
 function toEffects(report: SuspicionReport | undefined) {
 	return report ? [{type: 'suspect', ...report} as const] : [];
 }
-
-function ticketOf(key: string): number {
-	return Number(key.slice(ticketPrefix.length));
-}
--- a/packages/redwingmill-core/src/index.ts
+++ b/packages/redwingmill-core/src/index.ts
@@ -44,6 +44,9 @@
 } from './call/endpoint-chooser.js';
 export * from './call/entry-call.js';
 export * from './call/gate.js';
+export type * from './call/gate-call.js';
+export * from './call/gate-limits.js';
+export {type Withdrawal} from './call/gate-memory.js';
 export * from './call/outcome.js';
 export {type WorkerLoad} from './call/worker-load.js';
 export {RetryBudget, type RetryAllowance} from './call/retry-budget.js';
--- a/packages/redwingmill-node/src/call/gate-service.ts
+++ b/packages/redwingmill-node/src/call/gate-service.ts
@@ -1,5 +1,3 @@
-import {createHash} from 'node:crypto';
-import {connect} from 'node:net';
 import {type Pool} from 'undici';
 import {
 	Gate,
@@ -12,9 +10,10 @@
 	type WorkerLoad,
 	type WorkerResult,
 } from 'redwingmill-core';
-import {splitAddress} from '../address.js';
 import {beginExchange, type Exchange, type ExchangeResult} from './exchange.js';
 import {DeadlineTimer} from './deadline-timer.js';
+import {fingerprintOf} from './fingerprint.js';
+import {isAlive} from './is-alive.js';
 import {type CallRequest, type Payload} from './payload.js';
 import {createWorkerPool} from './worker-pool.js';
 import {type WorkerProtocol} from './worker-protocol.js';
@@ -70,13 +69,8 @@
 	readonly respond: Respond;
 };
 
-/** Requests without a body are named by method and path, unless these are long. */
-const longestPlainFingerprint = 100;
-const fingerprintDigits = 32;
 const evictionIntervalMs = 1000;
 const waitingCheckIntervalMs = 20;
-/** How long a worker that broke off a call has to take a connection to count as alive. */
-const crashCheckTimeoutMs = 200;
 
 /** Runs the gate's decisions against the worker. */
 export class GateService {
@@ -358,38 +352,3 @@
 		exchange?.abort();
 	}
 }
-
-/** Whether a worker takes connections: one that broke off a call may have ended, or only the call. */
-async function isAlive(address: string): Promise<boolean> {
-	const {host, port} = splitAddress(address);
-	return new Promise((resolve) => {
-		const socket = connect({host, port, timeout: crashCheckTimeoutMs});
-		const end = (isConnected: boolean) => {
-			socket.destroy();
-			resolve(isConnected);
-		};
-
-		socket.once('connect', () => {
-			end(true);
-		});
-		socket.once('timeout', () => {
-			end(false);
-		});
-		socket.once('error', () => {
-			end(false);
-		});
-	});
-}
-
-function fingerprintOf({method, path, body}: CallRequest): string {
-	const head = `${method} ${path}`;
-	if (body === undefined && head.length <= longestPlainFingerprint) {
-		return head;
-	}
-
-	const hash = createHash('sha256').update(`${head}\n`);
-	return hash
-		.update(body ?? '')
-		.digest('hex')
-		.slice(0, fingerprintDigits);
-}
