An ejected endpoint doesn't hold late calls in its data centre

Found by reading: a late call whose only local worker was ejected was refused although others could serve it. The test fails without the change.

--- a/packages/redwingmill-core/src/__tests__/unit/expected-completion.test.ts
+++ b/packages/redwingmill-core/src/__tests__/unit/expected-completion.test.ts
@@ -62,6 +62,16 @@
 		expect(Math.min(...chosen.values())).to.be.above(10);
 	});
 
+	it('leaves it, however late, when nothing there can serve the call', () => {
+		const chooser = chooserIn('dc-a');
+		chooser.onLoad(remote, {...idle, waitMs: 400}, 0);
+		for (let failure = 0; failure < 3; failure++) {
+			chooser.onFailure(local, 0);
+		}
+
+		expect(chooser.choose(both, none, 10, {group: '/', targetAt: 0})).to.equal(remote);
+	});
+
 	it('tells short calls from long ones at a slow worker', () => {
 		const chooser = chooserIn('dc-a');
 		chooser.onLoad(local, {...idle, runMs: 90}, 0);
--- a/packages/redwingmill-core/src/call/endpoint-chooser.ts
+++ b/packages/redwingmill-core/src/call/endpoint-chooser.ts
@@ -110,7 +110,11 @@
 		const open = endpoints.filter((endpoint) => !excluded.has(endpoint.node));
 		const usable = this.#withoutEjected(open, endpoints.length, now);
 		if (this.#options.policy === 'expected-completion') {
-			const hasLocal = endpoints.some((endpoint) => this.#isLocal(endpoint));
+			// One that was ejected can't serve the call, so it doesn't hold it here.
+			const hasLocal = endpoints.some(
+				(endpoint) =>
+					this.#isLocal(endpoint) && (excluded.has(endpoint.node) || usable.includes(endpoint)),
+			);
 			return this.#soonest(usable, hasLocal, now, needs);
 		}
 
