The operators' limits on heads and bodies are those that count

Found by reading: heads over 16 KB were refused whatever the operators allowed, and bodies over 16 MB. A remote gate cut off what its entry had let through; the test failed there with 502.

--- a/packages/redwingmill-node/src/call/entry-server.ts
+++ b/packages/redwingmill-node/src/call/entry-server.ts
@@ -17,7 +17,12 @@
 export const ticketPath = '/.redwingmill/tickets';
 
 const requestTimeoutMs = 30_000;
-const maximumHeaderBytes = 16 * 1024;
+/** Heads that the parser takes; the operators' limit, within it, is checked for each request. */
+const maximumHeaderBytes = 64 * 1024;
+const defaultHeaderBytes = 16 * 1024;
+/** Bytes of a header line besides its name and value. */
+const headerLineBytes = 4;
+const headerTooLargeStatus = 431;
 /** How often connections are checked for heads that take too long. */
 const checkIntervalMs = 1000;
 /** Time for sending answers before connections are cut at a stop. */
@@ -28,7 +33,7 @@
 /** Added to the idle time that callers are promised, so that a request at its end still arrives. */
 const idleGraceMs = 1000;
 const defaultLimits: Omit<CallerLimits, 'bodyBytes'> = {
-	headerBytes: maximumHeaderBytes,
+	headerBytes: defaultHeaderBytes,
 	headerTimeoutMs: 10_000,
 	idleTimeoutMs: 64_000,
 };
@@ -47,6 +52,7 @@
 	readonly #server: Server;
 	readonly #options: EntryServerOptions;
 	#bodyLimitBytes: number;
+	#headerLimitBytes = defaultHeaderBytes;
 	#isStopping = false;
 	#isRefusing = false;
 
@@ -72,7 +78,8 @@
 	}
 
 	/** Takes over what callers may send and how long they may take. */
-	limit({bodyBytes, headerTimeoutMs, idleTimeoutMs}: CallerLimits): void {
+	limit({headerBytes, bodyBytes, headerTimeoutMs, idleTimeoutMs}: CallerLimits): void {
+		this.#headerLimitBytes = Math.min(headerBytes, maximumHeaderBytes);
 		this.#bodyLimitBytes = Math.min(bodyBytes, this.#options.bodyLimitBytes);
 		this.#server.headersTimeout = headerTimeoutMs;
 		this.#server.keepAliveTimeout = idleTimeoutMs + idleGraceMs;
@@ -123,7 +130,10 @@
 		const isTicket = path.startsWith(`${ticketPath}?`);
 		const target = isTicket ? (new URL(path, 'http://node').searchParams.get('path') ?? '') : path;
 		const lookup = this.#service.findRoute(request.method ?? 'GET', target, hostOf(request));
-		if (this.#isRefusing) {
+		if (headerBytesOf(request) > this.#headerLimitBytes) {
+			request.resume();
+			response.writeHead(headerTooLargeStatus, {connection: 'close'}).end();
+		} else if (this.#isRefusing) {
 			this.#refuseStopping(request, response, startedAt);
 		} else if (lookup.type === 'refused') {
 			const outcome = refusalOf(request, lookup.reason);
@@ -277,6 +287,12 @@
 	return ticket ? {type: 'unknown', reason: 'gate-unreached'} : {type: 'not-run', reason};
 }
 
+/** Bytes of a request's headers on the wire. */
+function headerBytesOf({rawHeaders}: IncomingMessage): number {
+	const lines = rawHeaders.length / 2;
+	return rawHeaders.reduce((sum, text) => sum + text.length, lines * headerLineBytes);
+}
+
 /** Host that a request names, in lower case and without the port. */
 function hostOf({headers}: IncomingMessage): string | undefined {
 	return headers.host?.replace(/:\d+$/v, '').toLowerCase();
--- a/packages/redwingmill-node/src/call/gate-server.ts
+++ b/packages/redwingmill-node/src/call/gate-server.ts
@@ -21,6 +21,8 @@
 /** Status of answers that carry an outcome in place of a worker's answer. */
 const noAnswerStatus = 503;
 const keepAliveMs = 65_000;
+/** Callers' heads, which the entry has checked, and the headers between nodes. */
+const maximumHeaderBytes = 80 * 1024;
 const badRequestStatus = 400;
 
 /** What the gate's port tells of its node. */
@@ -42,7 +44,7 @@
 		this.#bodyLimitBytes = bodyLimitBytes;
 		this.#node = node;
 		this.#server = createServer(
-			{keepAliveTimeout: keepAliveMs, noDelay: true},
+			{keepAliveTimeout: keepAliveMs, maxHeaderSize: maximumHeaderBytes, noDelay: true},
 			(request, response) => {
 				this.#handle(request, response);
 			},
--- a/packages/redwingmill-node/src/settings/settings.ts
+++ b/packages/redwingmill-node/src/settings/settings.ts
@@ -103,7 +103,7 @@
 				bodyLimitBytes: {
 					type: 'integer',
 					minimum: 1024,
-					maximum: 16_777_216,
+					maximum: 67_108_864,
 					default: 1_048_576,
 				},
 				answerLimitBytes: {
