Tests of nodes have a loopback address of their own

Its ports are chosen, let go and used later; in between, a connection of another process had taken one from the same range. Change: the tests use an address of 127.0.0.0/8 that no other process connects from.

--- a/packages/redwingmill-node/src/__tests__/unit/daemon.test.ts
+++ b/packages/redwingmill-node/src/__tests__/unit/daemon.test.ts
@@ -1,6 +1,7 @@
 import {once} from 'node:events';
 import {createServer, type Server, type ServerResponse} from 'node:http';
 import {connect, createServer as createSocketServer, type AddressInfo} from 'node:net';
+import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import {expect} from 'chai';
 import {request} from 'undici';
@@ -8,7 +9,11 @@
 import {digestOf} from 'redwingmill-shared';
 import {Daemon, parseSettings, ticketPath, type Settings} from '../../index.js';
 
-const host = '127.0.0.1';
+/**
+ * Loopback address of this process alone. Connections made on the machine come from 127.0.0.1, so
+ * none of them can take a port here between its choice and its use.
+ */
+const host = `127.${1 + Math.floor((process.pid / 250) % 250)}.${1 + (process.pid % 250)}.3`;
 const patienceMs = 20_000;
 const text = JSON.stringify({
 	services: {coding: {}},
