--- a/packages/redwingmill-node/src/control/store-ports.ts
+++ b/packages/redwingmill-node/src/control/store-ports.ts
@@ -33,8 +33,6 @@
 	write: (record: NodeRecord) => Promise<boolean>;
 	/** Every record, or undefined when they can't be read. */
 	list: () => Promise<readonly NodeRecord[] | undefined>;
-	/** Takes the record out; the node leaves for good. */
-	remove: (address: string) => Promise<boolean>;
 };
 
 /** What a node needs of the store. */
