A soak of the deployed program as real processes, with faults drawn from a seed

Nodes may advertise other addresses than those they listen at (mapped ports), which the links need and which hosts behind mapped ports need too. Before the runtime runs any code the signal still ends a process; the soak sends none in its first 300 ms.

--- a/packages/redwingmill-node/src/control/control-plane.ts
+++ b/packages/redwingmill-node/src/control/control-plane.ts
@@ -45,7 +45,7 @@
 		this.#log = log;
 		this.#metrics = metrics;
 		this.#dataCentre = self.dataCentre;
-		this.#address = self.address;
+		this.#address = settings.addresses.control;
 		this.#random = new Random(self.incarnation % 0x7f_ff_ff_ff);
 		this.#client = new PlatformClient(settings.platform, (socket) => {
 			this.#meter.track(socket);
--- a/packages/redwingmill-node/src/control/store-control.ts
+++ b/packages/redwingmill-node/src/control/store-control.ts
@@ -141,7 +141,7 @@
 
 	/** Binds the socket and begins to look for the others and the configuration. */
 	async start(): Promise<void> {
-		await this.#socket.bind(this.self.address);
+		await this.#socket.bind(this.#settings.addresses.control);
 		this.#timer = setInterval(() => {
 			this.#dispatch({type: 'tick'});
 		}, tickIntervalMs);
--- a/packages/redwingmill-node/src/daemon.ts
+++ b/packages/redwingmill-node/src/daemon.ts
@@ -287,13 +287,13 @@
 }
 
 /** The node's first record. A later start of the same node has a higher incarnation. */
-function newRecord({dataCentre, addresses}: Settings): NodeRecord {
+function newRecord({dataCentre, addresses, advertised = addresses}: Settings): NodeRecord {
 	return {
-		address: addresses.control,
+		address: advertised.control,
 		dataCentre,
 		incarnation: Date.now() * incarnationSpread + Math.floor(Math.random() * incarnationSpread),
 		revision: 1,
 		status: 'live',
-		gateAddress: addresses.gate,
+		gateAddress: advertised.gate,
 	};
 }
--- a/packages/redwingmill-node/src/settings/settings.ts
+++ b/packages/redwingmill-node/src/settings/settings.ts
@@ -22,6 +22,12 @@
 		/** Takes the worker's announcements, when they come to a port of their own. */
 		readonly announcements?: string;
 	};
+	/** Where other nodes reach this one, when that isn't where it listens: ports are mapped. */
+	readonly advertised?: {
+		/** Identifies the node. */
+		readonly control: string;
+		readonly gate: string;
+	};
 	/** Service whose worker shares the host; workers elsewhere are told it as the caller. */
 	readonly caller?: string;
 	/** Object API of the platform. */
@@ -92,6 +98,12 @@
 				announcements: address,
 			},
 		},
+		advertised: {
+			type: 'object',
+			additionalProperties: false,
+			required: ['control', 'gate'],
+			properties: {control: address, gate: address},
+		},
 		caller: {type: 'string', minLength: 1, maxLength: 253},
 		platform: address,
 		seeds: {type: 'array', items: address, maxItems: 32, default: []},
--- /dev/null
+++ b/packages/redwingmill-soak/src/__tests__/unit/fault-plan.test.ts
@@ -0,0 +1,49 @@
+import {expect} from 'chai';
+import {planFaults} from '../../fault-plan.js';
+
+const scope = {hosts: 6, durationMs: 15_000};
+
+describe('planFaults', () => {
+	it('draws the same faults from the same seed, others from another', () => {
+		expect(planFaults(7, scope)).to.deep.equal(planFaults(7, scope));
+		expect(planFaults(7, scope)).not.to.deep.equal(planFaults(8, scope));
+	});
+
+	it('keeps faults within their time, in order, and some overlap', () => {
+		const faults = planFaults(11, scope);
+		const ends = faults.map(({atMs, forMs}) => atMs + forMs);
+		expect(Math.max(...ends)).to.be.at.most(scope.durationMs);
+		const starts = faults.map(({atMs}) => atMs);
+		expect(starts).to.deep.equal(starts.toSorted((a, b) => a - b));
+		expect(starts.some((atMs, index) => index > 0 && atMs < ends[index - 1])).to.equal(true);
+	});
+
+	it('comes to every sort of fault over many seeds', () => {
+		const kinds = new Set<string>();
+		for (let seed = 0; seed < 200; seed++) {
+			for (const {fault} of planFaults(seed, scope)) {
+				switch (fault.type) {
+					case 'link': {
+						kinds.add(`${fault.purpose} ${fault.behaviour.type}`);
+						break;
+					}
+
+					case 'process':
+					case 'worker': {
+						kinds.add(`${fault.type} ${fault.fault}`);
+						break;
+					}
+
+					case 'change':
+					case 'power-loss': {
+						kinds.add(fault.type);
+						break;
+					}
+				}
+			}
+		}
+
+		// Five behaviours of four streams, four of datagrams, four signals, five of workers, and two.
+		expect(kinds.size).to.equal(5 * 4 + 4 + 4 + 5 + 2);
+	});
+});
--- /dev/null
+++ b/packages/redwingmill-soak/src/node-process.ts
@@ -0,0 +1,99 @@
+import {spawn, type ChildProcess} from 'node:child_process';
+import {once} from 'node:events';
+import {closeSync, openSync} from 'node:fs';
+import process from 'node:process';
+
+/** How a node's program is started. */
+export type ProcessPlan = {
+	readonly program: string;
+	readonly environment: Record<string, string>;
+	/** File that gets what the process writes. */
+	readonly logFile: string;
+	/** Told when the process ends though nobody asked it to. */
+	readonly onUnasked: (detail: string) => void;
+};
+
+/** Before this age the runtime runs no code of the program, and a signal's default would end it. */
+const youngestReloadMs = 300;
+
+/** A node's process through all its lives. Only processes started here are signalled. */
+export class NodeProcess {
+	readonly #plan: ProcessPlan;
+	#child: ChildProcess | undefined;
+	#life = 0;
+	#startedAt = 0;
+
+	constructor(plan: ProcessPlan) {
+		this.#plan = plan;
+	}
+
+	/** Number of the present life, from 1. */
+	get life(): number {
+		return this.#life;
+	}
+
+	get isRunning(): boolean {
+		return this.#child !== undefined;
+	}
+
+	/** Starts the process if it doesn't run. */
+	start(): void {
+		if (this.#child) {
+			return;
+		}
+
+		this.#life += 1;
+		this.#startedAt = performance.now();
+		const {program, environment, logFile, onUnasked} = this.#plan;
+		const log = openSync(logFile, 'a');
+		const child = spawn(process.execPath, [program], {
+			env: {...process.env, ...environment},
+			stdio: ['ignore', log, log],
+		});
+		closeSync(log);
+		this.#child = child;
+		child.once('exit', (code, signal) => {
+			if (this.#child === child) {
+				this.#child = undefined;
+				onUnasked(`exit code ${code}, signal ${signal}`);
+			}
+		});
+	}
+
+	pause(): void {
+		this.#child?.kill('SIGSTOP');
+	}
+
+	resume(): void {
+		this.#child?.kill('SIGCONT');
+	}
+
+	reload(): void {
+		if (performance.now() - this.#startedAt >= youngestReloadMs) {
+			this.#child?.kill('SIGHUP');
+		}
+	}
+
+	async kill(): Promise<void> {
+		await this.#end('SIGKILL');
+	}
+
+	/** Asks the process to stop. Returns milliseconds until it was gone. */
+	async stop(): Promise<number> {
+		const startedAt = performance.now();
+		await this.#end('SIGTERM');
+		return performance.now() - startedAt;
+	}
+
+	async #end(signal: 'SIGKILL' | 'SIGTERM'): Promise<void> {
+		const child = this.#child;
+		this.#child = undefined;
+		if (child) {
+			const gone = once(child, 'exit');
+			child.kill(signal);
+			// A paused process takes the signal once it runs again.
+			child.kill('SIGCONT');
+			await gone;
+		}
+	}
+}
--- /dev/null
+++ b/packages/redwingmill-soak/src/soak-caller.ts
@@ -0,0 +1,135 @@
+import {Agent, request as send} from 'node:http';
+import {setTimeout as delay} from 'node:timers/promises';
+import {type Random} from 'redwingmill-shared';
+import {type CallEnd, type Expectation} from './promise-watch.js';
+import {type SoakRoute, type SoakSite} from './soak-site.js';
+
+/** A call that a caller is about to make. */
+export type CallPlan = {
+	readonly id: string;
+	readonly method: string;
+	readonly path: string;
+	readonly body: string;
+	readonly limitMs: number;
+};
+
+/** A route together with what its calls may meet. */
+export type CallTarget = {readonly route: SoakRoute; readonly expects: Expectation};
+
+/** What a caller needs to know of its surroundings. */
+export type CallerOptions = {
+	readonly site: SoakSite;
+	/** Address at which the caller reaches its node. */
+	readonly address: string;
+	readonly random: Random;
+	/** The caller's next target. */
+	readonly choose: () => CallTarget;
+	readonly onSent: (plan: CallPlan, target: CallTarget) => void;
+	readonly onEnd: (id: string, end: CallEnd) => void;
+	/** Makes identifiers that no other call has. */
+	readonly nextId: () => string;
+};
+
+const longestPauseMs = 40;
+const longestBody = 2000;
+/** Share of calls that their caller leaves early. */
+const leavingShare = 0.03;
+const longestStayMs = 150;
+/** After the route's limit a caller still listens for so long. */
+const patienceMs = 5000;
+
+/** Makes one call after the other on a connection that it keeps while it can. */
+export class SoakCaller {
+	readonly #options: CallerOptions;
+	readonly #agent = new Agent({keepAlive: true, maxSockets: 1});
+	#isStopped = false;
+
+	constructor(options: CallerOptions) {
+		this.#options = options;
+	}
+
+	/** Calls until {@link stop}. */
+	async run(): Promise<void> {
+		const {random, choose} = this.#options;
+		while (!this.#isStopped) {
+			await this.callOnce(choose());
+			await delay(random.below(longestPauseMs));
+		}
+
+		this.close();
+	}
+
+	/** Ends {@link run} after the call that it is at. */
+	stop(): void {
+		this.#isStopped = true;
+	}
+
+	/** Closes the connection that is kept. */
+	close(): void {
+		this.#agent.destroy();
+	}
+
+	/** Makes one call. Returns how it ended. */
+	async callOnce(target: CallTarget): Promise<CallEnd> {
+		const {nextId, onSent, onEnd, random} = this.#options;
+		const {path, mayRepeat, limitMs} = target.route;
+		const id = nextId();
+		const plan: CallPlan = {
+			id,
+			method: mayRepeat ? 'GET' : 'POST',
+			path: `${path}${id}`,
+			body: mayRepeat ? '' : 'x'.repeat(1 + random.below(longestBody)),
+			limitMs,
+		};
+		onSent(plan, target);
+		const leavesAfterMs =
+			random.fraction() < leavingShare ? random.below(longestStayMs) : limitMs + patienceMs;
+		const end = await this.#exchange(plan, leavesAfterMs);
+		onEnd(id, end);
+		return end;
+	}
+
+	async #exchange(plan: CallPlan, leavesAfterMs: number): Promise<CallEnd> {
+		const {site, address} = this.#options;
+		const {id, method, path, body, limitMs} = plan;
+		const [hostname, port] = address.split(':');
+		return new Promise((resolve) => {
+			const request = send({
+				agent: this.#agent,
+				hostname,
+				port,
+				method,
+				path,
+				headers: {host: site.hostName, ...site.headersOf(id, limitMs)},
+			});
+			const finish = (end: CallEnd) => {
+				clearTimeout(timer);
+				resolve(end);
+			};
+
+			const timer = setTimeout(() => {
+				finish({type: 'left'});
+				request.destroy();
+			}, leavesAfterMs);
+
+			request.on('error', () => {
+				finish({type: 'broken'});
+			});
+			request.on('response', (response) => {
+				let text = '';
+				response.on('data', (bytes) => {
+					text += String(bytes);
+				});
+				response.on('close', () => {
+					const {statusCode: status = 0, headers, complete} = response;
+					finish(
+						complete
+							? {type: 'answer', status, id: site.idOf(headers), body: text}
+							: {type: 'broken'},
+					);
+				});
+			});
+			request.end(body);
+		});
+	}
+}
--- /dev/null
+++ b/packages/redwingmill-soak/src/stream-link.ts
@@ -0,0 +1,143 @@
+import {once} from 'node:events';
+import {connect, createServer, type AddressInfo, type Server, type Socket} from 'node:net';
+import {DelayLine} from './delay-line.js';
+import {type LinkBehaviour} from './soak-fault.js';
+
+type Direction = 'to-listener' | 'to-caller';
+
+type Pair = {readonly caller: Socket; readonly listener: Socket};
+
+const host = '127.0.0.1';
+
+/** Leads connections to a listener, and harms them as told. */
+export class StreamLink {
+	readonly #server: Server;
+	readonly #pairs = new Set<Pair>();
+	#target: string;
+	#behaviour: LinkBehaviour = {type: 'pass'};
+
+	/** `target` is the listener's `ip:port`. */
+	constructor(target: string) {
+		this.#target = target;
+		this.#server = createServer({allowHalfOpen: true}, (socket) => {
+			this.#join(socket);
+		});
+	}
+
+	/** Address that callers use in place of the target. */
+	get address(): string {
+		return `${host}:${(this.#server.address() as AddressInfo).port}`;
+	}
+
+	async listen(): Promise<void> {
+		this.#server.listen(0, host);
+		await once(this.#server, 'listening');
+	}
+
+	/** Leads new connections elsewhere. */
+	aim(target: string): void {
+		this.#target = target;
+	}
+
+	behave(behaviour: LinkBehaviour): void {
+		this.#behaviour = behaviour;
+		for (const pair of this.#pairs) {
+			if (behaviour.type === 'reset') {
+				this.#cut(pair);
+			} else {
+				this.#hold(pair);
+			}
+		}
+	}
+
+	close(): void {
+		this.#server.close();
+		for (const pair of this.#pairs) {
+			this.#cut(pair);
+		}
+	}
+
+	#join(caller: Socket): void {
+		if (this.#behaviour.type === 'reset') {
+			caller.on('error', () => undefined);
+			caller.resetAndDestroy();
+			return;
+		}
+
+		const separator = this.#target.lastIndexOf(':');
+		const port = Number(this.#target.slice(separator + 1));
+		const listener = connect({
+			host: this.#target.slice(0, separator),
+			port,
+			allowHalfOpen: true,
+			noDelay: true,
+		});
+		caller.setNoDelay(true);
+		const pair = {caller, listener};
+		this.#pairs.add(pair);
+		this.#lead(pair, 'to-listener');
+		this.#lead(pair, 'to-caller');
+		this.#hold(pair);
+	}
+
+	#lead(pair: Pair, direction: Direction): void {
+		const [from, to] =
+			direction === 'to-listener' ? [pair.caller, pair.listener] : [pair.listener, pair.caller];
+		const line = new DelayLine();
+		from.on('data', (bytes) => {
+			line.push(this.#delayMs, () => {
+				if (!to.destroyed) {
+					to.write(bytes);
+				}
+			});
+		});
+		from.on('end', () => {
+			line.push(this.#delayMs, () => {
+				to.end();
+			});
+		});
+		from.on('error', () => {
+			this.#cut(pair);
+		});
+		from.on('close', () => {
+			line.push(this.#delayMs, () => {
+				this.#release(pair);
+			});
+		});
+	}
+
+	get #delayMs(): number {
+		return this.#behaviour.type === 'delay' ? this.#behaviour.delayMs : 0;
+	}
+
+	#hold({caller, listener}: Pair): void {
+		const {type} = this.#behaviour;
+		setFlow(caller, type !== 'silence' && type !== 'deaf');
+		setFlow(listener, type !== 'silence' && type !== 'mute');
+	}
+
+	#release(pair: Pair): void {
+		const {caller, listener} = pair;
+		if (caller.destroyed && listener.destroyed) {
+			this.#pairs.delete(pair);
+		} else if (caller.destroyed) {
+			listener.destroy();
+		} else if (listener.destroyed) {
+			caller.end();
+		}
+	}
+
+	#cut(pair: Pair): void {
+		this.#pairs.delete(pair);
+		pair.caller.resetAndDestroy();
+		pair.listener.resetAndDestroy();
+	}
+}
+
+function setFlow(socket: Socket, isFlowing: boolean): void {
+	if (isFlowing) {
+		socket.resume();
+	} else {
+		socket.pause();
+	}
+}
