A node that lacks the configuration asks another one when the first doesn't give it

Cause: word of a version named one holder, and only a nearer one took its place. A holder that died, or started anew and held nothing, was asked again and again; a node that started while the store was away stayed without configuration until the holder came back. Ruled out: the registry (it was out of reach, as planned), and the decoder: the refused source was null. Change: once a holder was asked, the next node that tells of the version takes its place. A null source counts as unanswered and isn't logged as a refused configuration. Before: test 'comes from another node when the one that told of it dies' red, no version after 2 s; after: green.

--- a/packages/redwingmill-core/src/directory/adoption-controller.ts
+++ b/packages/redwingmill-core/src/directory/adoption-controller.ts
@@ -64,9 +64,12 @@
 
 	if (newer === undefined || version > newer.version) {
 		const since = newer ?? {heardAt: now, isRead: false};
-		update.set('adoption', {newer: {...since, version, holder}});
-	} else if (version === newer.version && isNearer(update, holder, newer.holder)) {
-		update.set('adoption', {newer: {...newer, holder}});
+		update.set('adoption', {newer: {...since, version, holder, isHolderAsked: false}});
+	} else if (
+		version === newer.version &&
+		(newer.isHolderAsked || isNearer(update, holder, newer.holder))
+	) {
+		update.set('adoption', {newer: {...newer, holder, isHolderAsked: false}});
 	}
 }
 
@@ -88,7 +91,9 @@
 		update.emit({type: 'read-configuration'});
 	} else if (now - (newer.askedAt ?? newer.heardAt) >= limits.askDelayMs) {
 		const record = update.pending.members.records.get(newer.holder);
-		update.set('adoption', {newer: {...newer, askedAt: now, isRead: false, heardAt: now}});
+		update.set('adoption', {
+			newer: {...newer, askedAt: now, isHolderAsked: true, isRead: false, heardAt: now},
+		});
 		if (record) {
 			const {address, gateAddress} = record;
 			update.emit({type: 'ask-configuration', node: address, gateAddress});
--- a/packages/redwingmill-core/src/directory/directory-board.ts
+++ b/packages/redwingmill-core/src/directory/directory-board.ts
@@ -13,6 +13,8 @@
 	readonly isRead: boolean;
 	/** When a node that holds it was last asked. */
 	readonly askedAt?: number;
+	/** Whether the holder was asked, so that the next one that tells of the version takes its place. */
+	readonly isHolderAsked: boolean;
 };
 
 /** Version of the configuration in force here. */
--- a/packages/redwingmill-node/src/control/store-control.ts
+++ b/packages/redwingmill-node/src/control/store-control.ts
@@ -327,7 +327,13 @@
 		const client = new Client(`http://${gateAddress}`, {...timeouts, connect});
 		try {
 			const {body} = await client.request({method: 'GET', path: gatePaths.configuration});
-			this.#takeSource(await body.json(), 'node');
+			const source = await body.json();
+			// The node started anew and holds nothing yet; another will tell of the version.
+			if (source === null) {
+				this.#metrics.countControl('configuration-unanswered');
+			} else {
+				this.#takeSource(source, 'node');
+			}
 		} catch {
 			this.#metrics.countControl('configuration-unanswered');
 		} finally {
--- a/test/matrix/directory.test.ts
+++ b/test/matrix/directory.test.ts
@@ -132,6 +132,18 @@
 		expect(heldBy(mesh)).to.deep.equal(addresses.map(() => 8));
 	});
 
+	it('comes from another node when the one that told of it dies before it is asked', () => {
+		const mesh = startedMesh();
+		mesh.reach = {...wholeReach, hasStore: () => false};
+		mesh.kill('a/1');
+		mesh.run(100);
+		mesh.start('a/1', {seeds: ['a/2']});
+		mesh.run(100);
+		mesh.kill('a/2');
+		mesh.run(boundMs);
+		expect(mesh.nodes.get('a/1')!.versions).to.deep.equal([1]);
+	});
+
 	it('never goes back, whatever comes in whatever order', () => {
 		const mesh = startedMesh();
 		mesh.write(documentOf(9));
