In a large mesh a few nodes of each data centre follow the store, and the others take changes from them

Cause: the configuration of the grown deployments has 1,600 routes, about 400 KB, and the store hands it out whole. All 70 nodes fetched each version through links of 5 Mbit/s, most of them three times: by their watch, by a second read 150 ms after word of the version, and from another node after 600 ms. Change: the two nodes with the widest links of each data centre follow the store and tell the others at once of a new version; these ask for what changed (RFC 7396 merge patch from the version that they hold). Who hears of no follower in contact for a second follows the store itself. Up to 16 nodes all follow it, as before. Word of a version that the own watch hasn't brought after 150 ms leads to the node that holds it, in place of a second read of the store. Tests: a mesh of thirty nodes is in force within the bound, also when all followers die as a version is written, when they hear nothing, and when they lose the store; six reads a change where there were thirty and more.

--- a/packages/redwingmill-core/src/directory/adoption-controller.ts
+++ b/packages/redwingmill-core/src/directory/adoption-controller.ts
@@ -5,16 +5,18 @@
 	type DirectoryController,
 	type DirectoryUpdate,
 } from './directory-controller.js';
+import {isFollowing, tellFollowers} from './member-actions.js';
 
 /**
  * Takes each version of the configuration as a whole and only forward. The store's watch brings
- * them; word of a newer version from another node shows that the watch has missed one.
+ * them to the nodes that follow it; the others, and those whose watch has missed one, have word of a
+ * newer version from another node, and ask for it.
  */
 export class AdoptionController implements DirectoryController {
 	handle(update: DirectoryUpdate, event: DirectoryEvent, context: DirectoryContext): void {
 		switch (event.type) {
 			case 'configuration-read': {
-				adopt(update, event.document, event.origin);
+				adopt(update, event.document, event.origin, context.now);
 				break;
 			}
 
@@ -22,6 +24,7 @@
 				const {datagram, from} = event;
 				if (datagram.type === 'announcement' || datagram.type === 'pulse') {
 					noteVersion(update, datagram.version, from, context.now);
+					catchUp(update, context);
 				}
 
 				break;
@@ -43,6 +46,7 @@
 	update: DirectoryUpdate,
 	document: ConfigurationDocument,
 	origin: 'store' | 'node',
+	now: number,
 ): void {
 	const {held, newer} = update.pending.adoption;
 	const previous = held?.version ?? 0;
@@ -54,6 +58,7 @@
 	update.set('adoption', {held: document, newer: isStillBehind ? newer : undefined});
 	const {version} = document;
 	update.emit({type: 'notify', notice: {type: 'configuration-adopted', version, previous, origin}});
+	tellFollowers(update, now);
 }
 
 function noteVersion(update: DirectoryUpdate, version: number, holder: string, now: number): void {
@@ -63,7 +68,7 @@
 	}
 
 	if (newer === undefined || version > newer.version) {
-		const since = newer ?? {heardAt: now, isRead: false};
+		const since = newer ?? {heardAt: now};
 		update.set('adoption', {newer: {...since, version, holder, isHolderAsked: false}});
 	} else if (
 		version === newer.version &&
@@ -80,23 +85,25 @@
 	return isLocal(holder) && !isLocal(than);
 }
 
+/**
+ * Asks a node that holds a newer version for it. One that follows the store itself waits a moment: the
+ * version is most likely on its way.
+ */
 function catchUp(update: DirectoryUpdate, {now, limits}: DirectoryContext): void {
-	const {newer} = update.pending.adoption;
+	const {adoption, watch, members} = update.pending;
+	const {newer, held} = adoption;
 	if (newer === undefined) {
 		return;
 	}
 
-	if (!newer.isRead && now - newer.heardAt >= limits.readDelayMs) {
-		update.set('adoption', {newer: {...newer, isRead: true}});
-		update.emit({type: 'read-configuration'});
-	} else if (now - (newer.askedAt ?? newer.heardAt) >= limits.askDelayMs) {
-		const record = update.pending.members.records.get(newer.holder);
-		update.set('adoption', {
-			newer: {...newer, askedAt: now, isHolderAsked: true, isRead: false, heardAt: now},
-		});
-		if (record) {
-			const {address, gateAddress} = record;
-			update.emit({type: 'ask-configuration', node: address, gateAddress});
-		}
+	const firstAt = newer.heardAt + (isFollowing(watch) ? limits.askDelayMs : 0);
+	const dueAt = newer.askedAt === undefined ? firstAt : newer.askedAt + limits.askIntervalMs;
+	const record = members.records.get(newer.holder);
+	if (now < dueAt || record === undefined) {
+		return;
 	}
+
+	update.set('adoption', {newer: {...newer, askedAt: now, isHolderAsked: true}});
+	const {address, gateAddress} = record;
+	update.emit({type: 'ask-configuration', node: address, gateAddress, since: held?.version});
 }
--- a/packages/redwingmill-core/src/directory/create-directory.ts
+++ b/packages/redwingmill-core/src/directory/create-directory.ts
@@ -8,6 +8,7 @@
 import {PulseController} from './pulse-controller.js';
 import {RegistryController} from './registry-controller.js';
 import {StandingController} from './standing-controller.js';
+import {WatchController} from './watch-controller.js';
 
 /** Engine of a node that finds the others through the store. */
 export type Directory = Engine<DirectoryBoard, DirectoryEvent, DirectoryEffect, DirectoryLimits>;
@@ -18,8 +19,9 @@
 	standing: 1,
 	peers: 2,
 	pulse: 3,
-	registry: 4,
-	endpoints: 5,
+	watch: 4,
+	registry: 5,
+	endpoints: 6,
 } as const;
 
 /** An engine with all controllers of the directory. */
@@ -32,6 +34,7 @@
 	directory.registerController(new PulseController(), priorities.pulse);
 	directory.registerController(new AdoptionController(), priorities.adoption);
 	directory.registerController(new RegistryController(), priorities.registry);
+	directory.registerController(new WatchController(), priorities.watch);
 	directory.registerController(new StandingController(), priorities.standing);
 	directory.registerController(new EndpointsController(), priorities.endpoints);
 	return directory;
--- a/packages/redwingmill-core/src/directory/directory-board.ts
+++ b/packages/redwingmill-core/src/directory/directory-board.ts
@@ -9,8 +9,6 @@
 	/** Control address of the node that holds it. */
 	readonly holder: string;
 	readonly heardAt: number;
-	/** Whether the store was read again because of it. */
-	readonly isRead: boolean;
 	/** When a node that holds it was last asked. */
 	readonly askedAt?: number;
 	/** Whether the holder was asked, so that the next one that tells of the version takes its place. */
@@ -29,6 +27,8 @@
 	readonly heardAt: number;
 	readonly sentAt: number;
 	readonly inquiredAt: number;
+	/** When the node last said that it follows the store; absent when it never did. */
+	readonly watchedAt?: number;
 	/** Since when the node counts as unreachable; absent while it doesn't. */
 	readonly lapsedAt?: number;
 };
@@ -63,6 +63,13 @@
 	readonly isKnown: boolean;
 };
 
+/** Whether this node follows the configuration in the store, or leaves that to others. */
+export type WatchSection = {
+	readonly isOn: boolean;
+	/** Whether the store answered the last call. */
+	readonly isInContact: boolean;
+};
+
 export const directoryStates = ['starting', 'serving', 'stopping', 'leaving'] as const;
 export type DirectoryState = (typeof directoryStates)[number];
 
@@ -71,6 +78,7 @@
 	readonly adoption: AdoptionSection;
 	readonly members: MembersSection;
 	readonly registry: RegistrySection;
+	readonly watch: WatchSection;
 	readonly standing: {readonly state: DirectoryState; readonly since: number};
 	readonly routing: RoutingTable;
 };
@@ -89,6 +97,7 @@
 			repeatsAt: [],
 		},
 		registry: {writing: due, listing: due, isKnown: false},
+		watch: {isOn: true, isInContact: false},
 		standing: {state: 'starting', since: now},
 		routing: emptyRoutingTable,
 	};
--- a/packages/redwingmill-core/src/directory/directory-event.ts
+++ b/packages/redwingmill-core/src/directory/directory-event.ts
@@ -21,6 +21,8 @@
 			readonly document: ConfigurationDocument;
 			readonly origin: 'store' | 'node';
 	  }
+	/** The watch of the store answered, or failed. */
+	| {readonly type: 'store-contact'; readonly isInContact: boolean}
 	| {readonly type: 'stop-requested'}
 	/** The gate is about to refuse calls. */
 	| {readonly type: 'leave-requested'};
@@ -30,9 +32,15 @@
 	| {readonly type: 'send'; readonly to: string; readonly datagram: Datagram}
 	| {readonly type: 'write-record'; readonly record: NodeRecord}
 	| {readonly type: 'list-registry'}
-	/** Reads the configuration from the store at once instead of waiting for its watch. */
-	| {readonly type: 'read-configuration'}
-	| {readonly type: 'ask-configuration'; readonly node: string; readonly gateAddress: string}
+	/** Begins or ends following the configuration in the store. */
+	| {readonly type: 'set-watch'; readonly isOn: boolean}
+	| {
+			readonly type: 'ask-configuration';
+			readonly node: string;
+			readonly gateAddress: string;
+			/** Version held, from which the change is wanted; absent when there is none. */
+			readonly since?: number;
+	  }
 	| {readonly type: 'load-heard'; readonly node: string; readonly load: WorkerLoad}
 	/** A node fell silent: what it was asked will most likely not be answered. */
 	| {readonly type: 'node-silent'; readonly node: string}
@@ -60,4 +68,5 @@
 	| {readonly type: 'registry-failed'; readonly attempt: number}
 	| {readonly type: 'identity-renewed'; readonly incarnation: number}
 	| {readonly type: 'directory-state'; readonly from: string; readonly to: string}
+	| {readonly type: 'watch-changed'; readonly isOn: boolean}
 	| {readonly type: 'paused'; readonly durationMs: number};
--- a/packages/redwingmill-core/src/directory/directory-limits.ts
+++ b/packages/redwingmill-core/src/directory/directory-limits.ts
@@ -22,10 +22,18 @@
 	readonly registryBackoff: Backoff;
 	/** How long a node that starts waits for the registry before it serves without it. */
 	readonly registryPatienceMs: number;
-	/** Time after word of a newer version until the store is read at once. */
-	readonly readDelayMs: number;
-	/** Time after word of a newer version until a node that holds it is asked. */
+	/** Time that a node which follows the store waits for a version of which it has word. */
 	readonly askDelayMs: number;
+	/** Shortest time between two requests to other nodes for the configuration. */
+	readonly askIntervalMs: number;
+	/** Nodes up to which each follows the store itself. */
+	readonly watchingNodes: number;
+	/** Nodes of each data centre that follow the store in a larger mesh. */
+	readonly watchersPerDataCentre: number;
+	/** Interval at which those tell the nodes of their data centre, and each other, that they do. */
+	readonly watcherPulseIntervalMs: number;
+	/** Time without such word after which a node follows the store itself. */
+	readonly watcherPatienceMs: number;
 	/** Gap between two ticks that shows that this process was paused. */
 	readonly pauseMs: number;
 };
@@ -42,7 +50,11 @@
 	relistIntervalMs: 20_000,
 	registryBackoff: {baseMs: 100, ceilingMs: 2000},
 	registryPatienceMs: 2000,
-	readDelayMs: 150,
-	askDelayMs: 600,
+	askDelayMs: 150,
+	askIntervalMs: 600,
+	watchingNodes: 16,
+	watchersPerDataCentre: 2,
+	watcherPulseIntervalMs: 300,
+	watcherPatienceMs: 1000,
 	pauseMs: 1000,
 };
--- a/packages/redwingmill-core/src/directory/member-actions.ts
+++ b/packages/redwingmill-core/src/directory/member-actions.ts
@@ -1,6 +1,11 @@
 import {isRoutable, type NodeRecord} from '../model/node-record.js';
 import {type Datagram} from '../model/datagram.js';
-import {type Contact, type DirectoryBoard, type MembersSection} from './directory-board.js';
+import {
+	type Contact,
+	type DirectoryBoard,
+	type MembersSection,
+	type WatchSection,
+} from './directory-board.js';
 import {type DirectoryContext, type DirectoryUpdate} from './directory-controller.js';
 
 /** A node that nothing was heard of; it isn't routed to before it speaks. */
@@ -35,6 +40,38 @@
 	update.set('members', {contacts});
 }
 
+/** Shows another node that this one lives, and which version it holds. */
+export function pulseOf({members, adoption, watch}: DirectoryBoard): Datagram {
+	const {self, load} = members;
+	const {incarnation, revision} = self;
+	const version = adoption.held?.version ?? 0;
+	return {type: 'pulse', incarnation, revision, version, load, isWatching: isFollowing(watch)};
+}
+
+/** Whether others may rely on this node for new versions. */
+export function isFollowing({isOn, isInContact}: WatchSection): boolean {
+	return isOn && isInContact;
+}
+
+/** Tells those that rely on this node for new versions which one it holds now. */
+export function tellFollowers(update: DirectoryUpdate, now: number): void {
+	const {members, watch} = update.pending;
+	if (!isFollowing(watch)) {
+		return;
+	}
+
+	const datagram = pulseOf(update.pending);
+	const contacts = new Map(members.contacts);
+	for (const [to, contact] of contacts) {
+		if (members.records.get(to)?.dataCentre === members.self.dataCentre) {
+			contacts.set(to, {...contact, sentAt: now});
+			update.emit({type: 'send', to, datagram});
+		}
+	}
+
+	update.set('members', {contacts});
+}
+
 /** Changes the own record, tells everyone, and repeats it later as datagrams get lost. */
 export function changeSelf(
 	update: DirectoryUpdate,
--- a/packages/redwingmill-core/src/directory/peers-controller.ts
+++ b/packages/redwingmill-core/src/directory/peers-controller.ts
@@ -122,12 +122,12 @@
 function takePulse(
 	update: DirectoryUpdate,
 	from: string,
-	{incarnation, revision, load}: Extract<Datagram, {type: 'pulse'}>,
+	{incarnation, revision, load, isWatching}: Extract<Datagram, {type: 'pulse'}>,
 	{now, limits}: DirectoryContext,
 ): void {
 	const known = update.pending.members.records.get(from);
 	if (known?.incarnation === incarnation && known.revision === revision) {
-		hear(update, from, now);
+		hear(update, from, now, isWatching);
 		if (load) {
 			update.emit({type: 'load-heard', node: from, load});
 		}
@@ -212,11 +212,12 @@
 	announceToAll(update, true, now);
 }
 
-function hear(update: DirectoryUpdate, address: string, now: number): void {
+function hear(update: DirectoryUpdate, address: string, now: number, isWatching = false): void {
 	const {members} = update.pending;
 	const contact = members.contacts.get(address) ?? newContact(now);
 	const contacts = new Map(members.contacts);
-	contacts.set(address, {...contact, heardAt: now, lapsedAt: undefined});
+	const watchedAt = isWatching ? now : contact.watchedAt;
+	contacts.set(address, {...contact, heardAt: now, watchedAt, lapsedAt: undefined});
 	if (contact.lapsedAt === undefined) {
 		update.set('members', {contacts});
 		return;
--- a/packages/redwingmill-core/src/model/datagram.ts
+++ b/packages/redwingmill-core/src/model/datagram.ts
@@ -19,6 +19,8 @@
 			readonly revision: number;
 			readonly version: number;
 			readonly load?: WorkerLoad;
+			/** Whether the sender follows the configuration in the store and is in contact with it. */
+			readonly isWatching: boolean;
 	  }
 	/** The sender doesn't have the receiver's record. */
 	| {readonly type: 'inquiry'}
--- /dev/null
+++ b/packages/redwingmill-core/src/model/merge-patch.ts
@@ -0,0 +1,91 @@
+/** A JSON value. */
+export type Json =
+	null | boolean | number | string | readonly Json[] | {readonly [key: string]: Json};
+
+type JsonObject = Readonly<Record<string, Json>>;
+
+/**
+ * Change between two JSON documents as a merge patch (RFC 7396), or undefined when such a patch can't
+ * tell it: an object that gains a field whose value is null.
+ */
+export function mergePatchOf(from: Json, to: Json): Json | undefined {
+	if (!isObject(from) || !isObject(to)) {
+		return hasNull(to) ? undefined : to;
+	}
+
+	const patch: Record<string, Json> = {};
+	for (const key of Object.keys(from)) {
+		if (!Object.hasOwn(to, key)) {
+			patch[key] = null;
+		}
+	}
+
+	for (const [key, value] of Object.entries(to)) {
+		const known = Object.hasOwn(from, key) ? from[key] : undefined;
+		if (isSame(known, value)) {
+			continue;
+		}
+
+		const change = mergePatchOf(known ?? null, value);
+		if (change === undefined || change === null) {
+			return undefined;
+		}
+
+		patch[key] = change;
+	}
+
+	return patch;
+}
+
+/** Applies a merge patch. The document is left as it is; what doesn't change is shared. */
+export function applyMergePatch(document: Json, patch: Json): Json {
+	if (!isObject(patch)) {
+		return patch;
+	}
+
+	const known = isObject(document) ? document : {};
+	const kept = Object.entries(known).filter(([key]) => patch[key] !== null);
+	const merged: Record<string, Json> = Object.fromEntries(kept);
+	for (const [key, change] of Object.entries(patch)) {
+		if (change !== null) {
+			merged[key] = applyMergePatch(known[key] ?? null, change);
+		}
+	}
+
+	return merged;
+}
+
+function isSame(a: Json | undefined, b: Json): boolean {
+	if (a === b) {
+		return true;
+	}
+
+	if (Array.isArray(a) && Array.isArray(b)) {
+		return (
+			a.length === b.length && a.every((item, index) => isSame(item as Json, b[index] as Json))
+		);
+	}
+
+	if (!isObject(a) || !isObject(b)) {
+		return false;
+	}
+
+	const keys = Object.keys(a);
+	return (
+		keys.length === Object.keys(b).length &&
+		keys.every((key) => Object.hasOwn(b, key) && isSame(a[key], b[key]))
+	);
+}
+
+/** Whether null stands for a field's value somewhere, which a patch would take for its removal. */
+function hasNull(value: Json): boolean {
+	if (!isObject(value)) {
+		return value === null;
+	}
+
+	return Object.values(value).some((each) => hasNull(each));
+}
+
+function isObject(value: Json | undefined): value is JsonObject {
+	return typeof value === 'object' && value !== null && !Array.isArray(value);
+}
--- a/packages/redwingmill-core/src/model/node-record.ts
+++ b/packages/redwingmill-core/src/model/node-record.ts
@@ -34,6 +34,8 @@
 	/** `ip:port` of the port that takes calls from other nodes. */
 	readonly gateAddress: string;
 	readonly worker?: Worker;
+	/** Capacity of the host's link in Mbit/s; absent when it isn't known. */
+	readonly linkMbps?: number;
 };
 
 /** Whether `a` replaces `b`. Equal records don't replace each other. */
--- a/packages/redwingmill-node/src/call/gate-server.ts
+++ b/packages/redwingmill-node/src/call/gate-server.ts
@@ -1,6 +1,7 @@
 import {type Buffer} from 'node:buffer';
 import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
 import {type Answer} from 'redwingmill-core';
+import {type ConfigurationReply} from '../control/configuration-history.js';
 import {listenOn} from '../listen.js';
 import {formatAnswer} from './answer-header.js';
 import {parseAttempt, type AttemptHeader} from './attempt-header.js';
@@ -14,10 +15,25 @@
 	withdraw: '/.redwingmill/withdraw',
 	cancel: '/.redwingmill/cancel',
 	ticket: '/.redwingmill/ticket',
-	/** Gives the configuration that the node holds. */
+	/** Gives the configuration that the node holds; see {@link configurationPath}. */
 	configuration: '/.redwingmill/configuration',
 } as const;
 
+const sinceParameter = 'since';
+
+/** Path that asks for the configuration, or for its change since a version. */
+export function configurationPath(since: number | undefined): string {
+	const query = since === undefined ? '' : `?${sinceParameter}=${since}`;
+	return `${gatePaths.configuration}${query}`;
+}
+
+/** Version that a path of {@link configurationPath} names. */
+function sinceOf(path: string): number | undefined {
+	const value = new URL(path, 'http://gate').searchParams.get(sinceParameter);
+	const since = Number(value);
+	return value !== null && Number.isSafeInteger(since) ? since : undefined;
+}
+
 /** Status of answers that carry an outcome in place of a worker's answer. */
 const noAnswerStatus = 503;
 const keepAliveMs = 65_000;
@@ -28,8 +44,8 @@
 /** What the gate's port tells of its node. */
 export type GateNode = {
 	readonly incarnation: () => number;
-	/** Configuration held, in the form in which nodes hand it to each other. */
-	readonly configuration: () => unknown;
+	/** Configuration held, or its change since another version, as nodes hand it to each other. */
+	readonly configurationSince: (since: number | undefined) => ConfigurationReply;
 };
 
 /** HTTP face of the gate, for other nodes. */
@@ -67,13 +83,12 @@
 				break;
 			}
 
-			case gatePaths.configuration: {
-				sendJson(response, this.#node.configuration() ?? null);
-				break;
-			}
-
 			default: {
-				this.#handleAttempt(request, response);
+				if (request.url?.startsWith(gatePaths.configuration)) {
+					sendJson(response, this.#node.configurationSince(sinceOf(request.url)));
+				} else {
+					this.#handleAttempt(request, response);
+				}
 			}
 		}
 	}
--- a/packages/redwingmill-node/src/control/configuration-watch.ts
+++ b/packages/redwingmill-node/src/control/configuration-watch.ts
@@ -21,7 +21,6 @@
 	readonly #handlers: ConfigurationHandlers;
 	readonly #random: Random;
 	readonly #stopped = new AbortController();
-	#wait = new AbortController();
 	#isInContact = false;
 	#failures = 0;
 
@@ -36,32 +35,22 @@
 		void this.#run();
 		return () => {
 			this.#stopped.abort();
-			this.#wait.abort();
 		};
 	}
 
-	/** Reads at once: there is word of a change that the watch hasn't brought. */
-	refresh(): void {
-		this.#wait.abort();
-	}
-
 	async #run(): Promise<void> {
 		let revision: number | undefined;
 		while (!this.#stopped.signal.aborted) {
-			this.#wait = new AbortController();
-			const {signal} = this.#wait;
+			const {signal} = this.#stopped;
 			const reading =
 				revision === undefined
 					? await this.#source.read()
 					: await this.#source.waitForChange(revision, waitMs, signal);
-			if (this.#stopped.signal.aborted) {
+			if (signal.aborted) {
 				return;
 			}
 
-			// A refresh ends a wait without an answer; that says nothing of the store.
-			const isCutShort = signal.aborted && reading.type === 'failed';
-			const next = isCutShort ? undefined : this.#take(reading);
-			revision = signal.aborted ? undefined : next;
+			revision = this.#take(reading);
 			await this.#pause(reading);
 		}
 	}
@@ -94,7 +83,7 @@
 	}
 
 	async #pause({type}: ConfigurationReading): Promise<void> {
-		if (type === 'failed' && !this.#wait.signal.aborted) {
+		if (type === 'failed') {
 			await this.#sleep(backoffDelay(retryBackoff, this.#failures, this.#random));
 			this.#failures += 1;
 		} else {
@@ -105,7 +94,7 @@
 
 	async #sleep(ms: number): Promise<void> {
 		if (ms > 0) {
-			await delay(ms, undefined, {signal: this.#wait.signal}).catch(() => undefined);
+			await delay(ms, undefined, {signal: this.#stopped.signal}).catch(() => undefined);
 		}
 	}
 
--- a/packages/redwingmill-node/src/control/control-plane.ts
+++ b/packages/redwingmill-node/src/control/control-plane.ts
@@ -19,6 +19,7 @@
 import {TrafficMeter} from '../observe/traffic-meter.js';
 import {type Settings} from '../settings/settings.js';
 import {statusOf} from '../operators/status.js';
+import {type ConfigurationReply} from './configuration-history.js';
 import {type Control, type SuspectHandler} from './control.js';
 import {LinkTransport} from './link-transport.js';
 
@@ -111,8 +112,8 @@
 	}
 
 	/** Versions spread over links, so no node is asked for one. */
-	get source(): unknown {
-		return undefined;
+	configurationSince(): ConfigurationReply {
+		return {type: 'none'};
 	}
 
 	findNode(dataCentre: string, address: string): NodeRecord | undefined {
--- a/packages/redwingmill-node/src/control/control.ts
+++ b/packages/redwingmill-node/src/control/control.ts
@@ -1,5 +1,6 @@
 import {type NodeRecord, type RoutingTable, type Worker, type WorkerLoad} from 'redwingmill-core';
 import {type Teardown} from 'redwingmill-shared';
+import {type ConfigurationReply} from './configuration-history.js';
 
 /** Told of requests that crash workers, or that ran well after all. */
 export type SuspectHandler = (fingerprint: string, node: string, isCleared: boolean) => void;
@@ -24,8 +25,8 @@
 	readonly controlBytes: number;
 	/** Whether this node links its data centre to the platform. */
 	readonly isRelay: boolean;
-	/** Configuration held, in the form in which nodes hand it to each other. */
-	readonly source: unknown;
+	/** Configuration held, or its change since another version, as nodes hand it to each other. */
+	readonly configurationSince: (since: number | undefined) => ConfigurationReply;
 	/** Record of a node that is there, whether it may be routed to or not. */
 	findNode: (dataCentre: string, address: string) => NodeRecord | undefined;
 	start: () => Promise<void>;
--- a/packages/redwingmill-node/src/control/store-control.ts
+++ b/packages/redwingmill-node/src/control/store-control.ts
@@ -14,12 +14,13 @@
 	type WorkerLoad,
 } from 'redwingmill-core';
 import {Random, type Teardown} from 'redwingmill-shared';
-import {gatePaths} from '../call/gate-server.js';
+import {configurationPath} from '../call/gate-server.js';
 import {type Log} from '../observe/log.js';
 import {logEvents} from '../observe/log-event.js';
 import {logDirectoryNotice} from '../observe/directory-log.js';
 import {type Metrics} from '../observe/metrics.js';
 import {type Settings} from '../settings/settings.js';
+import {ConfigurationHistory, type ConfigurationReply} from './configuration-history.js';
 import {ConfigurationWatch} from './configuration-watch.js';
 import {
 	type Control,
@@ -31,7 +32,8 @@
 import {type StorePorts} from './store-ports.js';
 
 const tickIntervalMs = 100;
-const askTimeoutMs = 1000;
+/** Long enough for a whole configuration over a slow link. */
+const askTimeoutMs = 3000;
 const seedRange = 0x7f_ff_ff_ff;
 
 /** What the control plane tells the rest of the node besides what `Control` has. */
@@ -54,11 +56,13 @@
 	readonly #log: Log;
 	readonly #metrics: Metrics;
 	readonly #socket: DatagramSocket;
-	readonly #watch: ConfigurationWatch;
+	readonly #history = new ConfigurationHistory();
+	readonly #random: Random;
 	readonly #documentListeners = new Set<(document: ConfigurationDocument) => void>();
 	#suspectHandler: SuspectHandler | undefined;
 	#loadHandler: LoadHandler | undefined;
 	#silenceHandler: SilenceHandler | undefined;
+	/** Ends the watch of the store; absent while other nodes follow it for this one. */
 	#stopWatch: Teardown | undefined;
 	#timer: NodeJS.Timeout | undefined;
 	#isStopped = false;
@@ -67,6 +71,7 @@
 		const random = new Random(self.incarnation % seedRange);
 		this.#settings = settings;
 		this.#ports = ports;
+		this.#random = random;
 		this.#log = log;
 		this.#metrics = metrics;
 		this.#directory = createDirectory(initialDirectory(self, performance.now()), {
@@ -82,18 +87,6 @@
 				log.write(logEvents.malformedDatagram, {from});
 			},
 		});
-		this.#watch = new ConfigurationWatch(
-			ports.configuration,
-			{
-				onSource: (source) => {
-					this.#takeSource(source, 'store');
-				},
-				onContact(isInContact, reason) {
-					log.write(isInContact ? logEvents.storeRegained : logEvents.storeLost, {reason});
-				},
-			},
-			random,
-		);
 	}
 
 	get self(): NodeRecord {
@@ -127,8 +120,8 @@
 		return false;
 	}
 
-	get source(): unknown {
-		return this.#board.adoption.held?.source;
+	configurationSince(since: number | undefined): ConfigurationReply {
+		return this.#history.replySince(since);
 	}
 
 	get #board(): DirectoryBoard {
@@ -145,7 +138,7 @@
 		this.#timer = setInterval(() => {
 			this.#dispatch({type: 'tick'});
 		}, tickIntervalMs);
-		this.#stopWatch = this.#watch.start();
+		this.#setWatch(true);
 		this.#dispatch({type: 'tick'});
 		if (this.#settings.seeds.length > 0) {
 			this.#dispatch({type: 'seeds-known', addresses: this.#settings.seeds});
@@ -255,6 +248,7 @@
 
 		const {held: document} = this.#board.adoption;
 		if (document && document !== held) {
+			this.#history.add(document.version, document.source);
 			for (const listener of this.#documentListeners) {
 				listener(document);
 			}
@@ -278,13 +272,13 @@
 				break;
 			}
 
-			case 'read-configuration': {
-				this.#watch.refresh();
+			case 'set-watch': {
+				this.#setWatch(effect.isOn);
 				break;
 			}
 
 			case 'ask-configuration': {
-				void this.#ask(effect.gateAddress);
+				void this.#ask(effect.gateAddress, effect.since);
 				break;
 			}
 
@@ -320,16 +314,36 @@
 		this.#dispatch({type: 'registry-listed', records});
 	}
 
-	/** Asks a node for the configuration that it holds. */
-	async #ask(gateAddress: string): Promise<void> {
+	#setWatch(isOn: boolean): void {
+		this.#stopWatch?.();
+		this.#stopWatch = isOn ? this.#newWatch().start() : undefined;
+	}
+
+	#newWatch(): ConfigurationWatch {
+		const handlers = {
+			onSource: (source: unknown) => {
+				this.#takeSource(source, 'store');
+			},
+			onContact: (isInContact: boolean, reason: string) => {
+				this.#log.write(isInContact ? logEvents.storeRegained : logEvents.storeLost, {reason});
+				this.#dispatch({type: 'store-contact', isInContact});
+			},
+		};
+		return new ConfigurationWatch(this.#ports.configuration, handlers, this.#random);
+	}
+
+	/** Asks a node for the configuration that it holds, or for what changed in it. */
+	async #ask(gateAddress: string, since: number | undefined): Promise<void> {
 		const timeouts = {headersTimeout: askTimeoutMs, bodyTimeout: askTimeoutMs};
 		const connect = {timeout: askTimeoutMs};
 		const client = new Client(`http://${gateAddress}`, {...timeouts, connect});
 		try {
-			const {body} = await client.request({method: 'GET', path: gatePaths.configuration});
-			const source = await body.json();
+			const path = configurationPath(since);
+			const {body} = await client.request({method: 'GET', path});
+			const reply = (await body.json()) as ConfigurationReply;
+			const source = this.#history.sourceOf(reply);
 			// The node started anew and holds nothing yet; another will tell of the version.
-			if (source === null) {
+			if (source === undefined) {
 				this.#metrics.countControl('configuration-unanswered');
 			} else {
 				this.#takeSource(source, 'node');
--- a/packages/redwingmill-node/src/daemon.ts
+++ b/packages/redwingmill-node/src/daemon.ts
@@ -115,7 +115,7 @@
 		this.#gateClient = new GateClient(calls.connectionsPerGate, calls.answerLimitBytes);
 		this.#gateServer = new GateServer(this.#gate, calls.bodyLimitBytes, {
 			incarnation: () => this.#control.self.incarnation,
-			configuration: () => this.#control.source,
+			configurationSince: (since) => this.#control.configurationSince(since),
 		});
 		this.#entry = new EntryService(settings, {
 			control: this.#control,
@@ -287,7 +287,12 @@
 }
 
 /** The node's first record. A later start of the same node has a higher incarnation. */
-function newRecord({dataCentre, addresses, advertised = addresses}: Settings): NodeRecord {
+function newRecord({
+	dataCentre,
+	addresses,
+	advertised = addresses,
+	control: {linkMbps},
+}: Settings): NodeRecord {
 	return {
 		address: advertised.control,
 		dataCentre,
@@ -295,5 +300,6 @@
 		revision: 1,
 		status: 'live',
 		gateAddress: advertised.gate,
+		...(linkMbps === undefined ? {} : {linkMbps: Math.round(linkMbps)}),
 	};
 }
--- a/packages/redwingmill-node/src/observe/directory-log.ts
+++ b/packages/redwingmill-node/src/observe/directory-log.ts
@@ -12,6 +12,7 @@
 	'registry-failed': logEvents.registryFailed,
 	'identity-renewed': logEvents.identityRenewed,
 	'directory-state': logEvents.servingChanged,
+	'watch-changed': logEvents.watchChanged,
 	paused: logEvents.pauseDetected,
 };
 
--- a/packages/redwingmill-node/src/observe/log-event.ts
+++ b/packages/redwingmill-node/src/observe/log-event.ts
@@ -36,6 +36,7 @@
 	registryFailed: {number: 403, level: 'warn', message: 'registry of nodes out of reach'},
 	storeLost: {number: 404, level: 'warn', message: 'store of the configuration out of reach'},
 	storeRegained: {number: 405, level: 'info', message: 'store of the configuration answers again'},
+	watchChanged: {number: 406, level: 'info', message: 'watch of the store begun or ended'},
 	workerGone: {
 		number: 504,
 		level: 'warn',
--- a/packages/redwingmill-node/src/settings/settings.ts
+++ b/packages/redwingmill-node/src/settings/settings.ts
@@ -58,6 +58,8 @@
 	readonly control: {
 		readonly distributionIntervalMs: number;
 		readonly sendsWholeTables: boolean;
+		/** Capacity of the host's link; nodes with wider links follow the store for others. */
+		readonly linkMbps?: number;
 	};
 	readonly drainTimeoutMs: number;
 	readonly stopping: {
@@ -146,6 +148,7 @@
 			properties: {
 				distributionIntervalMs: {...durationMs, maximum: 10_000, default: 100},
 				sendsWholeTables: {type: 'boolean', default: false},
+				linkMbps: {type: 'number', minimum: 0, maximum: 1_000_000},
 			},
 		},
 		drainTimeoutMs: {...durationMs, default: 30_000},
--- a/packages/redwingmill-protocol/src/__tests__/unit/datagram-codec.test.ts
+++ b/packages/redwingmill-protocol/src/__tests__/unit/datagram-codec.test.ts
@@ -28,6 +28,7 @@
 		incarnation: 1_775_726_659_321_288,
 		revision: 3,
 		version: 42,
+		isWatching: true,
 		load: {callsPerSlot: 1.25, waitMs: 30, runMs: 64.5},
 	},
 	{type: 'inquiry'},
--- a/packages/redwingmill-protocol/src/datagram-codec.ts
+++ b/packages/redwingmill-protocol/src/datagram-codec.ts
@@ -28,13 +28,14 @@
 		}
 
 		case 'pulse': {
-			const {incarnation, revision, version, load} = body.value;
+			const {incarnation, revision, version, load, isWatching} = body.value;
 			return {
 				type: 'pulse',
 				incarnation: Number(incarnation),
 				revision,
 				version: Number(version),
 				load: load && decodeLoad(load),
+				isWatching,
 			};
 		}
 
@@ -74,12 +75,13 @@
 		}
 
 		case 'pulse': {
-			const {incarnation, revision, version, load} = datagram;
+			const {incarnation, revision, version, load, isWatching} = datagram;
 			const value = {
 				incarnation: BigInt(incarnation),
 				revision,
 				version: BigInt(version),
 				load: load && encodeLoad(load),
+				isWatching,
 			};
 			return {case: 'pulse', value};
 		}
--- a/packages/redwingmill-protocol/src/record-codec.ts
+++ b/packages/redwingmill-protocol/src/record-codec.ts
@@ -14,6 +14,7 @@
 		status: memberStatuses.indexOf(record.status) + 1,
 		gateAddress: record.gateAddress,
 		worker: worker && {...worker, state: workerStates.indexOf(worker.state) + 1},
+		linkMbps: record.linkMbps,
 	};
 }
 
@@ -34,5 +35,6 @@
 			state: pick(workerStates, worker.state),
 			...(worker.instance === '' ? {} : {instance: worker.instance}),
 		},
+		...(fields.linkMbps === 0 ? {} : {linkMbps: fields.linkMbps}),
 	};
 }
--- a/test/matrix/directory.test.ts
+++ b/test/matrix/directory.test.ts
@@ -115,6 +115,81 @@
 	});
 });
 
+describe('the configuration in a mesh of thirty nodes', () => {
+	const dataCentres = ['a', 'b', 'c'];
+	const places = Array.from({length: 10}, (_, index) => index);
+	const many = dataCentres.flatMap((dataCentre) => places.map((place) => `${dataCentre}/${place}`));
+	/** Those with the widest links, two in each data centre. */
+	const watchers = dataCentres.flatMap((dataCentre) => [`${dataCentre}/4`, `${dataCentre}/7`]);
+
+	function startedLargeMesh(): FakeDirectoryMesh {
+		const mesh = new FakeDirectoryMesh(seed);
+		mesh.write(documentOf(1));
+		for (const address of many) {
+			mesh.start(address, {linkMbps: watchers.includes(address) ? 100 : 5});
+		}
+
+		mesh.run(3000);
+		return mesh;
+	}
+
+	function watching(mesh: FakeDirectoryMesh): string[] {
+		return [...mesh.nodes.values()]
+			.filter(({isUp, directory}) => isUp && directory.blackboard.watch.isOn)
+			.map(({address}) => address);
+	}
+
+	it('is followed by the two nodes of each data centre with the widest links', () => {
+		expect(watching(startedLargeMesh())).to.deep.equal(watchers);
+	});
+
+	it('is in force everywhere in time, and the store hands each change out six times', () => {
+		const mesh = startedLargeMesh();
+		const before = mesh.configurationReads;
+		mesh.write(documentOf(8));
+		mesh.run(boundMs);
+		expect(heldBy(mesh)).to.deep.equal(many.map(() => 8));
+		expect(mesh.configurationReads - before).to.equal(watchers.length);
+	});
+
+	it('is in force in time when all who follow the store die as it changes', () => {
+		const mesh = startedLargeMesh();
+		for (const address of watchers) {
+			mesh.kill(address);
+		}
+
+		mesh.write(documentOf(8));
+		mesh.run(boundMs);
+		for (const {address, isUp, versions} of mesh.nodes.values()) {
+			expect(isUp ? versions.at(-1) : 8, address).to.equal(8);
+		}
+	});
+
+	it('comes from the other data centres where those who follow the store hear nothing', () => {
+		const mesh = startedLargeMesh();
+		mesh.reach = {...wholeReach, hasWatch: (address) => !address.startsWith('a')};
+		mesh.write(documentOf(8));
+		mesh.run(boundMs);
+		expect(heldBy(mesh)).to.deep.equal(many.map(() => 8));
+	});
+
+	it('is followed by others where those who did lose the store', () => {
+		const mesh = startedLargeMesh();
+		const isCut = (address: string) => watchers.includes(address);
+		mesh.reach = {...wholeReach, hasStore: (address) => !isCut(address)};
+		for (const address of watchers) {
+			mesh.dispatch(mesh.nodes.get(address)!, {type: 'store-contact', isInContact: false});
+		}
+
+		mesh.run(boundMs);
+		const others = watching(mesh).filter((address) => !isCut(address));
+		expect(new Set(others.map(([dataCentre]) => dataCentre)).size).to.equal(dataCentres.length);
+		mesh.write(documentOf(8));
+		mesh.run(boundMs);
+		expect(heldBy(mesh)).to.deep.equal(many.map(() => 8));
+	});
+});
+
 describe('the configuration from the store', () => {
 	it('is in force everywhere in time, also where the watch brought nothing', () => {
 		const mesh = startedMesh();
--- a/test/support/fake-directory-mesh.ts
+++ b/test/support/fake-directory-mesh.ts
@@ -65,6 +65,8 @@
 	readonly nodes = new Map<string, DirectoryNode>();
 	lossShare = 0;
 	storeCalls = 0;
+	/** Times that nodes took the configuration from the store. */
+	configurationReads = 0;
 	/** What reaches what; tests replace it to cut the mesh. */
 	reach: Reach = wholeReach;
 	readonly #random: Random;
@@ -78,9 +80,19 @@
 	/** Starts a node, or starts it anew with a higher incarnation. */
 	start(
 		address: string,
-		options: {incarnation?: number; service?: string; seeds?: readonly string[]} = {},
+		options: {
+			incarnation?: number;
+			service?: string;
+			seeds?: readonly string[];
+			linkMbps?: number;
+		} = {},
 	): DirectoryNode {
-		const {incarnation = Math.round(this.clock.now) + 1, service = 'coding', seeds = []} = options;
+		const {
+			incarnation = Math.round(this.clock.now) + 1,
+			service = 'coding',
+			seeds = [],
+			linkMbps,
+		} = options;
 		const self: NodeRecord = {
 			address,
 			dataCentre: address.split('/')[0],
@@ -88,6 +100,7 @@
 			revision: 1,
 			status: 'live',
 			gateAddress: `gate of ${address}`,
+			linkMbps,
 		};
 		const node: DirectoryNode = {
 			address,
@@ -124,7 +137,7 @@
 	write(document: ConfigurationDocument): void {
 		this.#document = document;
 		for (const node of this.nodes.values()) {
-			if (this.reach.hasWatch(node.address)) {
+			if (node.directory.blackboard.watch.isOn && this.reach.hasWatch(node.address)) {
 				this.#readStore(node);
 			}
 		}
@@ -204,8 +217,11 @@
 				break;
 			}
 
-			case 'read-configuration': {
-				this.#readStore(node);
+			case 'set-watch': {
+				if (effect.isOn) {
+					this.#readStore(node);
+				}
+
 				break;
 			}
 
@@ -247,7 +263,9 @@
 
 	#readStore(node: DirectoryNode): void {
 		const isReached = this.reach.hasStore(node.address);
+		this.configurationReads += 1;
 		this.clock.after(storeMs, () => {
+			this.dispatch(node, {type: 'store-contact', isInContact: isReached});
 			if (isReached && this.#document) {
 				this.dispatch(node, {
 					type: 'configuration-read',
