--- a/packages/redwingmill-core/src/directory/endpoints-controller.ts
+++ b/packages/redwingmill-core/src/directory/endpoints-controller.ts
@@ -19,7 +19,9 @@
 			return;
 		}
 
-		const {routing} = deriveRouting(adoption.held, members.reachable, noneActivated);
+		const {reachable} = members;
+		const previous = update.pending.routing;
+		const {routing} = deriveRouting(adoption.held, reachable, noneActivated, previous);
 		update.set('routing', routing);
 	}
 }
--- a/packages/redwingmill-core/src/model/derive-routing.ts
+++ b/packages/redwingmill-core/src/model/derive-routing.ts
@@ -19,15 +19,23 @@
 	readonly activated: ReadonlySet<string>;
 };
 
-/** Routing table for a configuration and the nodes known. */
+/**
+ * Routing table for a configuration and the nodes known.
+ *
+ * @param previous - table in force; its routes are kept where the nodes' changes don't touch them.
+ */
 export function deriveRouting(
 	{version, configuration}: RoutingSource,
 	records: Iterable<NodeRecord>,
 	previouslyActivated: ReadonlySet<string>,
+	previous?: RoutingTable,
 ): DerivedRouting {
 	const endpoints = endpointsByService(configuration, records);
 	const activated = activeServices(configuration, endpoints, previouslyActivated);
-	return {routing: deriveTable(version, configuration, endpoints, activated), activated};
+	const inactive = inactiveServices(configuration, endpoints, activated);
+	const isKept = previous?.version === version && isSame(previous.inactive, inactive);
+	const routes = isKept ? previous.routes : deriveRoutes(configuration, endpoints, inactive);
+	return {routing: {version, routes, endpoints, inactive}, activated};
 }
 
 function endpointsByService(
@@ -84,34 +92,50 @@
 	return activated;
 }
 
-function deriveTable(
-	version: number,
-	configuration: Configuration,
+function inactiveServices(
+	{services}: Configuration,
 	endpoints: ReadonlyMap<string, readonly Endpoint[]>,
 	activated: ReadonlySet<string>,
-): RoutingTable {
-	const dependencies = new Map(
-		configuration.services.map((service) => [service.name, service.dependsOn]),
-	);
-	const reasonOf = (service: string): InactiveReason | undefined => {
+): Map<string, InactiveReason> {
+	const dependencies = new Map(services.map(({name, dependsOn}) => [name, dependsOn]));
+	const inactive = new Map<string, InactiveReason>();
+	for (const service of dependencies.keys()) {
 		if ((endpoints.get(service)?.length ?? 0) === 0) {
-			return {type: 'no-ready-endpoint', service};
+			inactive.set(service, {type: 'no-ready-endpoint', service});
+		} else if (!activated.has(service)) {
+			const missing = dependencies.get(service)?.find((name) => !activated.has(name));
+			inactive.set(service, {type: 'dependency-inactive', service: missing ?? service});
 		}
+	}
 
-		if (activated.has(service)) {
-			return undefined;
-		}
+	return inactive;
+}
 
-		const missing = dependencies.get(service)?.find((name) => !activated.has(name));
-		return {type: 'dependency-inactive', service: missing ?? service};
-	};
+function isSame(
+	a: ReadonlyMap<string, InactiveReason>,
+	b: ReadonlyMap<string, InactiveReason>,
+): boolean {
+	return (
+		a.size === b.size &&
+		[...a].every(([name, reason]) => {
+			const other = b.get(name);
+			return other?.type === reason.type && other.service === reason.service;
+		})
+	);
+}
 
-	const routes = configuration.routes.map((route): RouteState => {
+function deriveRoutes(
+	{routes}: Configuration,
+	endpoints: ReadonlyMap<string, readonly Endpoint[]>,
+	inactive: ReadonlyMap<string, InactiveReason>,
+): readonly RouteState[] {
+	const reasonOf = (service: string): InactiveReason | undefined =>
+		endpoints.has(service) ? inactive.get(service) : {type: 'no-ready-endpoint', service};
+	return routes.map((route): RouteState => {
 		const reasons = servicesOf(route).map((service) => reasonOf(service));
 		const reason = reasons.every((each) => each !== undefined) ? reasons[0] : undefined;
 		return reason ? {type: 'inactive', route, reason} : {type: 'active', route};
 	});
-	return {version, routes, endpoints};
 }
 
 /** Services that calls of a route may go to. */
--- a/packages/redwingmill-core/src/model/routing-table.ts
+++ b/packages/redwingmill-core/src/model/routing-table.ts
@@ -26,6 +26,13 @@
 	/** Longest path first. */
 	readonly routes: readonly RouteState[];
 	readonly endpoints: ReadonlyMap<string, readonly Endpoint[]>;
+	/** Services that take no calls. */
+	readonly inactive: ReadonlyMap<string, InactiveReason>;
 };
 
-export const emptyRoutingTable: RoutingTable = {version: 0, routes: [], endpoints: new Map()};
+export const emptyRoutingTable: RoutingTable = {
+	version: 0,
+	routes: [],
+	endpoints: new Map(),
+	inactive: new Map(),
+};
--- a/packages/redwingmill-node/src/call/split-chooser.ts
+++ b/packages/redwingmill-node/src/call/split-chooser.ts
@@ -21,6 +21,10 @@
 
 	/** Forgets routes that are gone. */
 	retain(routes: readonly Route[]): void {
+		if (this.#routes.size === 0) {
+			return;
+		}
+
 		const keys = new Set(routes.map((route) => keyOf(route)));
 		for (const key of this.#routes.keys()) {
 			if (!keys.has(key)) {
