--- a/packages/redwingmill-bench/src/main.ts
+++ b/packages/redwingmill-bench/src/main.ts
@@ -6,6 +6,7 @@
 import {capacityCommand} from './commands/capacity-command.js';
 import {convergenceCommand} from './commands/convergence-command.js';
 import {demoCommand} from './commands/demo-command.js';
+import {policiesCommand} from './commands/policies-command.js';
 
 const tool = subcommands({
 	name: 'redwingmill-bench',
@@ -16,6 +17,7 @@
 		calls: callsCommand,
 		capacity: capacityCommand,
 		'capacity-page': capacityPageCommand,
+		policies: policiesCommand,
 	},
 });
 
--- a/test/support/load-play.ts
+++ b/packages/redwingmill-bench/src/play/load-play.ts
@@ -12,7 +12,7 @@
 	type GateEffect,
 } from 'redwingmill-core';
 import {Random} from 'redwingmill-shared';
-import {FakeClock} from './fake-clock.js';
+import {VirtualClock} from './virtual-clock.js';
 
 /** Calls of one kind. */
 export type LoadClass = {
@@ -97,7 +97,7 @@
  */
 export class LoadPlay {
 	readonly #plan: LoadPlan;
-	readonly #clock = new FakeClock();
+	readonly #clock = new VirtualClock();
 	readonly #random: Random;
 	readonly #hosts: readonly Host[];
 	readonly #entries: readonly Entry[];
--- a/test/support/fake-clock.ts
+++ b/packages/redwingmill-bench/src/play/virtual-clock.ts
@@ -5,7 +5,7 @@
 };
 
 /** Virtual time: tasks run in the order of their times. */
-export class FakeClock {
+export class VirtualClock {
 	readonly #tasks: Task[] = [];
 	#now = 0;
 	#order = 0;
--- a/test/matrix/load.test.ts
+++ b/test/matrix/load.test.ts
@@ -1,59 +1,20 @@
 import {expect} from 'chai';
 import {
+	comparedPolicies,
+	comparePolicies,
 	LoadPlay,
+	plotPolicies,
+	standardClasses,
+	standardPlan,
 	type LoadClass,
 	type LoadOutcome,
 	type LoadPlan,
 	type LoadResult,
-} from '../support/load-play.js';
+} from 'redwingmill-bench';
 
-const page: LoadClass = {
-	name: 'page',
-	rank: 2,
-	runMs: 60,
-	targetMs: 200,
-	deadlineMs: 1200,
-	retries: 2,
-	perSecond: 60,
-	bytes: 1500,
-};
-const lookup: LoadClass = {
-	...page,
-	name: 'lookup',
-	rank: 1,
-	runMs: 24,
-	targetMs: 100,
-	deadlineMs: 600,
-	bytes: 6000,
-};
-const analysis: LoadClass = {
-	...page,
-	name: 'analysis',
-	runMs: 150,
-	targetMs: 400,
-	deadlineMs: 2500,
-	bytes: 6000,
-};
+const {page, lookup, analysis} = standardClasses;
 const dataCentres = ['dc-a', 'dc-b', 'dc-c'] as const;
 
-/** Three data centres with a worker each, of unlike speeds. */
-function planWith(classes: readonly LoadClass[], fields: Partial<LoadPlan> = {}): LoadPlan {
-	return {
-		workers: [2, 1, 0.67].map((slowness, index) => ({
-			dataCentre: dataCentres[index],
-			slots: 6,
-			slowness,
-		})),
-		classes,
-		policy: 'expected-completion',
-		isLimiting: true,
-		weighsBytes: true,
-		durationMs: 30_000,
-		seed: 8,
-		...fields,
-	};
-}
-
 function outcomeOf(plan: LoadPlan): LoadOutcome {
 	return new LoadPlay(plan).run();
 }
@@ -73,15 +34,15 @@
 
 describe('callers under load', () => {
 	it('are answered in time while there is room, though workers differ by three times', () => {
-		const outcome = outcomeOf(planWith([page]));
+		const outcome = outcomeOf(standardPlan([page]));
 		expect(creditOf(resultOf(outcome, page))).to.be.above(0.95);
 	});
 
 	it('get more of it at a third over the capacity with gates that limit than without', () => {
 		// Three workers run 300 pages a second.
 		const overload = [{...page, perSecond: 133}];
-		const limited = resultOf(outcomeOf(planWith(overload)), page);
-		const unlimited = resultOf(outcomeOf(planWith(overload, {isLimiting: false})), page);
+		const limited = resultOf(outcomeOf(standardPlan(overload)), page);
+		const unlimited = resultOf(outcomeOf(standardPlan(overload, {isLimiting: false})), page);
 		expect(creditOf(limited)).to.be.above(0.5);
 		expect(creditOf(limited)).to.be.above(creditOf(unlimited));
 	});
@@ -91,7 +52,7 @@
 			{...lookup, perSecond: 40},
 			{...analysis, perSecond: 40},
 		];
-		const outcome = outcomeOf(planWith(classes));
+		const outcome = outcomeOf(standardPlan(classes));
 		const urgent = resultOf(outcome, lookup);
 		const patient = resultOf(outcome, analysis);
 		expect(servedOf(urgent)).to.be.at.least(servedOf(patient) - 0.05);
@@ -103,8 +64,8 @@
 
 	it('load the links between data centres no more when the choice knows their bytes', () => {
 		const classes = [{...analysis, perSecond: 30}];
-		const chosen = outcomeOf(planWith(classes));
-		const baseline = outcomeOf(planWith(classes, {weighsBytes: false}));
+		const chosen = outcomeOf(standardPlan(classes));
+		const baseline = outcomeOf(standardPlan(classes, {weighsBytes: false}));
 		expect(chosen.remoteBytes).to.be.at.most(baseline.remoteBytes);
 		expect(creditOf(resultOf(chosen, analysis))).to.be.at.least(
 			creditOf(resultOf(baseline, analysis)) - 0.05,
@@ -117,7 +78,21 @@
 			slots: 6,
 			slowness,
 		}));
-		const outcome = outcomeOf(planWith([{...page, perSecond: 40}], {workers}));
+		const outcome = outcomeOf(standardPlan([{...page, perSecond: 40}], {workers}));
 		expect(creditOf(resultOf(outcome, page))).to.be.above(0.85);
 	});
+
+	it('are compared under all policies with the same seeds, and plotted', () => {
+		const plan = standardPlan([{...page, perSecond: 133}], {durationMs: 5000});
+		const results = comparePolicies(plan, comparedPolicies, [1, 2]);
+		expect(results.map(({policy}) => policy)).to.deep.equal(comparedPolicies.map(({name}) => name));
+		for (const {inTarget, late, unserved} of results) {
+			expect(inTarget + late + unserved).to.be.closeTo(1, 1e-9);
+		}
+
+		expect(comparePolicies(plan, comparedPolicies, [1, 2])).to.deep.equal(results);
+		const [title, first] = plotPolicies(results).split('\n');
+		expect(title).to.equal('page');
+		expect(first).to.match(/^ {2}in use +#+\+*\.* \d+ %, \d+ %, \d+ %$/v);
+	});
 });
--- a/test/support/fake-call-path.ts
+++ b/test/support/fake-call-path.ts
@@ -13,7 +13,7 @@
 	type WorkerResult,
 } from 'redwingmill-core';
 import {Random} from 'redwingmill-shared';
-import {FakeClock} from './fake-clock.js';
+import {VirtualClock} from 'redwingmill-bench';
 
 /** Steps of a call at which a fault can begin. */
 export const callSteps = [
@@ -70,7 +70,7 @@
 const withdrawTimeoutMs = 500;
 /** Real entry calls and real gates over a fake network, with the workers' own record of runs. */
 export class FakeCallPath {
-	readonly clock = new FakeClock();
+	readonly clock = new VirtualClock();
 	readonly hosts: FakeHost[] = [];
 	/** Runs by call name, as the workers saw them. */
 	readonly runs = new Map<string, number>();
--- a/test/support/fake-directory-mesh.ts
+++ b/test/support/fake-directory-mesh.ts
@@ -10,7 +10,7 @@
 	type WorkerState,
 } from 'redwingmill-core';
 import {Random} from 'redwingmill-shared';
-import {FakeClock} from './fake-clock.js';
+import {VirtualClock} from 'redwingmill-bench';
 
 /** A node of the fake mesh. */
 export type DirectoryNode = {
@@ -61,7 +61,7 @@
 
 /** Real directories over a fake network and a fake store. */
 export class FakeDirectoryMesh {
-	readonly clock = new FakeClock();
+	readonly clock = new VirtualClock();
 	readonly nodes = new Map<string, DirectoryNode>();
 	lossShare = 0;
 	storeCalls = 0;
--- a/test/support/fake-mesh.ts
+++ b/test/support/fake-mesh.ts
@@ -11,7 +11,7 @@
 } from 'redwingmill-core';
 import {ObjectStore} from 'redwingmill-platform';
 import {digestOf, Random} from 'redwingmill-shared';
-import {FakeClock} from './fake-clock.js';
+import {VirtualClock} from 'redwingmill-bench';
 import {FakeNode, type NodeSite} from './fake-node.js';
 import {InvariantChecker} from './invariants.js';
 
@@ -49,7 +49,7 @@
 
 /** Real cores of several nodes between a fake network and the stand-in's object store. */
 export class FakeMesh {
-	readonly clock = new FakeClock();
+	readonly clock = new VirtualClock();
 	readonly store = new ObjectStore();
 	readonly checker = new InvariantChecker();
 	readonly nodes = new Map<string, FakeNode>();
