Calls keep away from workers that fail what they run

Cause: a worker that answers each call with a failure counted as sound, and as fast, since failing takes little time: the choice by expected completion led calls to it. The choice adds what a failure costs for the share beyond that of the service's soundest worker, so that failures with a common cause change nothing. Failed runs no longer count as run times. Ruled out: ejection, as failures of one route would take the worker from all others.

--- a/packages/redwingmill-bench/src/play/load-play.ts
+++ b/packages/redwingmill-bench/src/play/load-play.ts
@@ -10,6 +10,7 @@
 	type EntryAction,
 	type GateCall,
 	type GateEffect,
+	type WorkerLoad,
 } from 'redwingmill-core';
 import {Random} from 'redwingmill-shared';
 import {VirtualClock} from './virtual-clock.js';
@@ -36,6 +37,8 @@
 	readonly slots: number;
 	/** Run time relative to the usual. */
 	readonly slowness: number;
+	/** Whether it fails everything that it runs, in a tenth of the time. */
+	readonly isFailing?: boolean;
 };
 
 /** What is played. */
@@ -90,6 +93,8 @@
 const longestReturnShare = 1 / 3;
 /** Spread of run times: uniform from half to one and a half of the mean. */
 const leastRunFactor = 0.5;
+const failingFactor = 0.1;
+const failedPayload = 'failed';
 
 /**
  * Plays callers against the real decisions of entry nodes and gates: queueing, refusing, placing and
@@ -197,7 +202,7 @@
 		entry: Entry,
 		each: LoadClass,
 		{firstAt, endpoint}: {readonly firstAt: number; readonly endpoint: Endpoint},
-		onAnswer: (answer: Answer<string>, load: Gate<string>['load']) => void,
+		onAnswer: (answer: Answer<string>, load: WorkerLoad) => void,
 	): void {
 		const host = this.#hosts.find((one) => one.endpoint === endpoint)!;
 		const isRemote = endpoint.dataCentre !== entry.dataCentre;
@@ -217,7 +222,7 @@
 		};
 		this.#clock.after(hopMs, () => {
 			host.waiters.set(id, (answer) => {
-				const {load} = host.gate;
+				const load = host.gate.loadAt(this.#clock.now);
 				this.#clock.after(hopMs, () => {
 					onAnswer(answer, load);
 				});
@@ -246,15 +251,17 @@
 
 		host.running += 1;
 		const each = this.#plan.classes.find(({name}) => name === call.group)!;
-		const factor = leastRunFactor + this.#random.fraction();
-		this.#clock.after(each.runMs * factor * host.worker.slowness, () => {
+		const {isFailing = false, slowness} = host.worker;
+		const factor = (leastRunFactor + this.#random.fraction()) * (isFailing ? failingFactor : 1);
+		this.#clock.after(each.runMs * factor * slowness, () => {
 			host.running -= 1;
 			const next = host.queued.shift();
 			if (next) {
 				this.#dispatch(host, next);
 			}
 
-			const result = {type: 'answered', payload: '', bytes: 0} as const;
+			const payload = isFailing ? failedPayload : '';
+			const result = {type: 'answered', payload, bytes: 0, isFailure: isFailing} as const;
 			this.#perform(host, host.gate.finish(call.id, result, this.#clock.now));
 		});
 	}
@@ -262,12 +269,17 @@
 	#onAnswer(
 		entry: Entry,
 		each: LoadClass,
-		{outcome, retryAfterMs}: Answer<string>,
+		{outcome, retryAfterMs, payload}: Answer<string>,
 		{firstAt, retriesLeft}: {readonly firstAt: number; readonly retriesLeft: number},
 	): void {
 		const {now} = this.#clock;
 		const tookMs = now - firstAt;
 		const result = this.#resultOf(each);
+		if (payload === failedPayload) {
+			result.unserved += 1;
+			return;
+		}
+
 		if (outcome.type === 'ran' && tookMs <= each.deadlineMs) {
 			result.inTarget += tookMs <= each.targetMs ? 1 : 0;
 			result.late += tookMs <= each.targetMs ? 0 : 1;
@@ -299,7 +311,7 @@
 	#pulse(): void {
 		for (const {chooser} of this.#entries) {
 			for (const {endpoint, gate} of this.#hosts) {
-				chooser.onLoad(endpoint, gate.load, this.#clock.now);
+				chooser.onLoad(endpoint, gate.loadAt(this.#clock.now), this.#clock.now);
 			}
 		}
 
--- a/packages/redwingmill-core/src/__tests__/unit/expected-completion.test.ts
+++ b/packages/redwingmill-core/src/__tests__/unit/expected-completion.test.ts
@@ -3,7 +3,7 @@
 import {EndpointChooser, type Endpoint} from '../../index.js';
 
 const none: ReadonlySet<string> = new Set();
-const idle = {callsPerSlot: 0, waitMs: 0, runMs: 60};
+const idle = {callsPerSlot: 0, waitMs: 0, runMs: 60, failureShare: 0};
 
 function endpointIn(dataCentre: string): Endpoint {
 	const node = `node in ${dataCentre}`;
--- a/packages/redwingmill-core/src/__tests__/unit/gate.test.ts
+++ b/packages/redwingmill-core/src/__tests__/unit/gate.test.ts
@@ -49,7 +49,7 @@
 		const gate = gateWith(2);
 		const all = ['a', 'b', 'c'].flatMap((id) => gate.arrive(callWith(id), 0));
 		expect(dispatched(all)).to.deep.equal(['a', 'b']);
-		const next = gate.finish('a', {type: 'answered', payload: '', bytes: 0}, 10);
+		const next = gate.finish('a', {type: 'answered', payload: '', bytes: 0, isFailure: false}, 10);
 		expect(dispatched(next)).to.deep.equal(['c']);
 	});
 
@@ -61,7 +61,9 @@
 		let running = 'first';
 		for (let index = 0; index < 40 && running !== 'bulk'; index++) {
 			gate.arrive(callWith(`urgent ${index}`, {rank: 0}), 0);
-			[running] = dispatched(gate.finish(running, {type: 'answered', payload: '', bytes: 0}, 0));
+			[running] = dispatched(
+				gate.finish(running, {type: 'answered', payload: '', bytes: 0, isFailure: false}, 0),
+			);
 			order.push(running);
 		}
 
@@ -82,7 +84,7 @@
 	it('refuses at once what can no longer be run in time', () => {
 		const gate = gateWith(1);
 		gate.arrive(callWith('slow'), 0);
-		gate.finish('slow', {type: 'answered', payload: '', bytes: 0}, 1000);
+		gate.finish('slow', {type: 'answered', payload: '', bytes: 0, isFailure: false}, 1000);
 		gate.arrive(callWith('running'), 1000);
 		const effects = gate.arrive(callWith('late', {deadlineAt: 1010}), 1000);
 		expect(answers(effects)).to.deep.equal(['not-run deadline-too-close']);
@@ -94,7 +96,7 @@
 		expect(dispatched(gate.arrive(callWith('a', {ticket}), 0))).to.deep.equal(['a']);
 		expect(gate.arrive(callWith('b', {ticket}), 0)).to.deep.equal([]);
 		const key = gate.keyOf({id: 'a', ticket});
-		gate.finish(key, {type: 'answered', payload: 'result', bytes: 6}, 5);
+		gate.finish(key, {type: 'answered', payload: 'result', bytes: 6, isFailure: false}, 5);
 		expect(answers(gate.arrive(callWith('c', {ticket}), 10))).to.deep.equal(['ran']);
 	});
 
@@ -102,7 +104,11 @@
 		const gate = gateWith(1, {ticketRetentionMs: 100});
 		const ticket = gate.issueTicket();
 		gate.arrive(callWith('a', {ticket}), 0);
-		gate.finish(gate.keyOf({id: 'a', ticket}), {type: 'answered', payload: '', bytes: 0}, 1);
+		gate.finish(
+			gate.keyOf({id: 'a', ticket}),
+			{type: 'answered', payload: '', bytes: 0, isFailure: false},
+			1,
+		);
 		gate.tick(1000);
 		const effects = gate.arrive(callWith('b', {ticket}), 1001);
 		expect(answers(effects)).to.deep.equal(['unknown evicted']);
@@ -131,7 +137,7 @@
 	it('does not claim that it never saw what it may have forgotten', () => {
 		const gate = gateWith(1, {retentionMs: 100});
 		gate.arrive(callWith('a'), 0);
-		gate.finish('a', {type: 'answered', payload: '', bytes: 0}, 1);
+		gate.finish('a', {type: 'answered', payload: '', bytes: 0, isFailure: false}, 1);
 		gate.tick(1000);
 		expect(gate.withdraw({id: 'a'}, 1000, 1000).type).to.equal('forgotten');
 	});
@@ -143,7 +149,11 @@
 		gate.arrive(callWith('other'), 2);
 		const held = gate.arrive(callWith('poison 2', {fingerprint: () => 'poison'}), 2);
 		expect(dispatched(held)).to.deep.equal([]);
-		const alone = gate.finish('other', {type: 'answered', payload: '', bytes: 0}, 3);
+		const alone = gate.finish(
+			'other',
+			{type: 'answered', payload: '', bytes: 0, isFailure: false},
+			3,
+		);
 		expect(dispatched(alone)).to.deep.equal(['poison 2']);
 		gate.finish('poison 2', {type: 'died'}, 4);
 		const again = gate.arrive(callWith('poison 3', {fingerprint: () => 'poison'}), 5);
@@ -155,7 +165,7 @@
 	it('blames the worker for a request that ran well before', () => {
 		const gate = gateWith(3);
 		gate.arrive(callWith('good', {fingerprint: () => 'usual'}), 0);
-		gate.finish('good', {type: 'answered', payload: '', bytes: 0}, 1);
+		gate.finish('good', {type: 'answered', payload: '', bytes: 0, isFailure: false}, 1);
 		gate.arrive(callWith('bad', {fingerprint: () => 'usual'}), 2);
 		const effects = gate.finish('bad', {type: 'died'}, 3);
 		expect(effects.some((effect) => effect.type === 'suspect')).to.equal(false);
@@ -181,7 +191,7 @@
 		gate.arrive(callWith('never'), 0);
 		expect(spread(gate.finish('never', {type: 'died'}, 1))).to.deep.equal([]);
 		gate.arrive(callWith('good'), 1000);
-		gate.finish('good', {type: 'answered', payload: '', bytes: 0}, 1001);
+		gate.finish('good', {type: 'answered', payload: '', bytes: 0, isFailure: false}, 1001);
 		gate.arrive(callWith('a'), 1002);
 		gate.arrive(callWith('b'), 1002);
 		expect(spread(gate.finish('a', {type: 'died'}, 1003))).to.deep.equal(['a']);
@@ -216,13 +226,13 @@
 			gate.arrive(callWith(id), index);
 		}
 
-		gate.finish('warm', {type: 'answered', payload: '', bytes: 0}, 50);
+		gate.finish('warm', {type: 'answered', payload: '', bytes: 0, isFailure: false}, 50);
 		expect(answers(gate.tick(400))).to.deep.equal([]);
 		expect(answers(gate.tick(600))).to.deep.equal(['not-run worker-stalled']);
 		expect(answers(gate.arrive(callWith('d'), 610))).to.deep.equal([]);
 		gate.finish('a', {type: 'timed-out'}, 700);
 		expect(answers(gate.arrive(callWith('e'), 720))).to.deep.equal(['not-run worker-stalled']);
-		gate.finish('b', {type: 'answered', payload: '', bytes: 0}, 800);
+		gate.finish('b', {type: 'answered', payload: '', bytes: 0, isFailure: false}, 800);
 		expect(answers(gate.arrive(callWith('f'), 810))).to.deep.equal([]);
 	});
 
@@ -233,7 +243,11 @@
 		const worker = {service: 'coding', address: 'worker', slots: 1, state: 'draining'} as const;
 		expect(answers(gate.setWorker(worker, 1))).to.deep.equal(['not-run draining']);
 		expect(answers(gate.arrive(callWith('new'), 2))).to.deep.equal(['not-run draining']);
-		const done = gate.finish('running', {type: 'answered', payload: '', bytes: 0}, 3);
+		const done = gate.finish(
+			'running',
+			{type: 'answered', payload: '', bytes: 0, isFailure: false},
+			3,
+		);
 		expect(answers(done)).to.deep.equal(['ran']);
 		expect(gate.isIdle).to.equal(true);
 	});
@@ -276,7 +290,9 @@
 							apply(
 								gate.finish(
 									first,
-									kind === 'shed' ? {type: 'shed'} : {type: 'answered', payload: '', bytes: 0},
+									kind === 'shed'
+										? {type: 'shed'}
+										: {type: 'answered', payload: '', bytes: 0, isFailure: false},
 									now,
 								),
 							);
--- a/packages/redwingmill-core/src/call/endpoint-chooser.ts
+++ b/packages/redwingmill-core/src/call/endpoint-chooser.ts
@@ -196,13 +196,16 @@
 	): Endpoint | undefined {
 		const meanRunMs = this.#meanRunMs(endpoints);
 		const groupRunMs = this.#groups.expected(group);
+		const leastFailure = this.#leastFailureShare(endpoints);
 		const candidates = endpoints.map((endpoint) => {
 			const state = this.#stateOf(endpoint);
 			const {completion, inFlight} = state;
 			const isLocal = this.#isLocal(endpoint);
 			state.slowness = slownessOf(completion.load, meanRunMs);
 			const runMs = groupRunMs * state.slowness;
-			const inputs = {slots: endpoint.slots, inFlight, isLocal, runMs, now};
+			const excessFailureShare = (completion.load?.failureShare ?? leastFailure) - leastFailure;
+			const {slots} = endpoint;
+			const inputs = {slots, inFlight, isLocal, excessFailureShare, runMs, now};
 			return {endpoint, isLocal, expectedMs: expectedCompletion(completion, inputs)};
 		});
 		const bySoonest = candidates.toSorted((a, b) => a.expectedMs - b.expectedMs);
@@ -223,6 +226,14 @@
 		return dataCentre === this.#options.dataCentre;
 	}
 
+	/** Failures that all workers share have a cause elsewhere and don't tell one from another. */
+	#leastFailureShare(endpoints: readonly Endpoint[]): number {
+		const shares = endpoints.map(
+			(endpoint) => this.#stateOf(endpoint).completion.load?.failureShare ?? 0,
+		);
+		return Math.min(...shares);
+	}
+
 	/** Mean run time of the endpoints whose load is known, for those whose isn't. */
 	#meanRunMs(endpoints: readonly Endpoint[]): number | undefined {
 		const known = endpoints.flatMap((endpoint) => {
--- a/packages/redwingmill-core/src/call/expected-completion.ts
+++ b/packages/redwingmill-core/src/call/expected-completion.ts
@@ -19,6 +19,8 @@
 	readonly inFlight: number;
 	/** Whether the endpoint is in the own data centre. */
 	readonly isLocal: boolean;
+	/** Share of the worker's runs that failed, beyond that of the service's soundest worker. */
+	readonly excessFailureShare: number;
 	/** Expected time that the worker runs the call, in milliseconds. */
 	readonly runMs: number;
 	/** Monotonic milliseconds. */
@@ -43,12 +45,13 @@
  */
 export function expectedCompletion(state: CompletionState, inputs: CompletionInputs): number {
 	const {load, loadAt, sent, failureShare} = state;
-	const {slots, inFlight, isLocal, runMs, now} = inputs;
+	const {slots, inFlight, isLocal, runMs, now, excessFailureShare} = inputs;
 	const workedOffMs = (now - loadAt) * workedOffShare;
 	const queueMs = Math.max(0, (load?.waitMs ?? 0) - workedOffMs);
 	const busyShare = Math.max(inFlight / slots, (load?.callsPerSlot ?? 0) + sent / slots);
 	const addedMs = busyShare > 1 ? (sent * runMs) / slots : 0;
 	const slowedMs = runMs * (1 + fullnessShare * Math.min(1, busyShare));
 	const distanceMs = isLocal ? 0 : remoteCostMs;
-	return queueMs + addedMs + slowedMs + distanceMs + failureShare * failureCostMs;
+	const failureMs = (failureShare + excessFailureShare) * failureCostMs;
+	return queueMs + addedMs + slowedMs + distanceMs + failureMs;
 }
--- a/packages/redwingmill-core/src/call/gate-call.ts
+++ b/packages/redwingmill-core/src/call/gate-call.ts
@@ -25,7 +25,13 @@
 
 /** What became of a call that the worker was given. */
 export type WorkerResult<Payload> =
-	| {readonly type: 'answered'; readonly payload: Payload; readonly bytes: number}
+	| {
+			readonly type: 'answered';
+			readonly payload: Payload;
+			readonly bytes: number;
+			/** Whether the worker says that it failed; such a run says nothing of its speed. */
+			readonly isFailure: boolean;
+	  }
 	/** The worker said that it didn't run the call. */
 	| {readonly type: 'shed'}
 	/** Another worker has taken the address; it didn't run the call. */
--- a/packages/redwingmill-core/src/call/gate.ts
+++ b/packages/redwingmill-core/src/call/gate.ts
@@ -3,6 +3,7 @@
 import {type Answer} from './call-ledger.js';
 import {ConcurrencyLimit} from './concurrency-limit.js';
 import {CrashWatch, type SuspicionReport} from './crash-watch.js';
+import {FailureMeter} from './failure-meter.js';
 import {type GateCall, type GateEffect, type WorkerResult} from './gate-call.js';
 import {type GateLimits} from './gate-limits.js';
 import {GateMemory, type CallName, type Withdrawal} from './gate-memory.js';
@@ -42,6 +43,7 @@
 	readonly #limit = new ConcurrencyLimit(1);
 	readonly #runTimes = new GroupMeans(initialRunMs);
 	readonly #crashes: CrashWatch;
+	readonly #failures = new FailureMeter();
 	readonly #stall = new StallWatch();
 	#worker: Worker | undefined;
 	#isStopping = false;
@@ -63,11 +65,12 @@
 	}
 
 	/** Load for those who choose between workers. */
-	get load(): WorkerLoad {
+	loadAt(now: number): WorkerLoad {
 		return {
 			callsPerSlot: (this.#running.size + this.waitingCount) / (this.#worker?.slots ?? 1),
 			waitMs: this.#expectedWaitMs(Number.POSITIVE_INFINITY, Number.POSITIVE_INFINITY),
 			runMs: this.#runTimes.mean,
+			failureShare: this.#failures.shareAt(now),
 		};
 	}
 
@@ -92,6 +95,7 @@
 		if (isAnother) {
 			this.#limit.reset();
 			this.#runTimes.reset();
+			this.#failures.reset();
 			this.#stall.onProgress(now);
 		}
 
@@ -355,9 +359,13 @@
 		switch (result.type) {
 			case 'answered': {
 				this.#limit.onSuccess();
-				const ranMs = now - startedAt;
-				const {payload, bytes} = result;
-				this.#runTimes.record(call.group, ranMs);
+				const {payload, bytes, isFailure} = result;
+				const ranMs = isFailure ? undefined : now - startedAt;
+				this.#failures.record(isFailure, now);
+				if (ranMs !== undefined) {
+					this.#runTimes.record(call.group, ranMs);
+				}
+
 				return [
 					...toEffects(this.#crashes.onRanWell(call, now)),
 					this.#settle(call, {outcome: {type: 'ran'}, payload, ranMs}, bytes, now),
@@ -386,6 +394,7 @@
 			}
 
 			case 'lost': {
+				this.#failures.record(true, now);
 				return [this.#settleUnknown(call, 'answer-lost', now)];
 			}
 
--- a/packages/redwingmill-core/src/call/worker-load.ts
+++ b/packages/redwingmill-core/src/call/worker-load.ts
@@ -6,4 +6,6 @@
 	readonly waitMs: number;
 	/** Mean time that the worker runs a call, in milliseconds. */
 	readonly runMs: number;
+	/** Moving share of the worker's runs that failed, from 0 to 1. */
+	readonly failureShare: number;
 };
--- a/packages/redwingmill-core/src/index.ts
+++ b/packages/redwingmill-core/src/index.ts
@@ -33,6 +33,7 @@
 export {isNewerVersion, isSameVersion, type Version} from './model/version.js';
 export {CallLedger, type Answer, type CallEntry, type LedgerBounds} from './call/call-ledger.js';
 export {RefusedCalls} from './call/refused-calls.js';
+export {FailureMeter} from './call/failure-meter.js';
 export {GroupMeans} from './call/group-means.js';
 export {RankQueue} from './call/rank-queue.js';
 export {ConcurrencyLimit} from './call/concurrency-limit.js';
--- a/packages/redwingmill-node/src/__tests__/unit/node-headers.test.ts
+++ b/packages/redwingmill-node/src/__tests__/unit/node-headers.test.ts
@@ -52,7 +52,7 @@
 				outcome: {type: 'ran'},
 				ranMs: 12.5,
 				retryAfterMs: undefined,
-				load: {callsPerSlot: 1.5, waitMs: 20, runMs: 60},
+				load: {callsPerSlot: 1.5, waitMs: 20, runMs: 60, failureShare: 0.25},
 			},
 			{
 				outcome: {type: 'not-run', reason: 'queue-too-slow'},
--- a/packages/redwingmill-node/src/call/answer-header.ts
+++ b/packages/redwingmill-node/src/call/answer-header.ts
@@ -14,7 +14,8 @@
 
 /** Text of the header: its fields in a fixed order. */
 export function formatAnswer({outcome, retryAfterMs, ranMs, load}: AnswerHeader): string {
-	const numbers = [retryAfterMs, ranMs, load?.callsPerSlot, load?.waitMs, load?.runMs];
+	const {callsPerSlot, waitMs, runMs, failureShare} = load ?? {};
+	const numbers = [retryAfterMs, ranMs, callsPerSlot, waitMs, runMs, failureShare];
 	return [
 		outcome.type,
 		outcome.type === 'ran' ? '' : outcome.reason,
@@ -27,13 +28,13 @@
 /** The header. A text that says nothing sure says that the call may have run. */
 export function parseAnswer(text: string): AnswerHeader {
 	const [type, reason, ...parts] = text.split(separator);
-	const [retryAfterMs, ranMs, callsPerSlot, waitMs, runMs] = parts.map((part) =>
+	const [retryAfterMs, ranMs, callsPerSlot, waitMs, runMs, failureShare = 0] = parts.map((part) =>
 		part === '' ? undefined : Number(part),
 	);
 	const load: WorkerLoad | undefined =
 		callsPerSlot === undefined || waitMs === undefined || runMs === undefined
 			? undefined
-			: {callsPerSlot, waitMs, runMs};
+			: {callsPerSlot, waitMs, runMs, failureShare};
 	return {outcome: toOutcome(type, reason), retryAfterMs, ranMs, load};
 }
 
--- a/packages/redwingmill-node/src/call/gate-service.ts
+++ b/packages/redwingmill-node/src/call/gate-service.ts
@@ -71,6 +71,9 @@
 
 const evictionIntervalMs = 1000;
 const waitingCheckIntervalMs = 20;
+const firstServerError = 500;
+/** A worker's answer at the deadline of a call. */
+const deadlineStatus = 504;
 
 /** Runs the gate's decisions against the worker. */
 export class GateService {
@@ -94,7 +97,7 @@
 	}
 
 	get load(): WorkerLoad {
-		return this.#gate.load;
+		return this.#gate.loadAt(performance.now());
 	}
 
 	get isIdle(): boolean {
@@ -322,7 +325,12 @@
 				const verdict = this.#options.protocol.judge(payload.status, result.headers, headers);
 				return verdict === 'shed' || verdict === 'misdirected'
 					? {type: verdict}
-					: {type: 'answered', payload, bytes: payload.body.length};
+					: {
+							type: 'answered',
+							payload,
+							bytes: payload.body.length,
+							isFailure: isServerFailure(payload.status),
+						};
 			}
 
 			case 'refused': {
@@ -352,3 +360,8 @@
 		exchange?.abort();
 	}
 }
+
+/** A worker that ends at the deadline isn't at fault; what was late was so before. */
+function isServerFailure(status: number): boolean {
+	return status >= firstServerError && status !== deadlineStatus;
+}
--- a/packages/redwingmill-protocol/src/__tests__/unit/datagram-codec.test.ts
+++ b/packages/redwingmill-protocol/src/__tests__/unit/datagram-codec.test.ts
@@ -29,7 +29,7 @@
 		revision: 3,
 		version: 42,
 		isWatching: true,
-		load: {callsPerSlot: 1.25, waitMs: 30, runMs: 64.5},
+		load: {callsPerSlot: 1.25, waitMs: 30, runMs: 64.5, failureShare: 0.25},
 	},
 	{type: 'inquiry'},
 	{type: 'outdated', incarnation: 1_775_726_659_321_288},
--- a/packages/redwingmill-protocol/src/datagram-codec.ts
+++ b/packages/redwingmill-protocol/src/datagram-codec.ts
@@ -105,18 +105,26 @@
 	callsPerSlot,
 	waitMs,
 	runMs,
+	failureShare,
 }: WorkerLoad): MessageInitShape<typeof wire.LoadSchema> {
 	return {
 		callsPerHundredSlots: Math.round(callsPerSlot * hundred),
 		waitMs: Math.round(waitMs),
 		runTenthsMs: Math.round(runMs * tenthsPerMs),
+		failuresPerHundred: Math.round(failureShare * hundred),
 	};
 }
 
-function decodeLoad({callsPerHundredSlots, waitMs, runTenthsMs}: wire.Load): WorkerLoad {
+function decodeLoad({
+	callsPerHundredSlots,
+	waitMs,
+	runTenthsMs,
+	failuresPerHundred,
+}: wire.Load): WorkerLoad {
 	return {
 		callsPerSlot: callsPerHundredSlots / hundred,
 		waitMs,
 		runMs: runTenthsMs / tenthsPerMs,
+		failureShare: failuresPerHundred / hundred,
 	};
 }
--- a/test/matrix/load.test.ts
+++ b/test/matrix/load.test.ts
@@ -82,6 +82,17 @@
 		expect(creditOf(resultOf(outcome, page))).to.be.above(0.85);
 	});
 
+	it('are kept from a worker that fails at once all that it runs', () => {
+		const workers = dataCentres.map((dataCentre, index) => ({
+			dataCentre,
+			slots: 6,
+			slowness: 1,
+			isFailing: index === 0,
+		}));
+		const outcome = outcomeOf(standardPlan([{...page, perSecond: 40}], {workers}));
+		expect(creditOf(resultOf(outcome, page))).to.be.above(0.9);
+	});
+
 	it('are compared under all policies with the same seeds, and plotted', () => {
 		const plan = standardPlan([{...page, perSecond: 133}], {durationMs: 5000});
 		const results = comparePolicies(plan, comparedPolicies, [1, 2]);
--- a/test/support/fake-call-path.ts
+++ b/test/support/fake-call-path.ts
@@ -324,7 +324,7 @@
 				host,
 				key,
 				host.isWorkerUp
-					? {type: 'answered', payload: `answer to ${name}`, bytes: 20}
+					? {type: 'answered', payload: `answer to ${name}`, bytes: 20, isFailure: false}
 					: {type: 'died'},
 			);
 		});
@@ -565,5 +565,9 @@
 }
 
 function toGateAnswer(answer: Answer<string>): GateAnswer<string> {
-	return {...answer, load: {callsPerSlot: 0, waitMs: 0, runMs: serviceMs}, isRetried: false};
+	return {
+		...answer,
+		load: {callsPerSlot: 0, waitMs: 0, runMs: serviceMs, failureShare: 0},
+		isRetried: false,
+	};
 }
