--- a/packages/redwingmill-core/src/directory/adoption-controller.ts
+++ b/packages/redwingmill-core/src/directory/adoption-controller.ts
@@ -5,11 +5,11 @@
 	type DirectoryController,
 	type DirectoryUpdate,
 } from './directory-controller.js';
-import {isFollowing, tellFollowers} from './member-actions.js';
+import {isWatching, tellNeighbours} from './member-actions.js';
 
 /**
  * Takes each version of the configuration as a whole and only forward. The store's watch brings
- * them to the nodes that follow it; the others, and those whose watch has missed one, have word of a
+ * them to the nodes that watch it; the others, and those whose watch has missed one, have word of a
  * newer version from another node, and ask for it.
  */
 export class AdoptionController implements DirectoryController {
@@ -58,7 +58,7 @@
 	update.set('adoption', {held: document, newer: isStillBehind ? newer : undefined});
 	const {version} = document;
 	update.emit({type: 'notify', notice: {type: 'configuration-adopted', version, previous, origin}});
-	tellFollowers(update, now);
+	tellNeighbours(update, now);
 }
 
 function noteVersion(update: DirectoryUpdate, version: number, holder: string, now: number): void {
@@ -86,7 +86,7 @@
 }
 
 /**
- * Asks a node that holds a newer version for it. One that follows the store itself waits a moment: the
+ * Asks a node that holds a newer version for it. One that watches the store itself waits a moment: the
  * version is most likely on its way.
  */
 function catchUp(update: DirectoryUpdate, {now, limits}: DirectoryContext): void {
@@ -96,14 +96,17 @@
 		return;
 	}
 
-	const firstAt = newer.heardAt + (isFollowing(watch) ? limits.askDelayMs : 0);
+	const firstAt = newer.heardAt + (isWatching(watch) ? limits.askDelayMs : 0);
 	const dueAt = newer.askedAt === undefined ? firstAt : newer.askedAt + limits.askIntervalMs;
-	const record = members.records.get(newer.holder);
-	if (now < dueAt || record === undefined) {
+	if (now < dueAt) {
 		return;
 	}
 
 	update.set('adoption', {newer: {...newer, askedAt: now, isHolderAsked: true}});
-	const {address, gateAddress} = record;
-	update.emit({type: 'ask-configuration', node: address, gateAddress, since: held?.version});
+	// A holder without a record gives way to the next one like one that didn't answer.
+	const record = members.records.get(newer.holder);
+	if (record) {
+		const {address, gateAddress} = record;
+		update.emit({type: 'ask-configuration', node: address, gateAddress, since: held?.version});
+	}
 }
--- a/packages/redwingmill-core/src/directory/directory-board.ts
+++ b/packages/redwingmill-core/src/directory/directory-board.ts
@@ -27,7 +27,7 @@
 	readonly heardAt: number;
 	readonly sentAt: number;
 	readonly inquiredAt: number;
-	/** When the node last said that it follows the store; absent when it never did. */
+	/** When the node last said that it watches the store; absent when it never did. */
 	readonly watchedAt?: number;
 	/** Since when the node counts as unreachable; absent while it doesn't. */
 	readonly lapsedAt?: number;
@@ -63,7 +63,7 @@
 	readonly isKnown: boolean;
 };
 
-/** Whether this node follows the configuration in the store, or leaves that to others. */
+/** Whether this node watches the configuration in the store, or leaves that to others. */
 export type WatchSection = {
 	readonly isOn: boolean;
 	/** Whether the store answered the last call. */
--- a/packages/redwingmill-core/src/directory/directory-event.ts
+++ b/packages/redwingmill-core/src/directory/directory-event.ts
@@ -32,7 +32,7 @@
 	| {readonly type: 'send'; readonly to: string; readonly datagram: Datagram}
 	| {readonly type: 'write-record'; readonly record: NodeRecord}
 	| {readonly type: 'list-registry'}
-	/** Begins or ends following the configuration in the store. */
+	/** Begins or ends watching the configuration in the store. */
 	| {readonly type: 'set-watch'; readonly isOn: boolean}
 	| {
 			readonly type: 'ask-configuration';
--- a/packages/redwingmill-core/src/directory/directory-limits.ts
+++ b/packages/redwingmill-core/src/directory/directory-limits.ts
@@ -22,17 +22,17 @@
 	readonly registryBackoff: Backoff;
 	/** How long a node that starts waits for the registry before it serves without it. */
 	readonly registryPatienceMs: number;
-	/** Time that a node which follows the store waits for a version of which it has word. */
+	/** Time that a node which watches the store waits for a version of which it has word. */
 	readonly askDelayMs: number;
 	/** Shortest time between two requests to other nodes for the configuration. */
 	readonly askIntervalMs: number;
-	/** Nodes up to which each follows the store itself. */
+	/** Nodes up to which each watches the store itself. */
 	readonly watchingNodes: number;
-	/** Nodes of each data centre that follow the store in a larger mesh. */
+	/** Nodes of each data centre that watch the store in a larger mesh. */
 	readonly watchersPerDataCentre: number;
 	/** Interval at which those tell the nodes of their data centre, and each other, that they do. */
 	readonly watcherPulseIntervalMs: number;
-	/** Time without such word after which a node follows the store itself. */
+	/** Time without such word after which a node watches the store itself. */
 	readonly watcherPatienceMs: number;
 	/** Gap between two ticks that shows that this process was paused. */
 	readonly pauseMs: number;
--- a/packages/redwingmill-core/src/directory/member-actions.ts
+++ b/packages/redwingmill-core/src/directory/member-actions.ts
@@ -45,18 +45,25 @@
 	const {self, load} = members;
 	const {incarnation, revision} = self;
 	const version = adoption.held?.version ?? 0;
-	return {type: 'pulse', incarnation, revision, version, load, isWatching: isFollowing(watch)};
+	return {
+		type: 'pulse',
+		incarnation,
+		revision,
+		version,
+		load,
+		isWatching: isWatching(watch),
+	};
 }
 
 /** Whether others may rely on this node for new versions. */
-export function isFollowing({isOn, isInContact}: WatchSection): boolean {
+export function isWatching({isOn, isInContact}: WatchSection): boolean {
 	return isOn && isInContact;
 }
 
-/** Tells those that rely on this node for new versions which one it holds now. */
-export function tellFollowers(update: DirectoryUpdate, now: number): void {
+/** Tells the nodes of the own data centre, which rely on watchers, which version it holds now. */
+export function tellNeighbours(update: DirectoryUpdate, now: number): void {
 	const {members, watch} = update.pending;
-	if (!isFollowing(watch)) {
+	if (!isWatching(watch)) {
 		return;
 	}
 
--- a/packages/redwingmill-core/src/directory/pulse-controller.ts
+++ b/packages/redwingmill-core/src/directory/pulse-controller.ts
@@ -1,5 +1,4 @@
-import {type NodeRecord} from '../model/node-record.js';
-import {type Contact, type MembersSection} from './directory-board.js';
+import {type Contact, type DirectoryBoard} from './directory-board.js';
 import {type DirectoryEvent} from './directory-event.js';
 import {
 	type DirectoryContext,
@@ -7,7 +6,7 @@
 	type DirectoryUpdate,
 } from './directory-controller.js';
 import {type DirectoryLimits} from './directory-limits.js';
-import {announceToAll, isFollowing, pulseOf, setMembers} from './member-actions.js';
+import {announceToAll, isWatching, pulseOf, setMembers} from './member-actions.js';
 import {isSmall} from './watchers.js';
 
 /** Notices nodes that fall silent, and shows the others that this one lives. */
@@ -24,28 +23,31 @@
 	}
 }
 
+/** Intervals of pulses by where the other node is. */
+type PulsePace = {
+	readonly localMs: number;
+	readonly remoteMs: number;
+	/** Whether others rely on this node for new versions, and are told more often that they can. */
+	readonly isWatcher: boolean;
+};
+
 /**
- * Interval of pulses between this node and another. It grows with the number of nodes, so that what a
- * node sends stays the same; those of the own data centre, on whom calls rest, are counted alone.
+ * Intervals grow with the number of nodes, so that what a node sends stays the same. Nodes of the own
+ * data centre, on whom most calls rest, are counted alone.
  */
-export function pulseIntervalMs(
-	{self, records, contacts}: MembersSection,
-	address: string,
-	limits: DirectoryLimits,
-): number {
-	const isLocal = records.get(address)?.dataCentre === self.dataCentre;
-	const nodes = isLocal ? countLocal(self, records) : contacts.size;
-	const scale = Math.max(1, nodes / limits.pulseNodes);
-	return Math.min(limits.longestPulseIntervalMs, limits.pulseIntervalMs * scale);
+function paceOf({members, watch}: DirectoryBoard, limits: DirectoryLimits): PulsePace {
+	const {self, records, contacts} = members;
+	const local = [...records.values()].filter(({dataCentre}) => dataCentre === self.dataCentre);
+	return {
+		localMs: intervalMs(local.length, limits),
+		remoteMs: intervalMs(contacts.size, limits),
+		isWatcher: isWatching(watch) && !isSmall(members, limits),
+	};
 }
 
-function countLocal(self: NodeRecord, records: MembersSection['records']): number {
-	let count = 0;
-	for (const {dataCentre} of records.values()) {
-		count += dataCentre === self.dataCentre ? 1 : 0;
-	}
-
-	return count;
+function intervalMs(nodes: number, limits: DirectoryLimits): number {
+	const scale = Math.max(1, nodes / limits.pulseNodes);
+	return Math.min(limits.longestPulseIntervalMs, limits.pulseIntervalMs * scale);
 }
 
 /** While this process stood still it heard nobody; that says nothing about the others. */
@@ -75,35 +77,24 @@
 }
 
 function checkContacts(update: DirectoryUpdate, {now, limits}: DirectoryContext): void {
-	const {members, watch} = update.pending;
-	const isWatcher = isFollowing(watch) && !isSmall(members, limits);
-	const intervals = new Map<boolean, number>();
+	const {members} = update.pending;
+	const pace = paceOf(update.pending, limits);
 	const datagram = pulseOf(update.pending);
 	const contacts = new Map(members.contacts);
 	const records = new Map(members.records);
 	for (const [address, contact] of members.contacts) {
 		const isLocal = members.records.get(address)?.dataCentre === members.self.dataCentre;
-		const intervalMs = intervals.get(isLocal) ?? pulseIntervalMs(members, address, limits);
-		intervals.set(isLocal, intervalMs);
-		const silentMs = now - contact.heardAt;
-		if (contact.lapsedAt !== undefined && now - contact.lapsedAt > limits.forgetMs) {
+		const usualMs = isLocal ? pace.localMs : pace.remoteMs;
+		if (isForgotten(contact, now, limits)) {
 			contacts.delete(address);
 			records.delete(address);
-			continue;
-		}
-
-		if (contact.lapsedAt === undefined && silentMs > intervalMs * limits.pulsesToLapse) {
+		} else if (isSilent(contact, usualMs, now, limits)) {
 			contacts.set(address, {...contact, lapsedAt: now});
-			update.emit(
-				{type: 'node-silent', node: address},
-				{type: 'notify', notice: {type: 'node-lapsed', peer: address, silentMs}},
-			);
-			continue;
-		}
-
-		const relies = isWatcher && (isLocal || contact.watchedAt !== undefined);
-		const paceMs = relies ? Math.min(intervalMs, limits.watcherPulseIntervalMs) : intervalMs;
-		if (isPulseDue(members, address, contact, {now, paceMs, limits})) {
+			emitSilence(update, address, now - contact.heardAt);
+		} else if (
+			members.records.get(address)?.status !== 'left' &&
+			now - contact.sentAt >= sendingIntervalMs(contact, isLocal, pace, limits)
+		) {
 			contacts.set(address, {...contact, sentAt: now});
 			update.emit({type: 'send', to: address, datagram});
 		}
@@ -113,17 +104,37 @@
 	setMembers(update, {...members, contacts, records: isForgetting ? records : members.records});
 }
 
-function isPulseDue(
-	{records}: MembersSection,
-	address: string,
-	{lapsedAt, sentAt}: Contact,
-	pace: {readonly now: number; readonly paceMs: number; readonly limits: DirectoryLimits},
+function isForgotten({lapsedAt}: Contact, now: number, {forgetMs}: DirectoryLimits): boolean {
+	return lapsedAt !== undefined && now - lapsedAt > forgetMs;
+}
+
+function isSilent(
+	{lapsedAt, heardAt}: Contact,
+	usualMs: number,
+	now: number,
+	{pulsesToLapse}: DirectoryLimits,
 ): boolean {
-	const {now, paceMs, limits} = pace;
-	if (records.get(address)?.status === 'left') {
-		return false;
+	return lapsedAt === undefined && now - heardAt > usualMs * pulsesToLapse;
+}
+
+function emitSilence(update: DirectoryUpdate, address: string, silentMs: number): void {
+	update.emit(
+		{type: 'node-silent', node: address},
+		{type: 'notify', notice: {type: 'node-lapsed', peer: address, silentMs}},
+	);
+}
+
+function sendingIntervalMs(
+	{lapsedAt, watchedAt}: Contact,
+	isLocal: boolean,
+	{localMs, remoteMs, isWatcher}: PulsePace,
+	{lapsedPulseIntervalMs, watcherPulseIntervalMs}: DirectoryLimits,
+): number {
+	if (lapsedAt !== undefined) {
+		return lapsedPulseIntervalMs;
 	}
 
-	const dueMs = lapsedAt === undefined ? paceMs : limits.lapsedPulseIntervalMs;
-	return now - sentAt >= dueMs;
+	const usualMs = isLocal ? localMs : remoteMs;
+	const isReliedOn = isWatcher && (isLocal || watchedAt !== undefined);
+	return isReliedOn ? Math.min(usualMs, watcherPulseIntervalMs) : usualMs;
 }
--- a/packages/redwingmill-core/src/directory/watch-controller.ts
+++ b/packages/redwingmill-core/src/directory/watch-controller.ts
@@ -7,9 +7,9 @@
 import {isSmall, rankWatchers} from './watchers.js';
 
 /**
- * Decides which nodes follow the configuration in the store. The store hands out each version whole,
- * so in a large mesh a few nodes of each data centre follow it and the others take changes from them.
- * A node that hears of none which is in contact with the store follows it itself.
+ * Decides which nodes watch the configuration in the store. The store hands out each version whole,
+ * so in a large mesh a few nodes of each data centre watch it and the others take changes from them.
+ * A node that hears of none which is in contact with the store watches it itself.
  */
 export class WatchController implements DirectoryController {
 	handle(update: DirectoryUpdate, event: DirectoryEvent, context: DirectoryContext): void {
--- a/packages/redwingmill-core/src/directory/watchers.ts
+++ b/packages/redwingmill-core/src/directory/watchers.ts
@@ -2,13 +2,13 @@
 import {type MembersSection} from './directory-board.js';
 import {type DirectoryLimits} from './directory-limits.js';
 
-/** Whether every node follows the store, as there are few. */
+/** Whether every node watches the store, as there are few. */
 export function isSmall({contacts}: MembersSection, {watchingNodes}: DirectoryLimits): boolean {
 	return contacts.size < watchingNodes;
 }
 
 /**
- * Addresses of the own data centre's nodes in the order in which they are to follow the store, the own
+ * Addresses of the own data centre's nodes in the order in which they are to watch the store, the own
  * included: those with the widest links first, as each version comes whole. All nodes that know the
  * same ones compute the same order.
  */
--- a/packages/redwingmill-node/src/control/configuration-watch.ts
+++ b/packages/redwingmill-node/src/control/configuration-watch.ts
@@ -15,7 +15,7 @@
 const spacingMs = 150;
 const retryBackoff: Backoff = {baseMs: 100, ceilingMs: 800};
 
-/** Follows the configuration in the store for as long as it runs. */
+/** Watches the configuration in the store for as long as it runs. */
 export class ConfigurationWatch {
 	readonly #source: ConfigurationSource;
 	readonly #handlers: ConfigurationHandlers;
@@ -30,7 +30,7 @@
 		this.#random = random;
 	}
 
-	/** Starts following. The returned teardown ends it for good. */
+	/** Starts watching. The returned teardown ends it for good. */
 	start(): Teardown {
 		void this.#run();
 		return () => {
--- a/packages/redwingmill-node/src/control/store-control.ts
+++ b/packages/redwingmill-node/src/control/store-control.ts
@@ -62,7 +62,7 @@
 	#suspectHandler: SuspectHandler | undefined;
 	#loadHandler: LoadHandler | undefined;
 	#silenceHandler: SilenceHandler | undefined;
-	/** Ends the watch of the store; absent while other nodes follow it for this one. */
+	/** Ends the watch of the store; absent while other nodes watch it for this one. */
 	#stopWatch: Teardown | undefined;
 	#timer: NodeJS.Timeout | undefined;
 	#isStopped = false;
--- a/packages/redwingmill-node/src/settings/settings.ts
+++ b/packages/redwingmill-node/src/settings/settings.ts
@@ -58,7 +58,7 @@
 	readonly control: {
 		readonly distributionIntervalMs: number;
 		readonly sendsWholeTables: boolean;
-		/** Capacity of the host's link; nodes with wider links follow the store for others. */
+		/** Capacity of the host's link; nodes with wider links watch the store for others. */
 		readonly linkMbps?: number;
 	};
 	readonly drainTimeoutMs: number;
--- a/test/matrix/directory.test.ts
+++ b/test/matrix/directory.test.ts
@@ -139,7 +139,7 @@
 			.map(({address}) => address);
 	}
 
-	it('is followed by the two nodes of each data centre with the widest links', () => {
+	it('is watched by the two nodes of each data centre with the widest links', () => {
 		expect(watching(startedLargeMesh())).to.deep.equal(watchers);
 	});
 
@@ -152,7 +152,7 @@
 		expect(mesh.configurationReads - before).to.equal(watchers.length);
 	});
 
-	it('is in force in time when all who follow the store die as it changes', () => {
+	it('is in force in time when all who watch the store die as it changes', () => {
 		const mesh = startedLargeMesh();
 		for (const address of watchers) {
 			mesh.kill(address);
@@ -165,7 +165,7 @@
 		}
 	});
 
-	it('comes from the other data centres where those who follow the store hear nothing', () => {
+	it('comes from the other data centres where those who watch the store hear nothing', () => {
 		const mesh = startedLargeMesh();
 		mesh.reach = {...wholeReach, hasWatch: (address) => !address.startsWith('a')};
 		mesh.write(documentOf(8));
@@ -173,7 +173,7 @@
 		expect(heldBy(mesh)).to.deep.equal(many.map(() => 8));
 	});
 
-	it('is followed by others where those who did lose the store', () => {
+	it('is watched by others where those who did lose the store', () => {
 		const mesh = startedLargeMesh();
 		const isCut = (address: string) => watchers.includes(address);
 		mesh.reach = {...wholeReach, hasStore: (address) => !isCut(address)};
