--- a/packages/redwingmill-soak/src/soak.ts
+++ b/packages/redwingmill-soak/src/soak.ts
@@ -26,7 +26,7 @@
 	/** Ends of calls by status, or `broken`. */
 	readonly ends: Readonly<Record<string, number>>;
 	readonly faults: number;
-	/** Folder with the processes' logs and the plan. */
+	/** Folder with the processes' logs and the plan; it stays until somebody removes it. */
 	readonly folder: string;
 };
 
@@ -74,10 +74,22 @@
 		const {seed, hosts, faultsMs} = this.#options;
 		const faults = planFaults(seed, {hosts, durationMs: faultsMs});
 		writeFileSync(join(this.#folder, 'faults.json'), JSON.stringify(faults, undefined, '\t'));
-		await this.#open();
 		const checks = setInterval(() => {
 			this.#watch.checkOpen(performance.now(), (host) => this.#hosts[host].disturbedUntil);
 		}, checkIntervalMs);
+		try {
+			await this.#open();
+			await this.#play(faults);
+		} finally {
+			clearInterval(checks);
+			await this.#close();
+		}
+
+		const {breaches, ends} = this.#watch;
+		return {breaches, ends: Object.fromEntries(ends), faults: faults.length, folder: this.#folder};
+	}
+
+	async #play(faults: readonly PlannedFault[]): Promise<void> {
 		await this.#recover('at the start');
 		const calls = this.#callers.map(async (caller) => caller.run());
 		await Promise.all(faults.map(async (fault) => this.#inject(fault)));
@@ -88,10 +100,6 @@
 		}
 
 		await Promise.all(calls);
-		clearInterval(checks);
-		await this.#close();
-		const {breaches, ends} = this.#watch;
-		return {breaches, ends: Object.fromEntries(ends), faults: faults.length, folder: this.#folder};
 	}
 
 	async #open(): Promise<void> {
