A node that hears of a version and can't get it from others reads the store itself

Cause: found on reading the diff. A node whose own messages don't arrive goes on hearing the watchers, so it never watched the store, though it reaches it, and kept an old version. Meshes of up to 16 nodes, where all watch, behave as before.

--- a/packages/redwingmill-core/src/directory/adoption-controller.ts
+++ b/packages/redwingmill-core/src/directory/adoption-controller.ts
@@ -55,7 +55,8 @@
 	}
 
 	const isStillBehind = newer !== undefined && newer.version > document.version;
-	update.set('adoption', {held: document, newer: isStillBehind ? newer : undefined});
+	const stillNewer = isStillBehind ? {...newer, behindSince: now} : undefined;
+	update.set('adoption', {held: document, newer: stillNewer});
 	const {version} = document;
 	update.emit({type: 'notify', notice: {type: 'configuration-adopted', version, previous, origin}});
 	tellNeighbours(update, now);
@@ -68,7 +69,7 @@
 	}
 
 	if (newer === undefined || version > newer.version) {
-		const since = newer ?? {heardAt: now};
+		const since = newer ?? {heardAt: now, behindSince: now};
 		update.set('adoption', {newer: {...since, version, holder, isHolderAsked: false}});
 	} else if (
 		version === newer.version &&
--- a/packages/redwingmill-core/src/directory/directory-board.ts
+++ b/packages/redwingmill-core/src/directory/directory-board.ts
@@ -9,6 +9,8 @@
 	/** Control address of the node that holds it. */
 	readonly holder: string;
 	readonly heardAt: number;
+	/** Since when no newer version has come, though there is word of this one. */
+	readonly behindSince: number;
 	/** When a node that holds it was last asked. */
 	readonly askedAt?: number;
 	/** Whether the holder was asked, so that the next one that tells of the version takes its place. */
--- a/packages/redwingmill-core/src/directory/watch-controller.ts
+++ b/packages/redwingmill-core/src/directory/watch-controller.ts
@@ -9,7 +9,8 @@
 /**
  * Decides which nodes watch the configuration in the store. The store hands out each version whole,
  * so in a large mesh a few nodes of each data centre watch it and the others take changes from them.
- * A node that hears of none which is in contact with the store watches it itself.
+ * A node that hears of none which is in contact with the store, or doesn't get what they tell of,
+ * watches it itself.
  */
 export class WatchController implements DirectoryController {
 	handle(update: DirectoryUpdate, event: DirectoryEvent, context: DirectoryContext): void {
@@ -38,6 +39,12 @@
 		return true;
 	}
 
+	// Others tell of a version and don't give it: perhaps nothing that this node sends arrives.
+	const {newer} = adoption;
+	if (newer && now - newer.behindSince > limits.watcherPatienceMs) {
+		return true;
+	}
+
 	const ranked = rankWatchers(members);
 	const ownRank = ranked.indexOf(members.self.address);
 	if (ownRank < limits.watchersPerDataCentre) {
--- a/test/matrix/directory.test.ts
+++ b/test/matrix/directory.test.ts
@@ -173,6 +173,15 @@
 		expect(heldBy(mesh)).to.deep.equal(many.map(() => 8));
 	});
 
+	it('is read from the store by a node that hears of it and can ask nobody', () => {
+		const mesh = startedLargeMesh();
+		const isMute = (from: string, to: string) => from === 'a/0' && to !== 'a/0';
+		mesh.reach = {...wholeReach, isLinked: (from, to) => !isMute(from, to)};
+		mesh.write(documentOf(8));
+		mesh.run(boundMs);
+		expect(mesh.nodes.get('a/0')!.versions).to.deep.equal([1, 8]);
+	});
+
 	it('is watched by others where those who did lose the store', () => {
 		const mesh = startedLargeMesh();
 		const isCut = (address: string) => watchers.includes(address);
