--- a/packages/redwingmill-soak/src/soak-caller.ts
+++ b/packages/redwingmill-soak/src/soak-caller.ts
@@ -52,7 +52,9 @@
 	async run(): Promise<void> {
 		const {random, choose} = this.#options;
 		while (!this.#isStopped) {
-			await this.callOnce(choose());
+			const isLeaving = random.fraction() < leavingShare;
+			const stayMs = isLeaving ? random.below(longestStayMs) : undefined;
+			await this.callOnce(choose(), stayMs);
 			await delay(random.below(longestPauseMs));
 		}
 
@@ -69,8 +71,12 @@
 		this.#agent.destroy();
 	}
 
-	/** Makes one call. Returns how it ended. */
-	async callOnce(target: CallTarget): Promise<CallEnd> {
+	/**
+	 * Makes one call. Returns how it ended.
+	 *
+	 * @param stayMs - time after which the caller leaves; long enough for any answer when absent.
+	 */
+	async callOnce(target: CallTarget, stayMs?: number): Promise<CallEnd> {
 		const {nextId, onSent, onEnd, random} = this.#options;
 		const {path, mayRepeat, limitMs} = target.route;
 		const id = nextId();
@@ -82,9 +88,7 @@
 			limitMs,
 		};
 		onSent(plan, target);
-		const leavesAfterMs =
-			random.fraction() < leavingShare ? random.below(longestStayMs) : limitMs + patienceMs;
-		const end = await this.#exchange(plan, leavesAfterMs);
+		const end = await this.#exchange(plan, stayMs ?? limitMs + patienceMs);
 		onEnd(id, end);
 		return end;
 	}
