--- a/packages/redwingmill-soak/src/node-process.ts
+++ b/packages/redwingmill-soak/src/node-process.ts
@@ -1,6 +1,6 @@
 import {spawn, type ChildProcess} from 'node:child_process';
 import {once} from 'node:events';
-import {closeSync, openSync} from 'node:fs';
+import {closeSync, openSync, readFileSync} from 'node:fs';
 import process from 'node:process';
 
 /** How a node's program is started. */
@@ -13,15 +13,13 @@
 	readonly onUnasked: (detail: string) => void;
 };
 
-/** Before this age the runtime runs no code of the program, and a signal's default would end it. */
-const youngestReloadMs = 300;
+const hexadecimal = 16;
 
 /** A node's process through all its lives. Only processes started here are signalled. */
 export class NodeProcess {
 	readonly #plan: ProcessPlan;
 	#child: ChildProcess | undefined;
 	#life = 0;
-	#startedAt = 0;
 
 	constructor(plan: ProcessPlan) {
 		this.#plan = plan;
@@ -43,7 +41,6 @@
 		}
 
 		this.#life += 1;
-		this.#startedAt = performance.now();
 		const {program, environment, logFile, onUnasked} = this.#plan;
 		const log = openSync(logFile, 'a');
 		const child = spawn(process.execPath, [program], {
@@ -68,9 +65,10 @@
 		this.#child?.kill('SIGCONT');
 	}
 
+	/** Signals that the settings changed, unless the runtime has yet to run code that takes it. */
 	reload(): void {
-		if (performance.now() - this.#startedAt >= youngestReloadMs) {
-			this.#child?.kill('SIGHUP');
+		if (this.#child?.pid !== undefined && handlesHangUp(this.#child.pid)) {
+			this.#child.kill('SIGHUP');
 		}
 	}
 
@@ -97,3 +95,16 @@
 		}
 	}
 }
+
+/** A process that has no handler yet is ended by the signal, whatever its program does later. */
+function handlesHangUp(pid: number): boolean {
+	try {
+		const status = readFileSync(`/proc/${pid}/status`, 'utf8');
+		// The mask of handled signals in hexadecimal; this signal is its lowest bit.
+		const lastDigit = /^SigCgt:.*(?<digit>[\da-f])$/mv.exec(status)?.groups?.digit;
+		return Number.parseInt(lastDigit ?? '0', hexadecimal) % 2 === 1;
+	} catch {
+		// The process is gone, or the system shows no such mask.
+		return false;
+	}
+}
