A split keeps its weights when new ones come before a node has had many calls

In the logs a split of 75 to 25 holds for 3 s and then, while a version comes every 0.28 s, all but 10 of some 350 calls go to the heavier part. Each new split began anew at a random point that always gave the first turns to the heavier part; a node had about two calls before the next version. Ruled out: overflow to another part (no refusals), nodes with old versions (all in force within 10 ms). Change: a node begins after a random number of steps of the round. Before: 400 nodes with two calls each, 92 % for a weight of 75 %, test red; after: within 70 and 80 %.

--- a/packages/redwingmill-node/src/__tests__/unit/split-chooser.test.ts
+++ b/packages/redwingmill-node/src/__tests__/unit/split-chooser.test.ts
@@ -43,6 +43,16 @@
 		expect(share).to.be.within(0.4, 0.6);
 	});
 
+	it('keeps to unequal weights over many nodes that take few calls each', () => {
+		const route = routeWith([75, 25]);
+		const choices = Array.from({length: 400}, (_, seed) => {
+			const chooser = new SplitChooser(new Random(seed));
+			return [chooser.choose(route), chooser.choose(route)];
+		}).flat();
+		const share = choices.filter((service) => service === 'service 0').length / choices.length;
+		expect(share).to.be.within(0.7, 0.8);
+	});
+
 	it('never chooses a destination without weight', () => {
 		const counts = sharesOf(new SplitChooser(new Random(2)), routeWith([1, 0]));
 		expect(counts.get('service 0')).to.equal(calls);
--- a/packages/redwingmill-node/src/call/split-chooser.ts
+++ b/packages/redwingmill-node/src/call/split-chooser.ts
@@ -1,6 +1,9 @@
 import {type Random} from 'redwingmill-shared';
 import {type Destination, type Route} from 'redwingmill-text';
 
+/** Steps of a round that a node may begin after; rounds of weights in per cent are no longer. */
+const longestPhase = 100;
+
 /** How far each destination of one route is behind its share. */
 type Credits = {
 	readonly split: readonly Destination[];
@@ -40,18 +43,13 @@
 			return service;
 		}
 
-		const credits = this.#creditsOf(route, split);
-		const total = split.reduce((sum, {weight}) => sum + weight, 0);
-		for (const [index, {weight}] of split.entries()) {
-			credits[index] += weight;
-		}
-
-		const best = credits.indexOf(Math.max(...credits));
-		credits[best] -= total;
-		return split[best].service;
+		return split[advance(this.#creditsOf(route, split), split)].service;
 	}
 
-	/** Nodes begin at different points, so that together they keep to the weights from the start. */
+	/**
+	 * Nodes begin at different points of the round, so that together they keep to the weights from the
+	 * start, also when new weights come before a node has had many calls.
+	 */
 	#creditsOf(route: Route, split: readonly Destination[]): number[] {
 		const key = keyOf(route);
 		const known = this.#routes.get(key);
@@ -59,12 +57,28 @@
 			return known.credits;
 		}
 
-		const credits = split.map(({weight}) => weight * this.#random.fraction());
+		const credits = split.map(() => 0);
+		for (let step = this.#random.below(longestPhase); step > 0; step--) {
+			advance(credits, split);
+		}
+
 		this.#routes.set(key, {split, credits});
 		return credits;
 	}
 }
 
+/** Takes one step of the round. Returns the index of the destination whose turn it is. */
+function advance(credits: number[], split: readonly Destination[]): number {
+	const total = split.reduce((sum, {weight}) => sum + weight, 0);
+	for (const [index, {weight}] of split.entries()) {
+		credits[index] += weight;
+	}
+
+	const best = credits.indexOf(Math.max(...credits));
+	credits[best] -= total;
+	return best;
+}
+
 function isSameSplit(a: readonly Destination[], b: readonly Destination[]): boolean {
 	return (
 		a.length === b.length &&
