Crash counts: log what becomes of each crash and each report

The log now tells which crashes were attributed to a request and at which count (501), which were not and why (506), which reports arrived and what the count then stood at (507), and which reports the limit dropped (508). With these the hypotheses of the incident can be told apart: a gate without a 507 line lacks the report (1), a count that stays behind the 501 lines was counted short (2), a 503 line between them erased it (3).

The fan-out of reports moves from the store's control plane into a controller of the directory, so that a simulated mesh exercises it.

--- a/packages/redwingmill-core/src/call/crash-tracker.ts
+++ b/packages/redwingmill-core/src/call/crash-tracker.ts
@@ -16,6 +16,30 @@
 	readonly isCleared: boolean;
 };
 
+/** What became of a crash or of a report on one; for the log. */
+export type CrashNotice =
+	/** The worker crashed on this request; `crashes` is the count known here. */
+	| {readonly type: 'crash-attributed'; readonly fingerprint: string; readonly crashes: number}
+	| {
+			readonly type: 'crash-not-attributed';
+			readonly fingerprint: string;
+			readonly reason: 'recently-succeeded' | 'unproven-worker';
+	  }
+	| {
+			readonly type: 'report-received';
+			readonly fingerprint: string;
+			readonly node: string;
+			readonly crashes: number;
+	  }
+	/** The limit on reports kept this one from the other nodes. */
+	| {readonly type: 'report-dropped'; readonly fingerprint: string; readonly isCleared: boolean};
+
+/** Action that the tracker requests from the gate's transport. */
+export type CrashEffect =
+	/** Reports to the other nodes that a request crashed a worker or, if suspected, succeeded. */
+	| ({readonly type: 'suspect'} & CrashReport)
+	| {readonly type: 'crash-notice'; readonly notice: CrashNotice};
+
 /** Limits a gate's crash reports: a faulty worker would otherwise flood the mesh with them. */
 const reportBurst = 10;
 const reportsPerSecond = 1;
@@ -52,39 +76,46 @@
 		return this.#suspectedRequests.remainingMs(call.fingerprint(), now);
 	}
 
-	/** Records that the worker ran the call; returns a report if that clears its request. */
-	onSuccess(call: FingerprintedCall, now: number): CrashReport | undefined {
+	/** Records that the worker ran the call, which clears its request of suspicion. */
+	onSuccess(call: FingerprintedCall, now: number): CrashEffect[] {
 		this.#hasSucceeded = true;
 		const fingerprint = call.fingerprint();
 		const wasSuspected = this.#suspectedRequests.clear(fingerprint, now);
-		return wasSuspected ? this.#report(fingerprint, true, now) : undefined;
+		return wasSuspected ? [this.#report(fingerprint, true, now)] : [];
 	}
 
-	/** Records that the worker crashed on the call; returns a report if the request is now suspected. */
-	onCrash(call: FingerprintedCall, now: number): CrashReport | undefined {
+	/** Records that the worker crashed on the call. */
+	onCrash(call: FingerprintedCall, now: number): CrashEffect[] {
+		const fingerprint = call.fingerprint();
 		if (!this.#isAttributable(now)) {
-			return undefined;
+			return [notAttributed(fingerprint, 'unproven-worker')];
 		}
 
-		const fingerprint = call.fingerprint();
 		const nodes = [...call.crashedNodes, this.#node];
-		const isSuspected = this.#suspectedRequests.recordCrash(fingerprint, nodes, now);
-		return isSuspected ? this.#report(fingerprint, false, now) : undefined;
+		if (!this.#suspectedRequests.recordCrash(fingerprint, nodes, now)) {
+			return [notAttributed(fingerprint, 'recently-succeeded')];
+		}
+
+		const crashes = this.#suspectedRequests.crashesOf(fingerprint, now);
+		return [
+			{type: 'crash-notice', notice: {type: 'crash-attributed', fingerprint, crashes}},
+			this.#report(fingerprint, false, now),
+		];
 	}
 
-	/** Applies another node's report; returns one that clears a request that recently succeeded here. */
-	onReport(
-		{fingerprint, isCleared}: CrashReport,
-		node: string,
-		now: number,
-	): CrashReport | undefined {
+	/** Applies another node's report; contradicts it if the request recently succeeded here. */
+	onReport({fingerprint, isCleared}: CrashReport, node: string, now: number): CrashEffect[] {
 		if (isCleared) {
 			this.#suspectedRequests.clear(fingerprint, now);
-			return undefined;
+			return [];
 		}
 
-		const isSuspected = this.#suspectedRequests.recordCrash(fingerprint, [node], now);
-		return isSuspected ? undefined : this.#report(fingerprint, true, now);
+		if (!this.#suspectedRequests.recordCrash(fingerprint, [node], now)) {
+			return [this.#report(fingerprint, true, now)];
+		}
+
+		const crashes = this.#suspectedRequests.crashesOf(fingerprint, now);
+		return [{type: 'crash-notice', notice: {type: 'report-received', fingerprint, node, crashes}}];
 	}
 
 	/**
@@ -102,7 +133,16 @@
 		return now - this.#crashedAt <= sameCrashMs;
 	}
 
-	#report(fingerprint: string, isCleared: boolean, now: number): CrashReport | undefined {
-		return this.#reports.take(now) ? {fingerprint, isCleared} : undefined;
+	#report(fingerprint: string, isCleared: boolean, now: number): CrashEffect {
+		return this.#reports.take(now)
+			? {type: 'suspect', fingerprint, isCleared}
+			: {type: 'crash-notice', notice: {type: 'report-dropped', fingerprint, isCleared}};
 	}
 }
+
+function notAttributed(
+	fingerprint: string,
+	reason: Extract<CrashNotice, {type: 'crash-not-attributed'}>['reason'],
+): CrashEffect {
+	return {type: 'crash-notice', notice: {type: 'crash-not-attributed', fingerprint, reason}};
+}
--- a/packages/redwingmill-core/src/call/gate-call.ts
+++ b/packages/redwingmill-core/src/call/gate-call.ts
@@ -1,5 +1,5 @@
 import {type Answer} from './call-ledger.js';
-import {type CrashReport} from './crash-tracker.js';
+import {type CrashEffect} from './crash-tracker.js';
 
 /** A call at the gate of its worker's node. */
 export type GateCall = {
@@ -58,7 +58,6 @@
 	  }
 	/** Ends the exchange with the worker because nobody waits for its answer any more. */
 	| {readonly type: 'abort'; readonly key: string}
-	/** Reports to the other nodes that a request crashed a worker or, if suspected, succeeded. */
-	| ({readonly type: 'suspect'} & CrashReport)
+	| CrashEffect
 	/** The worker can't be reached or isn't the announced one; it counts as absent from now on. */
 	| {readonly type: 'worker-gone'};
--- a/packages/redwingmill-core/src/call/gate.ts
+++ b/packages/redwingmill-core/src/call/gate.ts
@@ -3,7 +3,7 @@
 import {CallDeduplicator, type CallIdentity, type Withdrawal} from './call-deduplicator.js';
 import {type Answer} from './call-ledger.js';
 import {ConcurrencyLimit} from './concurrency-limit.js';
-import {CrashTracker, type CrashReport} from './crash-tracker.js';
+import {CrashTracker} from './crash-tracker.js';
 import {FailureMeter} from './failure-meter.js';
 import {type GateCall, type GateEffect, type WorkerResult} from './gate-call.js';
 import {type GateLimits} from './gate-limits.js';
@@ -209,7 +209,7 @@
 		isCleared: boolean,
 		now: number,
 	): Array<GateEffect<Payload>> {
-		return toEffects(this.#crashes.onReport({fingerprint, isCleared}, node, now));
+		return this.#crashes.onReport({fingerprint, isCleared}, node, now);
 	}
 
 	/** Refuses calls that have waited too long or whose worker has stalled, and evicts old outcomes. */
@@ -391,7 +391,7 @@
 				}
 
 				return [
-					...toEffects(this.#crashes.onSuccess(call, now)),
+					...this.#crashes.onSuccess(call, now),
 					this.#settle(call, {outcome: {type: 'ran'}, payload, ranMs}, bytes, now),
 				];
 			}
@@ -411,7 +411,7 @@
 
 			case 'died': {
 				return [
-					...toEffects(this.#crashes.onCrash(call, now)),
+					...this.#crashes.onCrash(call, now),
 					this.#settleUnknown(call, 'worker-died', now),
 					{type: 'worker-gone'},
 				];
@@ -476,7 +476,3 @@
 		return this.#removeWaiting(() => true).map((call) => this.#refuse(call, 'draining', now));
 	}
 }
-
-function toEffects(report: CrashReport | undefined) {
-	return report ? [{type: 'suspect', ...report} as const] : [];
-}
--- a/packages/redwingmill-core/src/call/suspected-requests.ts
+++ b/packages/redwingmill-core/src/call/suspected-requests.ts
@@ -84,6 +84,11 @@
 		return count > 0 ? 'suspect' : 'none';
 	}
 
+	/** Returns the number of crashes that count against the request. */
+	crashesOf(fingerprint: string, now: number): number {
+		return this.#current(fingerprint, now)?.nodes.size ?? 0;
+	}
+
 	/** Returns the milliseconds until the request is no longer suspected. */
 	remainingMs(fingerprint: string, now: number): number {
 		return Math.max(0, (this.#requests.get(fingerprint)?.until ?? now) - now);
--- a/packages/redwingmill-core/src/directory/create-directory.ts
+++ b/packages/redwingmill-core/src/directory/create-directory.ts
@@ -1,5 +1,6 @@
 import {Engine, type EngineOptions} from '../engine/engine.js';
 import {AdoptionController} from './adoption-controller.js';
+import {CrashReportController} from './crash-report-controller.js';
 import {type DirectoryEffect, type DirectoryEvent} from './directory-event.js';
 import {type DirectoryLimits} from './directory-limits.js';
 import {type DirectoryState} from './directory-state.js';
@@ -22,6 +23,7 @@
 	watch: 4,
 	registry: 5,
 	endpoints: 6,
+	crashReport: 7,
 } as const;
 
 /** Creates an engine with all controllers of the directory. */
@@ -37,5 +39,6 @@
 	directory.registerController(new WatchController(), priorities.watch);
 	directory.registerController(new ServingStateController(), priorities.servingState);
 	directory.registerController(new EndpointsController(), priorities.endpoints);
+	directory.registerController(new CrashReportController(), priorities.crashReport);
 	return directory;
 }
--- a/packages/redwingmill-core/src/directory/directory-event.ts
+++ b/packages/redwingmill-core/src/directory/directory-event.ts
@@ -21,6 +21,8 @@
 			readonly document: ConfigurationDocument;
 			readonly origin: 'store' | 'node';
 	  }
+	/** The local gate suspects this request of crashing workers, or clears it. */
+	| {readonly type: 'crash-reported'; readonly fingerprint: string; readonly isCleared: boolean}
 	/** The watch reached the store, or lost it. */
 	| {readonly type: 'store-contact'; readonly isStoreReachable: boolean}
 	| {readonly type: 'stop-requested'}
--- a/packages/redwingmill-core/src/directory/peers-controller.ts
+++ b/packages/redwingmill-core/src/directory/peers-controller.ts
@@ -86,8 +86,7 @@
 		}
 
 		case 'suspicion': {
-			const {fingerprint, isCleared} = datagram;
-			update.emit({type: 'suspect', fingerprint, isCleared, node: from});
+			// The crash report controller handles it.
 			break;
 		}
 	}
--- a/packages/redwingmill-core/src/index.ts
+++ b/packages/redwingmill-core/src/index.ts
@@ -53,6 +53,7 @@
 export {type WorkerLoad} from './call/worker-load.js';
 export {RetryBudget, type RetryAllowance} from './call/retry-budget.js';
 export {matchRoute} from './call/route-matcher.js';
+export {type CrashNotice} from './call/crash-tracker.js';
 export {SuspectedRequests, type SuspicionLevel} from './call/suspected-requests.js';
 export {formatTicket, parseTicket, type Ticket} from './call/ticket.js';
 export {WorkerLease, type AnnouncementOrder, type Renewal} from './call/worker-lease.js';
--- a/packages/redwingmill-node/src/call/gate-service.ts
+++ b/packages/redwingmill-node/src/call/gate-service.ts
@@ -2,6 +2,7 @@
 import {
 	Gate,
 	type Answer,
+	type CrashNotice,
 	type GateCall,
 	type GateEffect,
 	type GateLimits,
@@ -38,6 +39,8 @@
 	readonly protocol: WorkerProtocol;
 	/** Called when a request is suspected of crashing the worker, or cleared of the suspicion. */
 	readonly onCrashReport: (fingerprint: string, isCleared: boolean) => void;
+	/** Called with what became of a crash or of a report on one. */
+	readonly onCrashNotice?: (notice: CrashNotice) => void;
 	/** Called when the worker crashed, is unreachable, or another worker answers at its address. */
 	readonly onWorkerGone: () => void;
 	/** Called for each call once it has been answered. */
@@ -235,6 +238,11 @@
 					break;
 				}
 
+				case 'crash-notice': {
+					this.#options.onCrashNotice?.(effect.notice);
+					break;
+				}
+
 				case 'worker-gone': {
 					this.#options.onWorkerGone();
 					break;
--- a/packages/redwingmill-node/src/control/store-control-plane.ts
+++ b/packages/redwingmill-node/src/control/store-control-plane.ts
@@ -173,11 +173,8 @@
 		this.#dispatch({type: 'node-heard', address: node});
 	}
 
-	/** Notifies all nodes at once: such requests are rare, and each can crash several workers. */
 	sendCrashReport(fingerprint: string, isCleared: boolean): void {
-		for (const to of this.#state.members.peers.keys()) {
-			this.#socket.send(to, {type: 'suspicion', fingerprint, isCleared});
-		}
+		this.#dispatch({type: 'crash-reported', fingerprint, isCleared});
 	}
 
 	status(): unknown {
--- a/packages/redwingmill-node/src/daemon.ts
+++ b/packages/redwingmill-node/src/daemon.ts
@@ -18,6 +18,7 @@
 import {type ControlPlane} from './control/control-plane.js';
 import {RelayControlPlane} from './control/relay-control-plane.js';
 import {CallLog} from './observe/call-log.js';
+import {logCrashNotice} from './observe/crash-log.js';
 import {Log} from './observe/log.js';
 import {logEvents} from './observe/log-event.js';
 import {Metrics, type GaugeValues} from './observe/metrics.js';
@@ -101,10 +102,15 @@
 			answerLimitBytes: calls.answerLimitBytes,
 			node: self.address,
 			onCrashReport: (fingerprint, isCleared) => {
-				const event = isCleared ? logEvents.requestCleared : logEvents.requestSuspected;
-				this.#log.write(event, {fingerprint});
+				if (isCleared) {
+					this.#log.write(logEvents.requestCleared, {fingerprint});
+				}
+
 				this.#control.sendCrashReport(fingerprint, isCleared);
 			},
+			onCrashNotice: (notice) => {
+				logCrashNotice(log, notice);
+			},
 			onWorkerGone: () => {
 				this.#log.write(logEvents.workerUnreachable);
 				this.#updateWorker(this.#lease.revoke());
--- a/packages/redwingmill-node/src/observe/log-event.ts
+++ b/packages/redwingmill-node/src/observe/log-event.ts
@@ -40,6 +40,17 @@
 		level: 'warn',
 		message: 'worker crashed while running this request',
 	},
+	crashNotAttributed: {
+		number: 506,
+		level: 'info',
+		message: 'worker crash not attributed to this request',
+	},
+	crashReportReceived: {
+		number: 507,
+		level: 'info',
+		message: 'another node reports a crash on this request',
+	},
+	crashReportDropped: {number: 508, level: 'warn', message: 'crash report dropped by its limit'},
 	requestCleared: {
 		number: 503,
 		level: 'info',
--- a/test/support/fake-call-path.ts
+++ b/test/support/fake-call-path.ts
@@ -279,6 +279,7 @@
 					break;
 				}
 
+				case 'crash-notice':
 				case 'worker-gone': {
 					break;
 				}
