Reproduce: a request that crashes workers is sent on after its third crash

A soak on virtual time plays sound and crashing requests against production gates, entry calls and directories while cuts, losses, kills, restarts and faulty workers overlap. It counts the runs that begin at hosts in touch later than 3 s after the third crash; more than three are a violation.

--- a/packages/redwingmill-node/src/daemon.ts
+++ b/packages/redwingmill-node/src/daemon.ts
@@ -108,7 +108,7 @@
 
 				this.#control.sendCrashReport(fingerprint, isCleared);
 			},
-			onCrashNotice: (notice) => {
+			onCrashNotice(notice) {
 				logCrashNotice(log, notice);
 			},
 			onWorkerGone: () => {
--- /dev/null
+++ b/test/matrix/crashing-requests.test.ts
@@ -0,0 +1,59 @@
+import {expect} from 'chai';
+import {CrashSoak, type CrashSoakOutcome, type CrashSoakPlan} from '../support/crash-soak.js';
+
+/** Runs that a request may begin once it has crashed three workers and the report has spread. */
+const maximumLateRuns = 3;
+const threeWorkers = {dataCentres: 3, hostsPerDataCentre: 1, crashingRequests: 3} as const;
+const manyWorkers = {dataCentres: 4, hostsPerDataCentre: 6, crashingRequests: 4} as const;
+
+type Size = Omit<CrashSoakPlan, 'seed' | 'hasFaults'>;
+
+function outcomesOf(
+	size: Size,
+	seeds: readonly number[],
+	{hasFaults}: {hasFaults: boolean},
+): ReadonlyMap<number, CrashSoakOutcome> {
+	return new Map(seeds.map((seed) => [seed, new CrashSoak({...size, seed, hasFaults}).run()]));
+}
+
+/** Describes the requests that were sent on too often. */
+function sentOnTooOften(outcomes: ReadonlyMap<number, CrashSoakOutcome>): string[] {
+	return [...outcomes].flatMap(([seed, {lateRuns, crashes}]) =>
+		lateRuns.flatMap((count, index) =>
+			count > maximumLateRuns
+				? [`seed ${seed}: ${count} late runs, ${crashes[index]} workers ended`]
+				: [],
+		),
+	);
+}
+
+function falselyQuarantined(outcomes: ReadonlyMap<number, CrashSoakOutcome>): string[] {
+	return [...outcomes].flatMap(([seed, outcome]) =>
+		outcome.falselyQuarantined.map((fingerprint) => `seed ${seed}: ${fingerprint}`),
+	);
+}
+
+describe('a request that crashes workers', () => {
+	it('is not sent on after its third crash', () => {
+		const small = outcomesOf(threeWorkers, [1, 2, 3], {hasFaults: false});
+		const large = outcomesOf(manyWorkers, [1, 2, 3], {hasFaults: false});
+		expect(sentOnTooOften(small)).to.deep.equal([]);
+		expect(sentOnTooOften(large)).to.deep.equal([]);
+	});
+
+	it('is not sent on after its third crash in a service of three workers under faults', () => {
+		const outcomes = outcomesOf(threeWorkers, [1, 9, 11, 24, 32, 40], {hasFaults: true});
+		expect(sentOnTooOften(outcomes)).to.deep.equal([]);
+	});
+
+	it('is not sent on after its third crash in a service of many workers under faults', () => {
+		const outcomes = outcomesOf(manyWorkers, [1, 14, 24], {hasFaults: true});
+		expect(sentOnTooOften(outcomes)).to.deep.equal([]);
+	});
+
+	it('gets no sound request refused that ran beside it', () => {
+		const calm = outcomesOf(manyWorkers, [5], {hasFaults: false});
+		const faulty = outcomesOf(manyWorkers, [10, 20], {hasFaults: true});
+		expect([...falselyQuarantined(calm), ...falselyQuarantined(faulty)]).to.deep.equal([]);
+	});
+});
--- a/test/support/fake-directory-mesh.ts
+++ b/test/support/fake-directory-mesh.ts
@@ -22,6 +22,9 @@
 	isPaused: boolean;
 };
 
+/** Crash report as the directory passes it to its node. */
+export type ReceivedCrashReport = Extract<DirectoryEffect, {type: 'suspect'}>;
+
 const hopLatencyMs = 1;
 const storeLatencyMs = 4;
 const tickMs = 100;
@@ -64,6 +67,8 @@
 	readonly clock = new VirtualClock();
 	readonly nodes = new Map<string, DirectoryNode>();
 	lossShare = 0;
+	/** Receives the crash reports that reach a node. */
+	onCrashReport: (node: DirectoryNode, report: ReceivedCrashReport) => void = () => undefined;
 	/** Number of attempts to write to or list the registry in the store. */
 	storeCalls = 0;
 	/** Number of attempts to read the configuration from the store. */
@@ -240,9 +245,13 @@
 				break;
 			}
 
+			case 'suspect': {
+				this.onCrashReport(node, effect);
+				break;
+			}
+
 			case 'load-heard':
 			case 'node-silent':
-			case 'suspect':
 			case 'notify': {
 				break;
 			}
