Count every crash on a request, not the nodes at which workers crashed

What callers saw: a request under which three workers had ended was sent on, and each run ended another worker.

Cause: crashes were kept as a set of nodes, and a request is refused from three nodes on. In a service of three workers, of which one is cut off, gone or not blamed, the same two crash again and again and the count stays at two. Reports carried no count, so a report that was lost was lost for good.

Now each gate counts the crashes that it sees, and a report carries the counts of all gates that its sender knows of. Merging keeps the larger count of each gate, so order and repetition don't matter, and a later report makes up for a lost one. What an entry node knows of a gate isn't added to the gate's own count. Nodes of earlier versions report no counts; theirs stand for one crash.

--- a/packages/redwingmill-bench/src/simulation/load-simulation.ts
+++ b/packages/redwingmill-bench/src/simulation/load-simulation.ts
@@ -142,7 +142,7 @@
 		const node = `node ${index}`;
 		const {dataCentre, slots} = worker;
 		const {isLimiting} = this.#plan;
-		const gate = new Gate<string>({...defaultGateLimits, isLimiting}, node, 0);
+		const gate = new Gate<string>({...defaultGateLimits, isLimiting}, {node, incarnation: 1}, 0);
 		gate.setWorker({service, address: node, slots, state: 'ready'}, 0);
 		const endpoint = {node, gateAddress: node, dataCentre, incarnation: 1, service, slots};
 		return {worker, endpoint, gate, waiters: new Map(), running: 0, queued: []};
--- a/packages/redwingmill-core/src/__tests__/unit/failure-meter.test.ts
+++ b/packages/redwingmill-core/src/__tests__/unit/failure-meter.test.ts
@@ -30,7 +30,7 @@
 	}
 
 	function gateWith(instance: string): Gate<string> {
-		const gate = new Gate<string>(defaultGateLimits, 'node', 0);
+		const gate = new Gate<string>(defaultGateLimits, {node: 'node', incarnation: 1}, 0);
 		setWorker(gate, instance);
 		return gate;
 	}
--- a/packages/redwingmill-core/src/__tests__/unit/gate.test.ts
+++ b/packages/redwingmill-core/src/__tests__/unit/gate.test.ts
@@ -3,6 +3,7 @@
 import {
 	defaultGateLimits,
 	Gate,
+	type CrashReport,
 	type GateCall,
 	type GateEffect,
 	type GateLimits,
@@ -11,7 +12,11 @@
 const seed = 5;
 
 function gateWith(slots: number, limits: Partial<GateLimits> = {}): Gate<string> {
-	const gate = new Gate<string>({...defaultGateLimits, ...limits}, 'own', 0);
+	const gate = new Gate<string>(
+		{...defaultGateLimits, ...limits},
+		{node: 'own', incarnation: 1},
+		0,
+	);
 	gate.setWorker({service: 'coding', address: 'worker', slots, state: 'ready'}, 0);
 	return gate;
 }
@@ -29,6 +34,10 @@
 	};
 }
 
+function crashReport(fingerprint: string, node: string, count = 1): CrashReport {
+	return {isCleared: false, fingerprint, crashes: [{node, incarnation: 1, count}]};
+}
+
 function dispatched(effects: ReadonlyArray<GateEffect<string>>): string[] {
 	return effects.flatMap((effect) => (effect.type === 'dispatch' ? [effect.call.id] : []));
 }
@@ -144,8 +153,8 @@
 
 	it('quarantines a request that crashed two workers and runs suspected requests alone', () => {
 		const gate = gateWith(3);
-		gate.onCrashReport('poison', 'another', false, 0);
-		gate.onCrashReport('innocent', 'another', false, 0);
+		gate.onCrashReport(crashReport('poison', 'another'), 'another', 0);
+		gate.onCrashReport(crashReport('innocent', 'another'), 'another', 0);
 		gate.submit(callWith('other'), 2);
 		const held = gate.submit(callWith('poison 2', {fingerprint: () => 'poison'}), 2);
 		expect(dispatched(held)).to.deep.equal([]);
@@ -169,8 +178,10 @@
 		gate.submit(callWith('bad', {fingerprint: () => 'usual'}), 2);
 		const effects = gate.finish('bad', {type: 'died'}, 3);
 		expect(effects.some((effect) => effect.type === 'suspect')).to.equal(false);
-		const contradiction = gate.onCrashReport('usual', 'another', false, 4);
-		expect(contradiction).to.deep.equal([{type: 'suspect', fingerprint: 'usual', isCleared: true}]);
+		const contradiction = gate.onCrashReport(crashReport('usual', 'another'), 'another', 4);
+		expect(contradiction).to.deep.equal([
+			{type: 'suspect', report: {isCleared: true, fingerprint: 'usual'}},
+		]);
 		const next = gate.submit(callWith('next', {fingerprint: () => 'usual'}), 5);
 		expect(dispatched(next)).to.deep.equal(['next']);
 	});
@@ -187,7 +198,7 @@
 	it('reports no crash of a worker that has run nothing successfully since its last crash', () => {
 		const gate = gateWith(2);
 		const reportedBy = (effects: ReadonlyArray<GateEffect<string>>) =>
-			effects.flatMap((effect) => (effect.type === 'suspect' ? [effect.fingerprint] : []));
+			effects.flatMap((effect) => (effect.type === 'suspect' ? [effect.report.fingerprint] : []));
 		gate.submit(callWith('never'), 0);
 		expect(reportedBy(gate.finish('never', {type: 'died'}, 1))).to.deep.equal([]);
 		gate.submit(callWith('good'), 1000);
@@ -200,13 +211,34 @@
 		expect(reportedBy(gate.finish('c', {type: 'died'}, 5001))).to.deep.equal([]);
 	});
 
+	it('counts each crash of the same worker on a request, on this node and on others', () => {
+		const gate = gateWith(1, {deathsToQuarantine: 3, isolatesSuspects: false});
+		const runs = (id: string, result: 'sound' | 'crash', now: number) => {
+			const effects = gate.submit(callWith(id, {fingerprint: () => result}), now);
+			const answered = {type: 'answered', payload: '', bytes: 0, isFailure: false} as const;
+			gate.finish(id, result === 'sound' ? answered : {type: 'died'}, now);
+			return answers(effects);
+		};
+
+		for (const index of [1, 2, 3]) {
+			expect(runs(`sound ${index}`, 'sound', index * 1000)).to.deep.equal([]);
+			expect(runs(`crash ${index}`, 'crash', index * 1000 + 500)).to.deep.equal([]);
+		}
+
+		expect(runs('crash 4', 'crash', 9000)).to.deep.equal(['not-run quarantined']);
+		const other = gateWith(1, {deathsToQuarantine: 3});
+		other.onCrashReport(crashReport('crash', 'own', 3), 'own', 9000);
+		const refused = other.submit(callWith('crash 5', {fingerprint: () => 'crash'}), 9001);
+		expect(answers(refused)).to.deep.equal(['not-run quarantined']);
+	});
+
 	it('admits a quarantined request again after it was cleared', () => {
 		const gate = gateWith(1);
-		gate.onCrashReport('same', 'first', false, 0);
-		gate.onCrashReport('same', 'second', false, 0);
+		gate.onCrashReport(crashReport('same', 'first'), 'first', 0);
+		gate.onCrashReport(crashReport('same', 'second'), 'second', 0);
 		const refused = gate.submit(callWith('one', {fingerprint: () => 'same'}), 1);
 		expect(answers(refused)).to.deep.equal(['not-run quarantined']);
-		gate.onCrashReport('same', 'third', true, 2);
+		gate.onCrashReport({isCleared: true, fingerprint: 'same'}, 'third', 2);
 		const effects = gate.submit(callWith('two', {fingerprint: () => 'same'}), 3);
 		expect(dispatched(effects)).to.deep.equal(['two']);
 	});
--- a/packages/redwingmill-core/src/call/crash-tracker.ts
+++ b/packages/redwingmill-core/src/call/crash-tracker.ts
@@ -1,4 +1,11 @@
 import {TokenBucket} from 'redwingmill-shared';
+import {
+	crashesAtNodes,
+	mergeCrashes,
+	totalCrashes,
+	type CrashCounts,
+	type GateCrashes,
+} from './crash-counts.js';
 import {type SuspectedRequests, type SuspicionLevel} from './suspected-requests.js';
 
 /** Properties of a call by which crashes are attributed. */
@@ -9,12 +16,15 @@
 	readonly fingerprint: () => string;
 };
 
-/** Report to the other nodes on a request that crashed a worker or was suspected of it. */
-export type CrashReport = {
-	readonly fingerprint: string;
-	/** Whether the request succeeded, so that it is no longer suspected. */
-	readonly isCleared: boolean;
-};
+/** Report to the other nodes on a request that crashed workers or was suspected of it. */
+export type CrashReport =
+	/** The request succeeded, so it is no longer suspected. */
+	| {readonly isCleared: true; readonly fingerprint: string}
+	/** All crashes on the request that the reporting node knows of. */
+	| {readonly isCleared: false; readonly fingerprint: string; readonly crashes: CrashCounts};
+
+/** Identifies one life of a gate. */
+export type GateIdentity = Pick<GateCrashes, 'node' | 'incarnation'>;
 
 /** What became of a crash or of a report on one; for the log. */
 export type CrashNotice =
@@ -37,7 +47,7 @@
 /** Action that the tracker requests from the gate's transport. */
 export type CrashEffect =
 	/** Reports to the other nodes that a request crashed a worker or, if suspected, succeeded. */
-	| ({readonly type: 'suspect'} & CrashReport)
+	| {readonly type: 'suspect'; readonly report: CrashReport}
 	| {readonly type: 'crash-notice'; readonly notice: CrashNotice};
 
 /** Limits a gate's crash reports: a faulty worker would otherwise flood the mesh with them. */
@@ -50,15 +60,14 @@
 export class CrashTracker {
 	readonly #suspectedRequests: SuspectedRequests;
 	readonly #reports: TokenBucket;
-	readonly #node: string;
+	readonly #identity: GateIdentity;
 	/** Whether the worker has run a call successfully since its last crash. */
 	#hasSucceeded = false;
 	#crashedAt = Number.NEGATIVE_INFINITY;
 
-	/** @param node - control address of the gate's node. */
-	constructor(suspectedRequests: SuspectedRequests, node: string, now: number) {
+	constructor(suspectedRequests: SuspectedRequests, identity: GateIdentity, now: number) {
 		this.#suspectedRequests = suspectedRequests;
-		this.#node = node;
+		this.#identity = identity;
 		this.#reports = new TokenBucket(reportBurst, reportsPerSecond, now);
 	}
 
@@ -68,7 +77,8 @@
 			return 'none';
 		}
 
-		return this.#suspectedRequests.suspicionOf(call.fingerprint(), call.crashedNodes, now);
+		const crashes = crashesAtNodes(call.crashedNodes);
+		return this.#suspectedRequests.suspicionOf(call.fingerprint(), crashes, now);
 	}
 
 	/** Returns the milliseconds until a quarantined request is admitted again. */
@@ -81,7 +91,7 @@
 		this.#hasSucceeded = true;
 		const fingerprint = call.fingerprint();
 		const wasSuspected = this.#suspectedRequests.clear(fingerprint, now);
-		return wasSuspected ? [this.#report(fingerprint, true, now)] : [];
+		return wasSuspected ? [this.#report({isCleared: true, fingerprint}, now)] : [];
 	}
 
 	/** Records that the worker crashed on the call. */
@@ -91,33 +101,49 @@
 			return [notAttributed(fingerprint, 'unproven-worker')];
 		}
 
-		const nodes = [...call.crashedNodes, this.#node];
-		if (!this.#suspectedRequests.recordCrash(fingerprint, nodes, now)) {
+		const crashes = mergeCrashes(crashesAtNodes(call.crashedNodes), [
+			{...this.#identity, count: this.#ownCrashes(fingerprint, now) + 1},
+		]);
+		if (!this.#suspectedRequests.recordCrashes(fingerprint, crashes, now)) {
 			return [notAttributed(fingerprint, 'recently-succeeded')];
 		}
 
-		const crashes = this.#suspectedRequests.crashesOf(fingerprint, now);
+		const known = this.#suspectedRequests.crashesOf(fingerprint, now);
+		const notice = {type: 'crash-attributed', fingerprint, crashes: totalCrashes(known)} as const;
 		return [
-			{type: 'crash-notice', notice: {type: 'crash-attributed', fingerprint, crashes}},
-			this.#report(fingerprint, false, now),
+			{type: 'crash-notice', notice},
+			this.#report({isCleared: false, fingerprint, crashes: known}, now),
 		];
 	}
 
 	/** Applies another node's report; contradicts it if the request recently succeeded here. */
-	onReport({fingerprint, isCleared}: CrashReport, node: string, now: number): CrashEffect[] {
-		if (isCleared) {
+	onReport(report: CrashReport, node: string, now: number): CrashEffect[] {
+		const {fingerprint} = report;
+		if (report.isCleared) {
 			this.#suspectedRequests.clear(fingerprint, now);
 			return [];
 		}
 
-		if (!this.#suspectedRequests.recordCrash(fingerprint, [node], now)) {
-			return [this.#report(fingerprint, true, now)];
+		// Nodes of earlier versions report only that a worker crashed.
+		const reported = report.crashes.length > 0 ? report.crashes : crashesAtNodes([node]);
+		if (!this.#suspectedRequests.recordCrashes(fingerprint, reported, now)) {
+			return [this.#report({isCleared: true, fingerprint}, now)];
 		}
 
-		const crashes = this.#suspectedRequests.crashesOf(fingerprint, now);
+		const crashes = totalCrashes(this.#suspectedRequests.crashesOf(fingerprint, now));
 		return [{type: 'crash-notice', notice: {type: 'report-received', fingerprint, node, crashes}}];
 	}
 
+	/** Returns the number of crashes on the request that this gate has counted. */
+	#ownCrashes(fingerprint: string, now: number): number {
+		const {node, incarnation} = this.#identity;
+		return (
+			this.#suspectedRequests
+				.crashesOf(fingerprint, now)
+				.find((each) => each.node === node && each.incarnation === incarnation)?.count ?? 0
+		);
+	}
+
 	/**
 	 * Whether a crash can be attributed to a request: not when the worker has run nothing successfully
 	 * since its last crash, for then it may be at fault itself. A crash is attributed to all calls that
@@ -133,9 +159,10 @@
 		return now - this.#crashedAt <= sameCrashMs;
 	}
 
-	#report(fingerprint: string, isCleared: boolean, now: number): CrashEffect {
+	#report(report: CrashReport, now: number): CrashEffect {
+		const {fingerprint, isCleared} = report;
 		return this.#reports.take(now)
-			? {type: 'suspect', fingerprint, isCleared}
+			? {type: 'suspect', report}
 			: {type: 'crash-notice', notice: {type: 'report-dropped', fingerprint, isCleared}};
 	}
 }
--- a/packages/redwingmill-core/src/call/gate-limits.ts
+++ b/packages/redwingmill-core/src/call/gate-limits.ts
@@ -12,7 +12,7 @@
 	readonly retainedEntries: number;
 	/** Time for which a crash or a success of a request is taken into account. */
 	readonly quarantineMs: number;
-	/** Number of different nodes whose workers must crash on a request before it is refused. */
+	/** Number of workers that must crash on a request before it is refused. */
 	readonly deathsToQuarantine: number;
 	/** Whether a suspected request runs only while the worker runs nothing else. */
 	readonly isolatesSuspects: boolean;
--- a/packages/redwingmill-core/src/call/gate.ts
+++ b/packages/redwingmill-core/src/call/gate.ts
@@ -3,7 +3,7 @@
 import {CallDeduplicator, type CallIdentity, type Withdrawal} from './call-deduplicator.js';
 import {type Answer} from './call-ledger.js';
 import {ConcurrencyLimit} from './concurrency-limit.js';
-import {CrashTracker} from './crash-tracker.js';
+import {CrashTracker, type CrashReport, type GateIdentity} from './crash-tracker.js';
 import {FailureMeter} from './failure-meter.js';
 import {type GateCall, type GateEffect, type WorkerResult} from './gate-call.js';
 import {type GateLimits} from './gate-limits.js';
@@ -54,13 +54,12 @@
 	#heldCall: GateCall | undefined;
 	#runningSuspectedCount = 0;
 
-	/** @param node - control address of the gate's node. */
-	constructor(limits: GateLimits, node: string, now: number) {
+	constructor(limits: GateLimits, identity: GateIdentity, now: number) {
 		this.#limits = limits;
 		const {quarantineMs, deathsToQuarantine} = limits;
 		this.#crashes = new CrashTracker(
 			new SuspectedRequests(quarantineMs, deathsToQuarantine),
-			node,
+			identity,
 			now,
 		);
 		this.#deduplicator = new CallDeduplicator(limits);
@@ -203,13 +202,8 @@
 	 * Applies another node's report on a request. Contradicts a crash report if the request has recently
 	 * succeeded here.
 	 */
-	onCrashReport(
-		fingerprint: string,
-		node: string,
-		isCleared: boolean,
-		now: number,
-	): Array<GateEffect<Payload>> {
-		return this.#crashes.onReport({fingerprint, isCleared}, node, now);
+	onCrashReport(report: CrashReport, node: string, now: number): Array<GateEffect<Payload>> {
+		return this.#crashes.onReport(report, node, now);
 	}
 
 	/** Refuses calls that have waited too long or whose worker has stalled, and evicts old outcomes. */
--- a/packages/redwingmill-core/src/call/suspected-requests.ts
+++ b/packages/redwingmill-core/src/call/suspected-requests.ts
@@ -1,9 +1,10 @@
+import {mergeCrashes, totalCrashes, type CrashCounts} from './crash-counts.js';
+
 /** How strongly a request is suspected of crashing workers; 'quarantined' ones are refused. */
 export type SuspicionLevel = 'none' | 'suspect' | 'quarantined';
 
 type SuspectedRequest = {
-	/** Nodes whose workers crashed while running the request. */
-	readonly nodes: ReadonlySet<string>;
+	readonly crashes: CrashCounts;
 	readonly until: number;
 };
 
@@ -11,40 +12,40 @@
 const maximumSuccesses = 1000;
 
 /**
- * Tracks requests suspected of crashing workers, by fingerprint. A request is quarantined once it
- * has crashed workers on enough different nodes. One that has recently succeeded isn't suspected: it
- * is the worker that is faulty then.
+ * Tracks requests suspected of crashing workers, by fingerprint. A request is quarantined once enough
+ * workers have crashed on it. One that has recently succeeded isn't suspected: it is the worker that is
+ * faulty then.
  */
 export class SuspectedRequests {
 	readonly #durationMs: number;
-	readonly #nodesToQuarantine: number;
+	readonly #crashesToQuarantine: number;
 	readonly #requests = new Map<string, SuspectedRequest>();
 	/** Time of the last successful run by fingerprint, oldest first. */
 	readonly #successes = new Map<string, number>();
 
 	/**
 	 * @param durationMs - time for which a crash or a success of a request is taken into account.
-	 * @param nodesToQuarantine - number of different nodes whose workers must crash on a request.
+	 * @param crashesToQuarantine - number of workers that must crash on a request.
 	 */
-	constructor(durationMs: number, nodesToQuarantine: number) {
+	constructor(durationMs: number, crashesToQuarantine: number) {
 		this.#durationMs = durationMs;
-		this.#nodesToQuarantine = nodesToQuarantine;
+		this.#crashesToQuarantine = crashesToQuarantine;
 	}
 
 	get isEmpty(): boolean {
 		return this.#requests.size === 0;
 	}
 
-	/** Records that workers of `nodes` crashed on the request. Returns whether it is suspected. */
-	recordCrash(fingerprint: string, nodes: readonly string[], now: number): boolean {
+	/** Adds crashes on the request to those known. Returns whether it is suspected. */
+	recordCrashes(fingerprint: string, crashes: CrashCounts, now: number): boolean {
 		if (this.hasRecentSuccess(fingerprint, now)) {
 			return false;
 		}
 
-		const known = this.#current(fingerprint, now);
+		const known = this.crashesOf(fingerprint, now);
 		this.#requests.delete(fingerprint);
 		this.#requests.set(fingerprint, {
-			nodes: new Set([...(known?.nodes ?? []), ...nodes]),
+			crashes: mergeCrashes(known, crashes),
 			until: now + this.#durationMs,
 		});
 		trim(this.#requests, maximumSuspectedRequests);
@@ -68,25 +69,24 @@
 	/**
 	 * Returns how strongly the request is suspected.
 	 *
-	 * @param nodes - nodes whose workers crashed while running this call.
+	 * @param crashes - crashes that are known of this call in addition.
 	 */
-	suspicionOf(fingerprint: string, nodes: readonly string[], now: number): SuspicionLevel {
+	suspicionOf(fingerprint: string, crashes: CrashCounts, now: number): SuspicionLevel {
 		if (this.hasRecentSuccess(fingerprint, now)) {
 			return 'none';
 		}
 
-		const known = this.#current(fingerprint, now)?.nodes ?? [];
-		const count = new Set([...known, ...nodes]).size;
-		if (count >= this.#nodesToQuarantine) {
+		const count = totalCrashes(mergeCrashes(this.crashesOf(fingerprint, now), crashes));
+		if (count >= this.#crashesToQuarantine) {
 			return 'quarantined';
 		}
 
 		return count > 0 ? 'suspect' : 'none';
 	}
 
-	/** Returns the number of crashes that count against the request. */
-	crashesOf(fingerprint: string, now: number): number {
-		return this.#current(fingerprint, now)?.nodes.size ?? 0;
+	/** Returns the crashes that count against the request. */
+	crashesOf(fingerprint: string, now: number): CrashCounts {
+		return this.#current(fingerprint, now)?.crashes ?? [];
 	}
 
 	/** Returns the milliseconds until the request is no longer suspected. */
--- a/packages/redwingmill-core/src/controllers/suspected-request-controller.ts
+++ b/packages/redwingmill-core/src/controllers/suspected-request-controller.ts
@@ -8,10 +8,9 @@
 /** Distributes reports of requests suspected of crashing workers, or cleared of the suspicion. */
 export class SuspectedRequestController implements Controller {
 	handle(update: Update, event: Event, _context: Context): void {
-		if (event.type === 'request-suspected') {
-			const {fingerprint, isCleared} = event;
+		if (event.type === 'crash-reported') {
 			const node = update.pending.roster.self.address;
-			this.#distribute(update, {type: 'suspect', fingerprint, node, isCleared}, true);
+			this.#distribute(update, {type: 'suspect', report: event.report, node}, true);
 		} else if (event.type === 'link-message' && event.message.type === 'suspect') {
 			update.emit(event.message);
 			// A relay forwards only its members' reports to other relays, so none circulates endlessly.
--- a/packages/redwingmill-core/src/directory/crash-report-controller.ts
+++ b/packages/redwingmill-core/src/directory/crash-report-controller.ts
@@ -5,14 +5,13 @@
 export class CrashReportController implements DirectoryController {
 	handle(update: DirectoryUpdate, event: DirectoryEvent): void {
 		if (event.type === 'crash-reported') {
-			const {fingerprint, isCleared} = event;
+			const datagram = {type: 'suspicion', report: event.report} as const;
 			// Such requests are rare, and each can crash several workers.
 			for (const to of update.pending.members.peers.keys()) {
-				update.emit({type: 'send', to, datagram: {type: 'suspicion', fingerprint, isCleared}});
+				update.emit({type: 'send', to, datagram});
 			}
 		} else if (event.type === 'datagram' && event.datagram.type === 'suspicion') {
-			const {fingerprint, isCleared} = event.datagram;
-			update.emit({type: 'suspect', fingerprint, isCleared, node: event.from});
+			update.emit({type: 'suspect', report: event.datagram.report, node: event.from});
 		}
 	}
 }
--- a/packages/redwingmill-core/src/directory/directory-event.ts
+++ b/packages/redwingmill-core/src/directory/directory-event.ts
@@ -1,3 +1,4 @@
+import {type CrashReport} from '../call/crash-tracker.js';
 import {type WorkerLoad} from '../call/worker-load.js';
 import {type ConfigurationDocument} from '../model/configuration-document.js';
 import {type Datagram} from '../model/datagram.js';
@@ -21,8 +22,8 @@
 			readonly document: ConfigurationDocument;
 			readonly origin: 'store' | 'node';
 	  }
-	/** The local gate suspects this request of crashing workers, or clears it. */
-	| {readonly type: 'crash-reported'; readonly fingerprint: string; readonly isCleared: boolean}
+	/** The local gate suspects a request of crashing workers, or clears it. */
+	| {readonly type: 'crash-reported'; readonly report: CrashReport}
 	/** The watch reached the store, or lost it. */
 	| {readonly type: 'store-contact'; readonly isStoreReachable: boolean}
 	| {readonly type: 'stop-requested'}
@@ -46,12 +47,8 @@
 	| {readonly type: 'load-heard'; readonly node: string; readonly load: WorkerLoad}
 	/** A node stopped responding, so requests sent to it will most likely stay unanswered. */
 	| {readonly type: 'node-silent'; readonly node: string}
-	| {
-			readonly type: 'suspect';
-			readonly fingerprint: string;
-			readonly node: string;
-			readonly isCleared: boolean;
-	  }
+	/** Another node's crash report arrived. */
+	| {readonly type: 'suspect'; readonly report: CrashReport; readonly node: string}
 	| {readonly type: 'notify'; readonly notice: DirectoryNotice};
 
 /** Notices for operators; each becomes a numbered log event. */
--- a/packages/redwingmill-core/src/engine/effect.ts
+++ b/packages/redwingmill-core/src/engine/effect.ts
@@ -1,3 +1,4 @@
+import {type CrashReport} from '../call/crash-tracker.js';
 import {type Message} from '../model/message.js';
 import {type ObjectWrite} from '../model/platform-object.js';
 import {type Counter} from './counter.js';
@@ -17,12 +18,5 @@
 	| {readonly type: 'request-tick'; readonly delayMs: number}
 	| {readonly type: 'count'; readonly counter: Counter}
 	| {readonly type: 'notify'; readonly notice: Notice}
-	/** Another node suspects this request of crashing workers, or clears it. */
-	| {
-			readonly type: 'suspect';
-			readonly fingerprint: string;
-			/** Control address of the node that issued the report. */
-			readonly node: string;
-			/** Whether the request ran well and is not suspected any more. */
-			readonly isCleared: boolean;
-	  };
+	/** Another node's crash report arrived; `node` is the control address of the node that issued it. */
+	| {readonly type: 'suspect'; readonly report: CrashReport; readonly node: string};
--- a/packages/redwingmill-core/src/engine/event.ts
+++ b/packages/redwingmill-core/src/engine/event.ts
@@ -1,3 +1,4 @@
+import {type CrashReport} from '../call/crash-tracker.js';
 import {type Message} from '../model/message.js';
 import {type Worker} from '../model/node-record.js';
 import {type PlatformObject, type WriteOutcome} from '../model/platform-object.js';
@@ -28,12 +29,7 @@
 			readonly outcome: WriteOutcome;
 	  }
 	| {readonly type: 'worker-changed'; readonly worker: Worker}
-	/** The local gate suspects this request of crashing workers, or clears it. */
-	| {
-			readonly type: 'request-suspected';
-			readonly fingerprint: string;
-			/** Whether the request ran well and is not suspected any more. */
-			readonly isCleared: boolean;
-	  }
+	/** The local gate suspects a request of crashing workers, or clears it. */
+	| {readonly type: 'crash-reported'; readonly report: CrashReport}
 	/** A planned stop begins. */
 	| {readonly type: 'stop-requested'};
--- a/packages/redwingmill-core/src/model/datagram.ts
+++ b/packages/redwingmill-core/src/model/datagram.ts
@@ -1,3 +1,4 @@
+import {type CrashReport} from '../call/crash-tracker.js';
 import {type WorkerLoad} from '../call/worker-load.js';
 import {type NodeRecord} from './node-record.js';
 
@@ -26,5 +27,5 @@
 	| {readonly type: 'inquiry'}
 	/** The receiver announced an incarnation lower than `incarnation`, which the sender holds for it. */
 	| {readonly type: 'outdated'; readonly incarnation: number}
-	/** Crash report: a worker crashed while running a request, or a suspected request ran well. */
-	| {readonly type: 'suspicion'; readonly fingerprint: string; readonly isCleared: boolean};
+	/** Crashes of workers on a request, or the success of one that was suspected of them. */
+	| {readonly type: 'suspicion'; readonly report: CrashReport};
--- a/packages/redwingmill-core/src/model/message.ts
+++ b/packages/redwingmill-core/src/model/message.ts
@@ -1,3 +1,4 @@
+import {type CrashReport} from '../call/crash-tracker.js';
 import {type NodeRecord} from './node-record.js';
 import {type SectionDigest} from './roster.js';
 import {type Refusal} from './snapshot.js';
@@ -62,12 +63,5 @@
 	| {readonly type: 'configuration-request'; readonly version: Version}
 	/** An accepted version with its text. */
 	| {readonly type: 'configuration'; readonly version: Version; readonly text: string}
-	/** Crash report: a worker crashed while running this request, or the request is cleared. */
-	| {
-			readonly type: 'suspect';
-			readonly fingerprint: string;
-			/** Control address of the node that issued the report. */
-			readonly node: string;
-			/** Whether the request ran well and is not suspected any more. */
-			readonly isCleared: boolean;
-	  };
+	/** Crash report; `node` is the control address of the node that issued it. */
+	| {readonly type: 'suspect'; readonly report: CrashReport; readonly node: string};
--- a/packages/redwingmill-node/src/call/gate-service.ts
+++ b/packages/redwingmill-node/src/call/gate-service.ts
@@ -3,8 +3,10 @@
 	Gate,
 	type Answer,
 	type CrashNotice,
+	type CrashReport,
 	type GateCall,
 	type GateEffect,
+	type GateIdentity,
 	type GateLimits,
 	type Withdrawal,
 	type Worker,
@@ -34,11 +36,10 @@
 	readonly limits: GateLimits;
 	readonly workerConnections: number;
 	readonly answerLimitBytes: number;
-	/** Control address of the node. */
-	readonly node: string;
+	readonly identity: GateIdentity;
 	readonly protocol: WorkerProtocol;
 	/** Called when a request is suspected of crashing the worker, or cleared of the suspicion. */
-	readonly onCrashReport: (fingerprint: string, isCleared: boolean) => void;
+	readonly onCrashReport: (report: CrashReport) => void;
 	/** Called with what became of a crash or of a report on one. */
 	readonly onCrashNotice?: (notice: CrashNotice) => void;
 	/** Called when the worker crashed, is unreachable, or another worker answers at its address. */
@@ -94,7 +95,7 @@
 
 	constructor(options: GateServiceOptions) {
 		this.#options = options;
-		this.#gate = new Gate(options.limits, options.node, performance.now());
+		this.#gate = new Gate(options.limits, options.identity, performance.now());
 		this.#evictionTimer = setInterval(() => {
 			this.#perform(this.#gate.tick(performance.now()));
 		}, evictionIntervalMs);
@@ -187,8 +188,8 @@
 		this.#perform(this.#gate.cancel(id, performance.now()));
 	}
 
-	applyCrashReport(fingerprint: string, node: string, isCleared: boolean): void {
-		this.#perform(this.#gate.onCrashReport(fingerprint, node, isCleared, performance.now()));
+	applyCrashReport(report: CrashReport, node: string): void {
+		this.#perform(this.#gate.onCrashReport(report, node, performance.now()));
 	}
 
 	/** Starts the timer that refuses overdue waiting calls; it runs only while calls are waiting. */
@@ -234,7 +235,7 @@
 				}
 
 				case 'suspect': {
-					this.#options.onCrashReport(effect.fingerprint, effect.isCleared);
+					this.#options.onCrashReport(effect.report);
 					break;
 				}
 
--- a/packages/redwingmill-node/src/control/control-plane.ts
+++ b/packages/redwingmill-node/src/control/control-plane.ts
@@ -1,12 +1,15 @@
-import {type NodeRecord, type RoutingTable, type Worker, type WorkerLoad} from 'redwingmill-core';
+import {
+	type CrashReport,
+	type NodeRecord,
+	type RoutingTable,
+	type Worker,
+	type WorkerLoad,
+} from 'redwingmill-core';
 import {type Teardown} from 'redwingmill-shared';
 import {type ConfigurationReply} from './configuration-history.js';
 
-/**
- * Handles another node's report that a request crashed a worker or, if `isCleared`, that it
- * completed without a crash.
- */
-export type CrashReportHandler = (fingerprint: string, node: string, isCleared: boolean) => void;
+/** Handles a crash report of another node. */
+export type CrashReportHandler = (report: CrashReport, node: string) => void;
 
 /** Handles the load of another node's worker. */
 export type LoadHandler = (node: string, load: WorkerLoad) => void;
@@ -47,8 +50,7 @@
 	updateLoad: (load: WorkerLoad) => void;
 	/** Records that another node is alive because it answered a call. */
 	markNodeAlive: (node: string) => void;
-	/** Reports to other nodes that a request crashed the worker; see {@link CrashReportHandler}. */
-	sendCrashReport: (fingerprint: string, isCleared: boolean) => void;
+	sendCrashReport: (report: CrashReport) => void;
 	/** Returns the state for the operators' status page, as JSON. */
 	status: () => unknown;
 	registerRoutingListener: (listener: (routing: RoutingTable) => void) => Teardown;
--- a/packages/redwingmill-node/src/control/relay-control-plane.ts
+++ b/packages/redwingmill-node/src/control/relay-control-plane.ts
@@ -10,6 +10,7 @@
 	type NodeRecord,
 	type RoutingTable,
 	type Worker,
+	type CrashReport,
 } from 'redwingmill-core';
 import {PlatformClient, PlatformWatcher} from 'redwingmill-platform';
 import {Random, type Teardown} from 'redwingmill-shared';
@@ -143,8 +144,8 @@
 		// The heartbeats on links show which nodes are alive.
 	}
 
-	sendCrashReport(fingerprint: string, isCleared: boolean): void {
-		this.dispatch({type: 'request-suspected', fingerprint, isCleared});
+	sendCrashReport(report: CrashReport): void {
+		this.dispatch({type: 'crash-reported', report});
 	}
 
 	status(): unknown {
@@ -259,7 +260,7 @@
 			}
 
 			case 'suspect': {
-				this.#crashReportHandler?.(effect.fingerprint, effect.node, effect.isCleared);
+				this.#crashReportHandler?.(effect.report, effect.node);
 				break;
 			}
 		}
--- a/packages/redwingmill-node/src/control/store-control-plane.ts
+++ b/packages/redwingmill-node/src/control/store-control-plane.ts
@@ -12,6 +12,7 @@
 	type RoutingTable,
 	type Worker,
 	type WorkerLoad,
+	type CrashReport,
 } from 'redwingmill-core';
 import {Random, type Teardown} from 'redwingmill-shared';
 import {configurationPath} from '../call/gate-server.js';
@@ -173,8 +174,8 @@
 		this.#dispatch({type: 'node-heard', address: node});
 	}
 
-	sendCrashReport(fingerprint: string, isCleared: boolean): void {
-		this.#dispatch({type: 'crash-reported', fingerprint, isCleared});
+	sendCrashReport(report: CrashReport): void {
+		this.#dispatch({type: 'crash-reported', report});
 	}
 
 	status(): unknown {
@@ -290,7 +291,7 @@
 			}
 
 			case 'suspect': {
-				this.#crashReportHandler?.(effect.fingerprint, effect.node, effect.isCleared);
+				this.#crashReportHandler?.(effect.report, effect.node);
 				break;
 			}
 
--- a/packages/redwingmill-node/src/daemon.ts
+++ b/packages/redwingmill-node/src/daemon.ts
@@ -100,13 +100,13 @@
 			protocol: workerProtocol,
 			workerConnections: calls.workerConnections,
 			answerLimitBytes: calls.answerLimitBytes,
-			node: self.address,
-			onCrashReport: (fingerprint, isCleared) => {
-				if (isCleared) {
-					this.#log.write(logEvents.requestCleared, {fingerprint});
+			identity: {node: self.address, incarnation: self.incarnation},
+			onCrashReport: (report) => {
+				if (report.isCleared) {
+					this.#log.write(logEvents.requestCleared, {fingerprint: report.fingerprint});
 				}
 
-				this.#control.sendCrashReport(fingerprint, isCleared);
+				this.#control.sendCrashReport(report);
 			},
 			onCrashNotice(notice) {
 				logCrashNotice(log, notice);
@@ -190,8 +190,8 @@
 	/** Starts listening on all ports and joins the mesh. */
 	async start(): Promise<void> {
 		const {addresses} = this.#settings;
-		this.#control.registerCrashReportHandler((fingerprint, node, isCleared) => {
-			this.#gate.applyCrashReport(fingerprint, node, isCleared);
+		this.#control.registerCrashReportHandler((report, node) => {
+			this.#gate.applyCrashReport(report, node);
 		});
 		this.#control.registerRoutingListener((routing) => {
 			this.#entry.onRouting(routing);
--- a/packages/redwingmill-node/src/settings/settings.ts
+++ b/packages/redwingmill-node/src/settings/settings.ts
@@ -50,7 +50,7 @@
 		readonly meshRetryShare: number;
 		/** Retries per window of the whole mesh beyond the routes' shares; divided among the nodes. */
 		readonly meshRetrySlack: number;
-		/** Number of different nodes whose workers must crash on a request before it is quarantined. */
+		/** Number of workers that must crash on a request before it is quarantined. */
 		readonly deathsToQuarantine: number;
 		readonly isolatesSuspects: boolean;
 		/** Time after the worker's last announcement at which it counts as absent. */
--- a/packages/redwingmill-protocol/src/__tests__/unit/datagram-codec.test.ts
+++ b/packages/redwingmill-protocol/src/__tests__/unit/datagram-codec.test.ts
@@ -33,7 +33,15 @@
 	},
 	{type: 'inquiry'},
 	{type: 'outdated', incarnation: 1_775_726_659_321_288},
-	{type: 'suspicion', fingerprint: 'GET /codes/1', isCleared: false},
+	{
+		type: 'suspicion',
+		report: {
+			isCleared: false,
+			fingerprint: 'GET /codes/1',
+			crashes: [{node: '10.0.0.1:8082', incarnation: 1_764_835_200_123_456, count: 2}],
+		},
+	},
+	{type: 'suspicion', report: {isCleared: true, fingerprint: 'GET /codes/1'}},
 ];
 
 describe('datagram codec', () => {
--- a/packages/redwingmill-protocol/src/__tests__/unit/message-codec.test.ts
+++ b/packages/redwingmill-protocol/src/__tests__/unit/message-codec.test.ts
@@ -38,7 +38,20 @@
 	{type: 'report', report},
 	{type: 'configuration-request', version},
 	{type: 'configuration', version, text: '{}'},
-	{type: 'suspect', fingerprint: 'abc', node: '10.0.0.1:8082', isCleared: true},
+	{
+		type: 'suspect',
+		report: {isCleared: true, fingerprint: 'abc'},
+		node: '10.0.0.1:8082',
+	},
+	{
+		type: 'suspect',
+		report: {
+			isCleared: false,
+			fingerprint: 'abc',
+			crashes: [{node: '10.0.0.2:8082', incarnation: 7, count: 3}],
+		},
+		node: '10.0.0.1:8082',
+	},
 ];
 
 describe('message codec', () => {
--- /dev/null
+++ b/packages/redwingmill-protocol/src/crash-report-codec.ts
@@ -0,0 +1,33 @@
+import {type CrashReport} from 'redwingmill-core';
+import type * as wire from './generated/redwingmill/v1/datagram_pb.js';
+
+/** Fields of a crash report that datagrams and messages on links have in common. */
+type ReportFields = Pick<wire.Suspicion, 'fingerprint' | 'isCleared' | 'crashes'>;
+
+/** Returns the fields of a report; those of a cleared request have no crashes. */
+export function encodeCrashReport(report: CrashReport) {
+	const {fingerprint, isCleared} = report;
+	const counts = report.isCleared ? [] : report.crashes;
+	const crashes = counts.map(({node, incarnation, count}) => ({
+		node,
+		incarnation: BigInt(incarnation),
+		count,
+	}));
+	return {fingerprint, isCleared, crashes};
+}
+
+export function decodeCrashReport({fingerprint, isCleared, crashes}: ReportFields): CrashReport {
+	if (isCleared) {
+		return {isCleared, fingerprint};
+	}
+
+	return {
+		isCleared,
+		fingerprint,
+		crashes: crashes.map(({node, incarnation, count}) => ({
+			node,
+			incarnation: Number(incarnation),
+			count,
+		})),
+	};
+}
--- a/packages/redwingmill-protocol/src/datagram-codec.ts
+++ b/packages/redwingmill-protocol/src/datagram-codec.ts
@@ -1,5 +1,6 @@
 import {create, fromBinary, toBinary, type MessageInitShape} from '@bufbuild/protobuf';
 import {type Datagram, type WorkerLoad} from 'redwingmill-core';
+import {decodeCrashReport, encodeCrashReport} from './crash-report-codec.js';
 import {ProtocolError} from './errors.js';
 import * as wire from './generated/redwingmill/v1/datagram_pb.js';
 import {decodeRecord, encodeRecord} from './record-codec.js';
@@ -48,8 +49,7 @@
 		}
 
 		case 'suspicion': {
-			const {fingerprint, isCleared} = body.value;
-			return {type: 'suspicion', fingerprint, isCleared};
+			return {type: 'suspicion', report: decodeCrashReport(body.value)};
 		}
 
 		case undefined: {
@@ -95,8 +95,7 @@
 		}
 
 		case 'suspicion': {
-			const {fingerprint, isCleared} = datagram;
-			return {case: 'suspicion', value: {fingerprint, isCleared}};
+			return {case: 'suspicion', value: encodeCrashReport(datagram.report)};
 		}
 	}
 }
--- a/packages/redwingmill-protocol/src/message-codec.ts
+++ b/packages/redwingmill-protocol/src/message-codec.ts
@@ -8,6 +8,7 @@
 	type TextContent,
 	type Version,
 } from 'redwingmill-core';
+import {decodeCrashReport, encodeCrashReport} from './crash-report-codec.js';
 import {ProtocolError} from './errors.js';
 import {decodeEnum, requireField} from './fields.js';
 import * as wire from './generated/redwingmill/v1/link_pb.js';
@@ -111,8 +112,7 @@
 		}
 
 		case 'suspect': {
-			const {fingerprint, node, isCleared} = body.value;
-			return {type: 'suspect', fingerprint, node, isCleared};
+			return {type: 'suspect', report: decodeCrashReport(body.value), node: body.value.node};
 		}
 
 		case undefined: {
@@ -210,8 +210,8 @@
 		}
 
 		case 'suspect': {
-			const {fingerprint, node, isCleared} = message;
-			return {case: 'suspect', value: {fingerprint, node, isCleared}};
+			const {report, node} = message;
+			return {case: 'suspect', value: {...encodeCrashReport(report), node}};
 		}
 	}
 }
--- a/test/support/fake-call-path.ts
+++ b/test/support/fake-call-path.ts
@@ -114,7 +114,7 @@
 		};
 		const host: FakeHost = {
 			endpoint,
-			gate: new Gate(defaultGateLimits, node, this.clock.now),
+			gate: new Gate(defaultGateLimits, {node, incarnation: 1}, this.clock.now),
 			waiters: new Map(),
 			isGateUp: true,
 			backlog: undefined,
@@ -286,9 +286,7 @@
 
 				case 'suspect': {
 					for (const other of this.hosts.filter((each) => each !== host)) {
-						const {fingerprint, isCleared} = effect;
-						const {node} = host.endpoint;
-						other.gate.onCrashReport(fingerprint, node, isCleared, this.clock.now);
+						other.gate.onCrashReport(effect.report, host.endpoint.node, this.clock.now);
 					}
 
 					break;
--- a/test/support/fake-crash-mesh.ts
+++ b/test/support/fake-crash-mesh.ts
@@ -10,6 +10,7 @@
 	type EntryAction,
 	type GateCall,
 	type GateEffect,
+	type NodeRecord,
 	type WorkerResult,
 } from 'redwingmill-core';
 import {Random} from 'redwingmill-shared';
@@ -89,11 +90,10 @@
 	constructor(seed: number, addresses: readonly string[]) {
 		this.#random = new Random(seed);
 		this.directories = new FakeDirectoryMesh(seed);
-		this.directories.onCrashReport = ({address}, report) => {
+		this.directories.onCrashReport = ({address}, {report, node}) => {
 			const host = this.hosts.get(address);
 			if (host?.isUp) {
-				const {fingerprint, node, isCleared} = report;
-				this.#perform(host, host.gate.onCrashReport(fingerprint, node, isCleared, this.now));
+				this.#perform(host, host.gate.onCrashReport(report, node, this.now));
 			}
 		};
 
@@ -185,7 +185,7 @@
 		host.disruptedAt = this.now;
 		host.isUp = true;
 		host.node = this.directories.start(address);
-		host.gate = this.#newGate(address);
+		host.gate = this.#newGate(address, host.node.directory.blackboard.members.self);
 		host.chooser = this.#newChooser(address);
 		this.#announce(host);
 	}
@@ -214,10 +214,11 @@
 	}
 
 	#addHost(address: string): void {
+		const node = this.directories.start(address);
 		const host: CrashHost = {
 			address,
-			node: this.directories.start(address),
-			gate: this.#newGate(address),
+			node,
+			gate: this.#newGate(address, node.directory.blackboard.members.self),
 			chooser: this.#newChooser(address),
 			isUp: true,
 			isWorkerUp: true,
@@ -231,9 +232,9 @@
 		this.#announce(host);
 	}
 
-	#newGate(address: string): Gate<string> {
+	#newGate(address: string, {incarnation}: NodeRecord): Gate<string> {
 		const limits = {...defaultGateLimits, deathsToQuarantine: 3, isolatesSuspects: false};
-		return new Gate(limits, address, this.now);
+		return new Gate(limits, {node: address, incarnation}, this.now);
 	}
 
 	#newChooser(address: string): EndpointChooser {
@@ -366,8 +367,7 @@
 				}
 
 				case 'suspect': {
-					const {fingerprint, isCleared} = effect;
-					this.directories.dispatch(host.node, {type: 'crash-reported', fingerprint, isCleared});
+					this.directories.dispatch(host.node, {type: 'crash-reported', report: effect.report});
 					break;
 				}
 
