Nodes that missed crash reports are sent them after their next heartbeat

What callers saw: a request under which three workers had ended was still run by workers whose gate had been cut off, restarted or unlucky with a datagram when the crashes were reported.

Cause: a report was one datagram to the nodes known at that moment. A node that was cut off then, or started later, never learned of the crash.

Heartbeats now carry a digest of the requests with two crashes or more. A node that sees another digest than its own sends its reports, at most every 250 ms, and in a large mesh only with the probability at which eight nodes do so for each heartbeat. Reports carry the age of the last crash, so that passing them on doesn't prolong a quarantine. Requests with one crash aren't compared: most are bystanders, and the next crash brings their count along.

In the directory's tests a data centre that was cut off, a mesh that loses 60 of 100 datagrams and a node that restarts learn of the crashes; with no node sending reports after a heartbeat these three fail.

--- a/packages/redwingmill-core/src/__tests__/unit/gate.test.ts
+++ b/packages/redwingmill-core/src/__tests__/unit/gate.test.ts
@@ -35,7 +35,7 @@
 }
 
 function crashReport(fingerprint: string, node: string, count = 1): CrashReport {
-	return {isCleared: false, fingerprint, crashes: [{node, incarnation: 1, count}]};
+	return {isCleared: false, fingerprint, crashes: [{node, incarnation: 1, count}], ageMs: 0};
 }
 
 function dispatched(effects: ReadonlyArray<GateEffect<string>>): string[] {
--- a/packages/redwingmill-core/src/call/crash-tracker.ts
+++ b/packages/redwingmill-core/src/call/crash-tracker.ts
@@ -1,12 +1,6 @@
 import {TokenBucket} from 'redwingmill-shared';
-import {
-	crashesAtNodes,
-	mergeCrashes,
-	totalCrashes,
-	type CrashCounts,
-	type GateCrashes,
-} from './crash-counts.js';
-import {type SuspectedRequests, type SuspicionLevel} from './suspected-requests.js';
+import {crashesAtNodes, mergeCrashes, totalCrashes, type GateCrashes} from './crash-counts.js';
+import {type SuspectedRequests, type Suspicion, type SuspicionLevel} from './suspected-requests.js';
 
 /** Properties of a call by which crashes are attributed. */
 export type FingerprintedCall = {
@@ -21,7 +15,7 @@
 	/** The request succeeded, so it is no longer suspected. */
 	| {readonly isCleared: true; readonly fingerprint: string}
 	/** All crashes on the request that the reporting node knows of. */
-	| {readonly isCleared: false; readonly fingerprint: string; readonly crashes: CrashCounts};
+	| ({readonly isCleared: false} & Suspicion);
 
 /** Identifies one life of a gate. */
 export type GateIdentity = Pick<GateCrashes, 'node' | 'incarnation'>;
@@ -53,6 +47,8 @@
 /** Limits a gate's crash reports: a faulty worker would otherwise flood the mesh with them. */
 const reportBurst = 10;
 const reportsPerSecond = 1;
+/** Reports sent at once to a node that knows less. */
+const maximumReports = 20;
 /** Calls that break within this time after a crash are attributed to the same crash. */
 const sameCrashMs = 200;
 
@@ -104,7 +100,7 @@
 		const crashes = mergeCrashes(crashesAtNodes(call.crashedNodes), [
 			{...this.#identity, count: this.#ownCrashes(fingerprint, now) + 1},
 		]);
-		if (!this.#suspectedRequests.recordCrashes(fingerprint, crashes, now)) {
+		if (!this.#suspectedRequests.recordCrashes(fingerprint, crashes, 0, now)) {
 			return [notAttributed(fingerprint, 'recently-succeeded')];
 		}
 
@@ -112,7 +108,7 @@
 		const notice = {type: 'crash-attributed', fingerprint, crashes: totalCrashes(known)} as const;
 		return [
 			{type: 'crash-notice', notice},
-			this.#report({isCleared: false, fingerprint, crashes: known}, now),
+			this.#report({isCleared: false, fingerprint, crashes: known, ageMs: 0}, now),
 		];
 	}
 
@@ -126,7 +122,7 @@
 
 		// Nodes of earlier versions report only that a worker crashed.
 		const reported = report.crashes.length > 0 ? report.crashes : crashesAtNodes([node]);
-		if (!this.#suspectedRequests.recordCrashes(fingerprint, reported, now)) {
+		if (!this.#suspectedRequests.recordCrashes(fingerprint, reported, report.ageMs, now)) {
 			return [this.#report({isCleared: true, fingerprint}, now)];
 		}
 
@@ -134,6 +130,18 @@
 		return [{type: 'crash-notice', notice: {type: 'report-received', fingerprint, node, crashes}}];
 	}
 
+	/** Returns a digest by which nodes notice that they know of different crashes; 0 for none. */
+	digestAt(now: number): number {
+		return this.#suspectedRequests.digestAt(now);
+	}
+
+	/** Returns reports of what {@link digestAt} covers, for a node that knows less. */
+	reports(now: number): CrashReport[] {
+		return this.#suspectedRequests
+			.repeatedCrashes(maximumReports, now)
+			.map((suspicion) => ({isCleared: false, ...suspicion}));
+	}
+
 	/** Returns the number of crashes on the request that this gate has counted. */
 	#ownCrashes(fingerprint: string, now: number): number {
 		const {node, incarnation} = this.#identity;
--- a/packages/redwingmill-core/src/call/gate.ts
+++ b/packages/redwingmill-core/src/call/gate.ts
@@ -206,6 +206,16 @@
 		return this.#crashes.onReport(report, node, now);
 	}
 
+	/** Returns a digest by which nodes notice that they know of different crashes; 0 for none. */
+	crashDigestAt(now: number): number {
+		return this.#crashes.digestAt(now);
+	}
+
+	/** Returns reports for a node whose digest of crashes differs. */
+	crashReports(now: number): CrashReport[] {
+		return this.#crashes.reports(now);
+	}
+
 	/** Refuses calls that have waited too long or whose worker has stalled, and evicts old outcomes. */
 	tick(now: number): Array<GateEffect<Payload>> {
 		this.#deduplicator.evict(now);
--- a/packages/redwingmill-core/src/call/suspected-requests.ts
+++ b/packages/redwingmill-core/src/call/suspected-requests.ts
@@ -1,13 +1,32 @@
+import {digestOf} from 'redwingmill-shared';
 import {mergeCrashes, totalCrashes, type CrashCounts} from './crash-counts.js';
 
 /** How strongly a request is suspected of crashing workers; 'quarantined' ones are refused. */
 export type SuspicionLevel = 'none' | 'suspect' | 'quarantined';
 
+/** A suspected request as other nodes need to know it. */
+export type Suspicion = {
+	readonly fingerprint: string;
+	readonly crashes: CrashCounts;
+	/** Time since the last crash. */
+	readonly ageMs: number;
+};
+
 type SuspectedRequest = {
 	readonly crashes: CrashCounts;
-	readonly until: number;
+	readonly crashedAt: number;
+	/** Hash of fingerprint and crashes. */
+	readonly hash: number;
 };
 
+/**
+ * Crashes from which on nodes compare what they know of a request. Most requests that were running when
+ * a worker crashed have nothing to do with it and never crash a second one.
+ */
+const minimumComparedCrashes = 2;
+const hashHexDigits = 8;
+const hexadecimalRadix = 16;
+
 const maximumSuspectedRequests = 1000;
 const maximumSuccesses = 1000;
 
@@ -36,17 +55,27 @@
 		return this.#requests.size === 0;
 	}
 
-	/** Adds crashes on the request to those known. Returns whether it is suspected. */
-	recordCrashes(fingerprint: string, crashes: CrashCounts, now: number): boolean {
+	/**
+	 * Adds crashes on the request to those known. Returns whether it is suspected.
+	 *
+	 * @param ageMs - time since the last of the crashes.
+	 */
+	recordCrashes(fingerprint: string, crashes: CrashCounts, ageMs: number, now: number): boolean {
 		if (this.hasRecentSuccess(fingerprint, now)) {
 			return false;
 		}
 
-		const known = this.crashesOf(fingerprint, now);
+		if (ageMs >= this.#durationMs) {
+			return true;
+		}
+
+		const known = this.#current(fingerprint, now);
+		const merged = mergeCrashes(known?.crashes ?? [], crashes);
 		this.#requests.delete(fingerprint);
 		this.#requests.set(fingerprint, {
-			crashes: mergeCrashes(known, crashes),
-			until: now + this.#durationMs,
+			crashes: merged,
+			crashedAt: Math.max(known?.crashedAt ?? Number.NEGATIVE_INFINITY, now - ageMs),
+			hash: hashOf(fingerprint, merged),
 		});
 		trim(this.#requests, maximumSuspectedRequests);
 		return true;
@@ -91,18 +120,57 @@
 
 	/** Returns the milliseconds until the request is no longer suspected. */
 	remainingMs(fingerprint: string, now: number): number {
-		return Math.max(0, (this.#requests.get(fingerprint)?.until ?? now) - now);
+		const crashedAt = this.#current(fingerprint, now)?.crashedAt;
+		return crashedAt === undefined ? 0 : crashedAt + this.#durationMs - now;
+	}
+
+	/**
+	 * Returns a digest of the requests with several crashes; 0 if there are none. Nodes with equal digests
+	 * know the same crashes.
+	 */
+	digestAt(now: number): number {
+		return this.#repeated(now).reduce((digest, [, {hash}]) => (digest ^ hash) >>> 0, 0);
+	}
+
+	/** Returns at most `limit` requests with several crashes, those with the most crashes first. */
+	repeatedCrashes(limit: number, now: number): Suspicion[] {
+		return this.#repeated(now)
+			.toSorted(([, a], [, b]) => totalCrashes(b.crashes) - totalCrashes(a.crashes))
+			.slice(0, limit)
+			.map(([fingerprint, {crashes, crashedAt}]) => ({
+				fingerprint,
+				crashes,
+				ageMs: now - crashedAt,
+			}));
+	}
+
+	#repeated(now: number): Array<[string, SuspectedRequest]> {
+		return [...this.#requests].filter(
+			([, request]) =>
+				totalCrashes(request.crashes) >= minimumComparedCrashes && !this.#hasLapsed(request, now),
+		);
 	}
 
 	#current(fingerprint: string, now: number): SuspectedRequest | undefined {
 		const request = this.#requests.get(fingerprint);
-		if (request === undefined || request.until > now) {
+		if (request === undefined || !this.#hasLapsed(request, now)) {
 			return request;
 		}
 
 		this.#requests.delete(fingerprint);
 		return undefined;
 	}
+
+	#hasLapsed({crashedAt}: SuspectedRequest, now: number): boolean {
+		return now - crashedAt >= this.#durationMs;
+	}
+}
+
+/** Returns a hash that doesn't depend on the order of the crashes. */
+function hashOf(fingerprint: string, crashes: CrashCounts): number {
+	const counts = crashes.map(({node, incarnation, count}) => `${node} ${incarnation} ${count}`);
+	const digest = digestOf([fingerprint, ...counts.toSorted()].join('\n'));
+	return Number.parseInt(digest.slice(0, hashHexDigits), hexadecimalRadix);
 }
 
 /** Removes the oldest entries beyond `bound`. */
--- a/packages/redwingmill-core/src/directory/directory-event.ts
+++ b/packages/redwingmill-core/src/directory/directory-event.ts
@@ -24,6 +24,8 @@
 	  }
 	/** The local gate suspects a request of crashing workers, or clears it. */
 	| {readonly type: 'crash-reported'; readonly report: CrashReport}
+	/** The local gate knows of other crashes than before. */
+	| {readonly type: 'crash-digest-changed'; readonly digest: number}
 	/** The watch reached the store, or lost it. */
 	| {readonly type: 'store-contact'; readonly isStoreReachable: boolean}
 	| {readonly type: 'stop-requested'}
@@ -47,6 +49,8 @@
 	| {readonly type: 'load-heard'; readonly node: string; readonly load: WorkerLoad}
 	/** A node stopped responding, so requests sent to it will most likely stay unanswered. */
 	| {readonly type: 'node-silent'; readonly node: string}
+	/** Sends the local gate's crash reports to a node that knows of other crashes. */
+	| {readonly type: 'send-crash-reports'; readonly to: string}
 	/** Another node's crash report arrived. */
 	| {readonly type: 'suspect'; readonly report: CrashReport; readonly node: string}
 	| {readonly type: 'notify'; readonly notice: DirectoryNotice};
--- a/packages/redwingmill-core/src/directory/directory-limits.ts
+++ b/packages/redwingmill-core/src/directory/directory-limits.ts
@@ -34,6 +34,10 @@
 	readonly watcherHeartbeatIntervalMs: number;
 	/** Time without a watcher's heartbeat after which a node watches the store itself. */
 	readonly watcherTimeoutMs: number;
+	/** Shortest time between two transfers of crash reports to nodes that lack some. */
+	readonly crashReportIntervalMs: number;
+	/** Mean number of nodes that send crash reports to one that lacks some, at each heartbeat. */
+	readonly crashReportSenders: number;
 	/** Gap between two ticks from which on this process counts as paused. */
 	readonly pauseThresholdMs: number;
 };
@@ -56,5 +60,7 @@
 	watchersPerDataCentre: 2,
 	watcherHeartbeatIntervalMs: 300,
 	watcherTimeoutMs: 1000,
+	crashReportIntervalMs: 250,
+	crashReportSenders: 8,
 	pauseThresholdMs: 1000,
 };
--- a/packages/redwingmill-core/src/directory/directory-state.ts
+++ b/packages/redwingmill-core/src/directory/directory-state.ts
@@ -73,6 +73,14 @@
 	readonly isStoreReachable: boolean;
 };
 
+/** Crashes of workers on requests that this node knows of. */
+export type CrashesSection = {
+	/** Digest by which nodes notice that they know of different crashes; 0 for none. */
+	readonly digest: number;
+	/** When reports were last sent to a node with another digest, in monotonic milliseconds. */
+	readonly sentAt: number;
+};
+
 /** States of a node. A node in the state `leaving` is not routed to by other nodes any more. */
 export const directoryServingStates = ['starting', 'serving', 'stopping', 'leaving'] as const;
 export type DirectoryServingState = (typeof directoryServingStates)[number];
@@ -83,6 +91,7 @@
 	readonly members: MembersSection;
 	readonly registry: RegistrySection;
 	readonly watch: WatchSection;
+	readonly crashes: CrashesSection;
 	readonly serving: {readonly state: DirectoryServingState; readonly since: number};
 	readonly routing: RoutingTable;
 };
@@ -102,6 +111,7 @@
 		},
 		registry: {writing: due, listing: due, hasBeenListed: false},
 		watch: {isOn: true, isStoreReachable: false},
+		crashes: {digest: 0, sentAt: Number.NEGATIVE_INFINITY},
 		serving: {state: 'starting', since: now},
 		routing: emptyRoutingTable,
 	};
--- a/packages/redwingmill-core/src/directory/member-actions.ts
+++ b/packages/redwingmill-core/src/directory/member-actions.ts
@@ -41,7 +41,7 @@
 }
 
 /** Returns the heartbeat datagram, which shows that this node is alive and which version it holds. */
-export function heartbeatOf({members, adoption, watch}: DirectoryState): Datagram {
+export function heartbeatOf({members, adoption, watch, crashes}: DirectoryState): Datagram {
 	const {self, load} = members;
 	const {incarnation, revision} = self;
 	const version = adoption.held?.version ?? 0;
@@ -52,6 +52,7 @@
 		version,
 		load,
 		isWatching: isWatching(watch),
+		crashDigest: crashes.digest,
 	};
 }
 
--- a/packages/redwingmill-core/src/model/datagram.ts
+++ b/packages/redwingmill-core/src/model/datagram.ts
@@ -22,6 +22,8 @@
 			readonly load?: WorkerLoad;
 			/** Whether the sender watches the configuration in the store and reaches the store. */
 			readonly isWatching: boolean;
+			/** Digest of the crashes that the sender knows of; 0 for none. */
+			readonly crashDigest: number;
 	  }
 	/** Asks for the receiver's record, which the sender lacks. */
 	| {readonly type: 'inquiry'}
--- a/packages/redwingmill-node/src/call/gate-service.ts
+++ b/packages/redwingmill-node/src/call/gate-service.ts
@@ -188,6 +188,15 @@
 		this.#perform(this.#gate.cancel(id, performance.now()));
 	}
 
+	get crashDigest(): number {
+		return this.#gate.crashDigestAt(performance.now());
+	}
+
+	/** Crash reports for a node whose digest of crashes differs. */
+	get crashReports(): readonly CrashReport[] {
+		return this.#gate.crashReports(performance.now());
+	}
+
 	applyCrashReport(report: CrashReport, node: string): void {
 		this.#perform(this.#gate.onCrashReport(report, node, performance.now()));
 	}
--- a/packages/redwingmill-node/src/control/control-plane.ts
+++ b/packages/redwingmill-node/src/control/control-plane.ts
@@ -11,6 +11,9 @@
 /** Handles a crash report of another node. */
 export type CrashReportHandler = (report: CrashReport, node: string) => void;
 
+/** Returns the crash reports for a node that knows of other crashes than this one. */
+export type CrashReportSource = () => readonly CrashReport[];
+
 /** Handles the load of another node's worker. */
 export type LoadHandler = (node: string, load: WorkerLoad) => void;
 
@@ -51,10 +54,13 @@
 	/** Records that another node is alive because it answered a call. */
 	markNodeAlive: (node: string) => void;
 	sendCrashReport: (report: CrashReport) => void;
+	/** Publishes the digest of the crashes that this node knows of. */
+	updateCrashDigest: (digest: number) => void;
 	/** Returns the state for the operators' status page, as JSON. */
 	status: () => unknown;
 	registerRoutingListener: (listener: (routing: RoutingTable) => void) => Teardown;
 	registerCrashReportHandler: (handler: CrashReportHandler) => Teardown;
+	registerCrashReportSource: (source: CrashReportSource) => Teardown;
 	registerLoadHandler: (handler: LoadHandler) => Teardown;
 	registerUnresponsiveNodeHandler: (handler: UnresponsiveNodeHandler) => Teardown;
 };
--- a/packages/redwingmill-node/src/control/relay-control-plane.ts
+++ b/packages/redwingmill-node/src/control/relay-control-plane.ts
@@ -148,6 +148,10 @@
 		this.dispatch({type: 'crash-reported', report});
 	}
 
+	updateCrashDigest(): void {
+		// Links are reliable: reports are sent once.
+	}
+
 	status(): unknown {
 		return nodeStatusOf(this.blackboard);
 	}
@@ -182,6 +186,11 @@
 		};
 	}
 
+	/** The source is never called. */
+	registerCrashReportSource(): Teardown {
+		return () => undefined;
+	}
+
 	/** The handler is never called: loads arrive with the answers to calls only. */
 	registerLoadHandler(): Teardown {
 		return () => undefined;
--- a/packages/redwingmill-node/src/control/store-control-plane.ts
+++ b/packages/redwingmill-node/src/control/store-control-plane.ts
@@ -26,6 +26,7 @@
 import {
 	type ControlPlane,
 	type CrashReportHandler,
+	type CrashReportSource,
 	type LoadHandler,
 	type UnresponsiveNodeHandler,
 } from './control-plane.js';
@@ -62,6 +63,7 @@
 	readonly #random: Random;
 	readonly #documentListeners = new Set<(document: ConfigurationDocument) => void>();
 	#crashReportHandler: CrashReportHandler | undefined;
+	#crashReportSource: CrashReportSource | undefined;
 	#loadHandler: LoadHandler | undefined;
 	#unresponsiveNodeHandler: UnresponsiveNodeHandler | undefined;
 	/** Stops the watch of the store; undefined while this node relies on other nodes' watches. */
@@ -178,6 +180,12 @@
 		this.#dispatch({type: 'crash-reported', report});
 	}
 
+	updateCrashDigest(digest: number): void {
+		if (digest !== this.#state.crashes.digest) {
+			this.#dispatch({type: 'crash-digest-changed', digest});
+		}
+	}
+
 	status(): unknown {
 		const {adoption, members, registry, serving, routing} = this.#state;
 		return {
@@ -220,6 +228,13 @@
 		};
 	}
 
+	registerCrashReportSource(source: CrashReportSource): Teardown {
+		this.#crashReportSource = source;
+		return () => {
+			this.#crashReportSource = undefined;
+		};
+	}
+
 	registerLoadHandler(handler: LoadHandler): Teardown {
 		this.#loadHandler = handler;
 		return () => {
@@ -290,6 +305,14 @@
 				break;
 			}
 
+			case 'send-crash-reports': {
+				for (const report of this.#crashReportSource?.() ?? []) {
+					this.#socket.send(effect.to, {type: 'suspicion', report});
+				}
+
+				break;
+			}
+
 			case 'suspect': {
 				this.#crashReportHandler?.(effect.report, effect.node);
 				break;
--- a/packages/redwingmill-node/src/daemon.ts
+++ b/packages/redwingmill-node/src/daemon.ts
@@ -193,6 +193,7 @@
 		this.#control.registerCrashReportHandler((report, node) => {
 			this.#gate.applyCrashReport(report, node);
 		});
+		this.#control.registerCrashReportSource(() => this.#gate.crashReports);
 		this.#control.registerRoutingListener((routing) => {
 			this.#entry.onRouting(routing);
 		});
@@ -211,6 +212,7 @@
 		}, leaseCheckIntervalMs);
 		this.#loadTimer = setInterval(() => {
 			this.#control.updateLoad(this.#gate.load);
+			this.#control.updateCrashDigest(this.#gate.crashDigest);
 		}, loadUpdateIntervalMs);
 		this.#log.write(logEvents.nodeStarted, {addresses});
 	}
--- a/packages/redwingmill-protocol/src/__tests__/unit/message-codec.test.ts
+++ b/packages/redwingmill-protocol/src/__tests__/unit/message-codec.test.ts
@@ -49,6 +49,7 @@
 			isCleared: false,
 			fingerprint: 'abc',
 			crashes: [{node: '10.0.0.2:8082', incarnation: 7, count: 3}],
+			ageMs: 20,
 		},
 		node: '10.0.0.1:8082',
 	},
--- a/packages/redwingmill-protocol/src/datagram-codec.ts
+++ b/packages/redwingmill-protocol/src/datagram-codec.ts
@@ -29,7 +29,7 @@
 		}
 
 		case 'pulse': {
-			const {incarnation, revision, version, load, isWatching} = body.value;
+			const {incarnation, revision, version, load, isWatching, crashDigest} = body.value;
 			return {
 				type: 'pulse',
 				incarnation: Number(incarnation),
@@ -37,6 +37,7 @@
 				version: Number(version),
 				load: load && decodeLoad(load),
 				isWatching,
+				crashDigest,
 			};
 		}
 
@@ -75,13 +76,14 @@
 		}
 
 		case 'pulse': {
-			const {incarnation, revision, version, load, isWatching} = datagram;
+			const {incarnation, revision, version, load, isWatching, crashDigest} = datagram;
 			const value = {
 				incarnation: BigInt(incarnation),
 				revision,
 				version: BigInt(version),
 				load: load && encodeLoad(load),
 				isWatching,
+				crashDigest,
 			};
 			return {case: 'pulse', value};
 		}
--- a/test/matrix/directory.test.ts
+++ b/test/matrix/directory.test.ts
@@ -1,5 +1,6 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
+import {type CrashReport} from 'redwingmill-core';
 import {documentOf, FakeDirectoryMesh, fullReachability} from '../support/fake-directory-mesh.js';
 
 const seed = 20_261_204;
@@ -333,3 +334,82 @@
 		);
 	});
 });
+
+describe('crash reports in a mesh', () => {
+	const crashReport: CrashReport = {
+		isCleared: false,
+		fingerprint: 'GET /codes/1',
+		crashes: [
+			{node: 'a/1', incarnation: 1, count: 1},
+			{node: 'b/1', incarnation: 1, count: 2},
+		],
+		ageMs: 0,
+	};
+
+	/** Mesh in which one node knows of crashes; returns the nodes that have learned of them. */
+	function meshWithReport() {
+		const mesh = startedMesh();
+		const informed = new Set<string>();
+		mesh.crashReportsOf = ({address}) => (informed.has(address) ? [crashReport] : []);
+		mesh.onCrashReport = (node) => {
+			informed.add(node.address);
+			mesh.dispatch(node, {type: 'crash-digest-changed', digest: 7});
+		};
+
+		const reportFrom = (address: string) => {
+			const node = mesh.nodes.get(address)!;
+			informed.add(address);
+			mesh.dispatch(node, {type: 'crash-digest-changed', digest: 7});
+			mesh.dispatch(node, {type: 'crash-reported', report: crashReport});
+		};
+
+		return {mesh, informed, reportFrom};
+	}
+
+	it('reach a data centre that was cut off when they were sent', () => {
+		const {mesh, informed, reportFrom} = meshWithReport();
+		mesh.reachability = {
+			...fullReachability,
+			isLinked: (from, to) => from.startsWith('c') === to.startsWith('c'),
+		};
+		reportFrom('a/1');
+		mesh.run(3000);
+		expect([...informed].toSorted()).to.deep.equal(addresses.filter((each) => each[0] !== 'c'));
+		mesh.reachability = fullReachability;
+		mesh.run(boundMs);
+		expect([...informed].toSorted()).to.deep.equal([...addresses]);
+	});
+
+	it('reach every node although most datagrams are lost', () => {
+		const {mesh, informed, reportFrom} = meshWithReport();
+		mesh.lossShare = 0.6;
+		reportFrom('a/1');
+		mesh.run(3000);
+		expect([...informed].toSorted()).to.deep.equal([...addresses]);
+	});
+
+	it('reach a node that restarts within a second', () => {
+		const {mesh, informed, reportFrom} = meshWithReport();
+		reportFrom('a/1');
+		mesh.run(boundMs);
+		mesh.kill('b/2');
+		informed.delete('b/2');
+		mesh.run(500);
+		mesh.start('b/2');
+		mesh.run(1000);
+		expect([...informed].toSorted()).to.deep.equal([...addresses]);
+	});
+
+	it('are not sent again once every node knows them', () => {
+		const {mesh, reportFrom} = meshWithReport();
+		reportFrom('a/1');
+		mesh.run(boundMs);
+		let sent = 0;
+		mesh.crashReportsOf = () => {
+			sent += 1;
+			return [];
+		};
+		mesh.run(5000);
+		expect(sent).to.equal(0);
+	});
+});
--- a/test/support/fake-crash-mesh.ts
+++ b/test/support/fake-crash-mesh.ts
@@ -97,6 +97,7 @@
 			}
 		};
 
+		this.directories.crashReportsOf = ({address}) => this.host(address).gate.crashReports(this.now);
 		this.directories.writeConfiguration(documentOf(1));
 		for (const address of addresses) {
 			this.#addHost(address);
@@ -442,6 +443,8 @@
 		for (const host of this.hosts.values()) {
 			if (host.isUp) {
 				this.#perform(host, host.gate.tick(this.now));
+				const digest = host.gate.crashDigestAt(this.now);
+				this.directories.dispatch(host.node, {type: 'crash-digest-changed', digest});
 			}
 		}
 
--- a/test/support/fake-directory-mesh.ts
+++ b/test/support/fake-directory-mesh.ts
@@ -3,6 +3,8 @@
 	defaultDirectoryLimits,
 	initialDirectoryState,
 	type ConfigurationDocument,
+	type CrashReport,
+	type Datagram,
 	type Directory,
 	type DirectoryEffect,
 	type DirectoryEvent,
@@ -68,7 +70,9 @@
 	readonly nodes = new Map<string, DirectoryNode>();
 	lossShare = 0;
 	/** Receives the crash reports that reach a node. */
-	onCrashReport: (node: DirectoryNode, report: ReceivedCrashReport) => void = () => undefined;
+	onCrashReport: ((node: DirectoryNode, report: ReceivedCrashReport) => void) | undefined;
+	/** Returns the crash reports that a node sends to another one that lacks some of them. */
+	crashReportsOf: ((node: DirectoryNode) => readonly CrashReport[]) | undefined;
 	/** Number of attempts to write to or list the registry in the store. */
 	storeCalls = 0;
 	/** Number of attempts to read the configuration from the store. */
@@ -189,15 +193,13 @@
 	#performEffect(node: DirectoryNode, effect: DirectoryEffect): void {
 		switch (effect.type) {
 			case 'send': {
-				const {to, datagram} = effect;
-				const isLost = this.#random.fraction() < this.lossShare;
-				if (!isLost && this.reachability.isLinked(node.address, to)) {
-					this.clock.after(hopLatencyMs, () => {
-						const receiver = this.nodes.get(to);
-						if (receiver) {
-							this.dispatch(receiver, {type: 'datagram', from: node.address, datagram});
-						}
-					});
+				this.#send(node, effect.to, effect.datagram);
+				break;
+			}
+
+			case 'send-crash-reports': {
+				for (const report of this.crashReportsOf?.(node) ?? []) {
+					this.#send(node, effect.to, {type: 'suspicion', report});
 				}
 
 				break;
@@ -246,7 +248,7 @@
 			}
 
 			case 'suspect': {
-				this.onCrashReport(node, effect);
+				this.onCrashReport?.(node, effect);
 				break;
 			}
 
@@ -258,6 +260,18 @@
 		}
 	}
 
+	#send(node: DirectoryNode, to: string, datagram: Datagram): void {
+		const isLost = this.#random.fraction() < this.lossShare;
+		if (!isLost && this.reachability.isLinked(node.address, to)) {
+			this.clock.after(hopLatencyMs, () => {
+				const receiver = this.nodes.get(to);
+				if (receiver) {
+					this.dispatch(receiver, {type: 'datagram', from: node.address, datagram});
+				}
+			});
+		}
+	}
+
 	#callStore(
 		node: DirectoryNode,
 		applyToStore: () => void,
