Bystanders no longer use up the limit on crash reports

Cause: a gate sends ten crash reports and then one a second. An end of its worker makes a report for each call that was running, 6 to 12 on the users' deployments, and requests that are cleared later take from the same limit. The request at fault is as likely to be dropped as the others.

All first crashes of one end of the worker now count once, cleared requests have a limit of their own, and a second or later crash is always reported: it needs another worker's end each time. A faulty worker that ends every 100 ms still can't report more than one batch a second.

The new test failed before: 10 of 15 calls that one end of the worker broke off were reported.

--- a/packages/redwingmill-core/src/__tests__/unit/gate.test.ts
+++ b/packages/redwingmill-core/src/__tests__/unit/gate.test.ts
@@ -245,6 +245,33 @@
 		expect(answers(refused)).to.deep.equal(['not-run quarantined']);
 	});
 
+	it('reports every request that a crash ended, and every repeated crash, beyond the limit', () => {
+		const gate = gateWith(16, {deathsToQuarantine: 9, isolatesSuspects: false});
+		const crashOn = (ids: readonly string[], now: number) => {
+			gate.submit(callWith(`sound ${now}`), now);
+			gate.finish(
+				`sound ${now}`,
+				{type: 'answered', payload: '', bytes: 0, isFailure: false},
+				now + 1,
+			);
+			for (const id of ids) {
+				gate.submit(callWith(`${id} ${now}`, {fingerprint: () => id}), now + 2);
+			}
+
+			return ids.flatMap((id) =>
+				gate
+					.finish(`${id} ${now}`, {type: 'died'}, now + 3)
+					.flatMap((effect) => (effect.type === 'suspect' ? [effect.report.fingerprint] : [])),
+			);
+		};
+
+		const running = Array.from({length: 15}, (_, index) => `call ${index}`);
+		expect(crashOn(running, 0)).to.deep.equal(running);
+		for (const index of [1, 2, 3, 4, 5, 6]) {
+			expect(crashOn(['poison'], index * 300), `crash ${index}`).to.deep.equal(['poison']);
+		}
+	});
+
 	it('admits a quarantined request again after it was cleared', () => {
 		const gate = gateWith(1);
 		gate.onCrashReport(crashReport('same', 'first'), 'first', 0);
--- a/packages/redwingmill-core/src/call/crash-tracker.ts
+++ b/packages/redwingmill-core/src/call/crash-tracker.ts
@@ -44,7 +44,10 @@
 	| {readonly type: 'suspect'; readonly report: CrashReport}
 	| {readonly type: 'crash-notice'; readonly notice: CrashNotice};
 
-/** Limits a gate's crash reports: a faulty worker would otherwise flood the mesh with them. */
+/**
+ * Limits a gate's reports of first crashes and of cleared requests: a faulty worker would otherwise
+ * flood the mesh with them. All first crashes that one end of the worker causes count as one.
+ */
 const reportBurst = 10;
 const reportsPerSecond = 1;
 /** Reports sent at once to a node that knows less. */
@@ -55,16 +58,20 @@
 /** Decides which requests are suspected of crashing the worker and what is reported of them. */
 export class CrashTracker {
 	readonly #suspectedRequests: SuspectedRequests;
-	readonly #reports: TokenBucket;
+	readonly #crashReports: TokenBucket;
+	readonly #clearReports: TokenBucket;
 	readonly #identity: GateIdentity;
 	/** Whether the worker has run a call successfully since its last crash. */
 	#hasSucceeded = false;
 	#crashedAt = Number.NEGATIVE_INFINITY;
+	/** Time of the last end of the worker whose first crashes were reported. */
+	#reportedCrashAt = Number.NEGATIVE_INFINITY;
 
 	constructor(suspectedRequests: SuspectedRequests, identity: GateIdentity, now: number) {
 		this.#suspectedRequests = suspectedRequests;
 		this.#identity = identity;
-		this.#reports = new TokenBucket(reportBurst, reportsPerSecond, now);
+		this.#crashReports = new TokenBucket(reportBurst, reportsPerSecond, now);
+		this.#clearReports = new TokenBucket(reportBurst, reportsPerSecond, now);
 	}
 
 	/** Returns how strongly the call's request is suspected of crashing workers. */
@@ -87,7 +94,7 @@
 		this.#hasSucceeded = true;
 		const fingerprint = call.fingerprint();
 		const wasSuspected = this.#suspectedRequests.clear(fingerprint, now);
-		return wasSuspected ? [this.#report({isCleared: true, fingerprint}, now)] : [];
+		return wasSuspected ? [this.#reportCleared(fingerprint, now)] : [];
 	}
 
 	/** Records that the worker crashed on the call. */
@@ -108,7 +115,7 @@
 		const notice = {type: 'crash-attributed', fingerprint, crashes: totalCrashes(known)} as const;
 		return [
 			{type: 'crash-notice', notice},
-			this.#report({isCleared: false, fingerprint, crashes: known, ageMs: 0}, now),
+			this.#reportCrash({fingerprint, crashes: known, ageMs: 0}, now),
 		];
 	}
 
@@ -123,7 +130,7 @@
 		// Nodes of earlier versions report only that a worker crashed.
 		const reported = report.crashes.length > 0 ? report.crashes : crashesAtNodes([node]);
 		if (!this.#suspectedRequests.recordCrashes(fingerprint, reported, report.ageMs, now)) {
-			return [this.#report({isCleared: true, fingerprint}, now)];
+			return [this.#reportCleared(fingerprint, now)];
 		}
 
 		const crashes = totalCrashes(this.#suspectedRequests.crashesOf(fingerprint, now));
@@ -167,12 +174,35 @@
 		return now - this.#crashedAt <= sameCrashMs;
 	}
 
-	#report(report: CrashReport, now: number): CrashEffect {
-		const {fingerprint, isCleared} = report;
-		return this.#reports.take(now)
-			? {type: 'suspect', report}
-			: {type: 'crash-notice', notice: {type: 'report-dropped', fingerprint, isCleared}};
+	#reportCrash(suspicion: Suspicion, now: number): CrashEffect {
+		const {fingerprint, crashes} = suspicion;
+		// Few requests crash two workers, and each of these may crash many more.
+		if (totalCrashes(crashes) === 1 && !this.#mayReportFirstCrash(now)) {
+			return dropped(fingerprint, false);
+		}
+
+		return {type: 'suspect', report: {isCleared: false, ...suspicion}};
 	}
+
+	#mayReportFirstCrash(now: number): boolean {
+		if (now - this.#reportedCrashAt <= sameCrashMs) {
+			return true;
+		}
+
+		const isAllowed = this.#crashReports.take(now);
+		this.#reportedCrashAt = isAllowed ? now : this.#reportedCrashAt;
+		return isAllowed;
+	}
+
+	#reportCleared(fingerprint: string, now: number): CrashEffect {
+		return this.#clearReports.take(now)
+			? {type: 'suspect', report: {isCleared: true, fingerprint}}
+			: dropped(fingerprint, true);
+	}
+}
+
+function dropped(fingerprint: string, isCleared: boolean): CrashEffect {
+	return {type: 'crash-notice', notice: {type: 'report-dropped', fingerprint, isCleared}};
 }
 
 function notAttributed(
