A full table of suspected requests gives up bystanders first

What callers saw: none traced to it; found by asking what happens when the table is full.

Cause: the table of suspected requests and that of recent successes dropped their oldest entries beyond 1,000. Each end of a worker adds its bystanders, so many ends push out a quarantined request, which then crashes three more workers. Each success of any request is an entry too, so at 300 calls a second a cleared request is forgotten after three seconds and a late report makes it suspected again.

The entry with the fewest crashes now goes first, and requests cleared of a suspicion have a table of their own.

--- a/packages/redwingmill-core/src/call/suspected-requests.ts
+++ b/packages/redwingmill-core/src/call/suspected-requests.ts
@@ -42,6 +42,8 @@
 	readonly #requests = new Map<string, SuspectedRequest>();
 	/** Time of the last successful run by fingerprint, oldest first. */
 	readonly #successes = new Map<string, number>();
+	/** Time at which suspected requests were cleared, oldest first. */
+	readonly #cleared = new Map<string, number>();
 
 	/**
 	 * @param durationMs - time for which a crash or a success of a request is taken into account.
@@ -78,21 +80,24 @@
 			crashedAt: Math.max(known?.crashedAt ?? Number.NEGATIVE_INFINITY, now - ageMs),
 			hash: hashOf(fingerprint, merged),
 		});
-		trim(this.#requests, maximumSuspectedRequests);
+		this.#evict();
 		return true;
 	}
 
 	/** Records that the request succeeded, here or elsewhere. Returns whether it was suspected. */
 	clear(fingerprint: string, now: number): boolean {
-		this.#successes.delete(fingerprint);
-		this.#successes.set(fingerprint, now);
-		trim(this.#successes, maximumSuccesses);
-		return this.#requests.delete(fingerprint);
+		const wasSuspected = this.#requests.delete(fingerprint);
+		// Ordinary successes are so many that they would soon displace the cleared requests.
+		const times = wasSuspected || this.#cleared.has(fingerprint) ? this.#cleared : this.#successes;
+		times.delete(fingerprint);
+		times.set(fingerprint, now);
+		trim(times, maximumSuccesses);
+		return wasSuspected;
 	}
 
 	/** Whether the request has recently succeeded. */
 	hasRecentSuccess(fingerprint: string, now: number): boolean {
-		const succeededAt = this.#successes.get(fingerprint);
+		const succeededAt = this.#cleared.get(fingerprint) ?? this.#successes.get(fingerprint);
 		return succeededAt !== undefined && now - succeededAt < this.#durationMs;
 	}
 
@@ -145,6 +150,31 @@
 			}));
 	}
 
+	/** Removes the requests with the fewest crashes beyond the bound, oldest first. */
+	#evict(): void {
+		if (this.#requests.size <= maximumSuspectedRequests) {
+			return;
+		}
+
+		let fewest = Number.POSITIVE_INFINITY;
+		let evicted: string | undefined;
+		for (const [fingerprint, {crashes}] of this.#requests) {
+			const count = totalCrashes(crashes);
+			if (count < fewest) {
+				fewest = count;
+				evicted = fingerprint;
+			}
+
+			if (count <= 1) {
+				break;
+			}
+		}
+
+		if (evicted !== undefined) {
+			this.#requests.delete(evicted);
+		}
+	}
+
 	#repeated(now: number): Array<[string, SuspectedRequest]> {
 		return [...this.#requests].filter(
 			([, request]) =>
