Count the crash of an unproven worker on a request that crashed others

Cause: a crash was attributed to nothing if the worker had run nothing well since the one before, since such a worker may be at fault itself. A restarted worker is idle, so it is chosen first, and a request that is repeated often is among the first that it gets.

A request that already crashed a worker of another node is evidence enough: its crash now counts. Requests that have crashed no other worker are still not blamed, and the test of a faulty worker holds unchanged.

--- a/packages/redwingmill-core/src/__tests__/unit/gate.test.ts
+++ b/packages/redwingmill-core/src/__tests__/unit/gate.test.ts
@@ -272,6 +272,17 @@
 		}
 	});
 
+	it('counts the crash of a worker that has run nothing yet if the request has crashed others', () => {
+		const gate = gateWith(1, {deathsToQuarantine: 3, isolatesSuspects: false});
+		gate.onCrashReport(crashReport('poison', 'another'), 'another', 0);
+		gate.submit(callWith('first', {fingerprint: () => 'poison'}), 1);
+		gate.finish('first', {type: 'died'}, 2);
+		gate.submit(callWith('second', {fingerprint: () => 'poison'}), 3000);
+		gate.finish('second', {type: 'died'}, 3001);
+		const refused = gate.submit(callWith('third', {fingerprint: () => 'poison'}), 6000);
+		expect(answers(refused)).to.deep.equal(['not-run quarantined']);
+	});
+
 	it('admits a quarantined request again after it was cleared', () => {
 		const gate = gateWith(1);
 		gate.onCrashReport(crashReport('same', 'first'), 'first', 0);
--- a/packages/redwingmill-core/src/call/crash-tracker.ts
+++ b/packages/redwingmill-core/src/call/crash-tracker.ts
@@ -1,5 +1,11 @@
 import {TokenBucket} from 'redwingmill-shared';
-import {crashesAtNodes, mergeCrashes, totalCrashes, type GateCrashes} from './crash-counts.js';
+import {
+	crashesAtNodes,
+	mergeCrashes,
+	totalCrashes,
+	type CrashCounts,
+	type GateCrashes,
+} from './crash-counts.js';
 import {type SuspectedRequests, type Suspicion, type SuspicionLevel} from './suspected-requests.js';
 
 /** Properties of a call by which crashes are attributed. */
@@ -100,11 +106,12 @@
 	/** Records that the worker crashed on the call. */
 	onCrash(call: FingerprintedCall, now: number): CrashEffect[] {
 		const fingerprint = call.fingerprint();
-		if (!this.#isAttributable(now)) {
+		const crashesBefore = crashesAtNodes(call.crashedNodes);
+		if (!this.#isWorkerProven(now) && !this.#hasCrashedElsewhere(fingerprint, crashesBefore, now)) {
 			return [notAttributed(fingerprint, 'unproven-worker')];
 		}
 
-		const crashes = mergeCrashes(crashesAtNodes(call.crashedNodes), [
+		const crashes = mergeCrashes(crashesBefore, [
 			{...this.#identity, count: this.#ownCrashes(fingerprint, now) + 1},
 		]);
 		if (!this.#suspectedRequests.recordCrashes(fingerprint, crashes, 0, now)) {
@@ -160,11 +167,10 @@
 	}
 
 	/**
-	 * Whether a crash can be attributed to a request: not when the worker has run nothing successfully
-	 * since its last crash, for then it may be at fault itself. A crash is attributed to all calls that
-	 * it ends.
+	 * Whether the worker had run something successfully since its last crash; if not, it may be at fault
+	 * itself. Holds for all calls that one crash ends.
 	 */
-	#isAttributable(now: number): boolean {
+	#isWorkerProven(now: number): boolean {
 		if (this.#hasSucceeded) {
 			this.#hasSucceeded = false;
 			this.#crashedAt = now;
@@ -174,6 +180,11 @@
 		return now - this.#crashedAt <= sameCrashMs;
 	}
 
+	#hasCrashedElsewhere(fingerprint: string, crashesBefore: CrashCounts, now: number): boolean {
+		const known = this.#suspectedRequests.crashesOf(fingerprint, now);
+		return [...known, ...crashesBefore].some(({node}) => node !== this.#identity.node);
+	}
+
 	#reportCrash(suspicion: Suspicion, now: number): CrashEffect {
 		const {fingerprint, crashes} = suspicion;
 		// Few requests crash two workers, and each of these may crash many more.
