Refuse a waiting request whose crashes are reported while it waits

What callers saw: none traced to it; found by asking what happens when a report comes while the request overlaps with itself. The gate looked at the count only when a call arrived, so a call that waited was run although its request had been quarantined meanwhile, and ended one more worker.

The count is now looked at again when a call leaves the queue. The new test failed before: the waiting call was dispatched.

--- a/packages/redwingmill-core/src/__tests__/unit/gate.test.ts
+++ b/packages/redwingmill-core/src/__tests__/unit/gate.test.ts
@@ -283,6 +283,20 @@
 		expect(answers(refused)).to.deep.equal(['not-run quarantined']);
 	});
 
+	it('refuses a waiting request once reports show that it crashed enough workers', () => {
+		const gate = gateWith(1, {deathsToQuarantine: 3, isolatesSuspects: false});
+		gate.submit(callWith('running'), 0);
+		expect(answers(gate.submit(callWith('poison'), 0))).to.deep.equal([]);
+		gate.onCrashReport(crashReport('poison', 'another', 3), 'another', 1);
+		const effects = gate.finish(
+			'running',
+			{type: 'answered', payload: '', bytes: 0, isFailure: false},
+			2,
+		);
+		expect(dispatched(effects)).to.deep.equal([]);
+		expect(answers(effects)).to.deep.equal(['ran', 'not-run quarantined']);
+	});
+
 	it('admits a quarantined request again after it was cleared', () => {
 		const gate = gateWith(1);
 		gate.onCrashReport(crashReport('same', 'first'), 'first', 0);
--- a/packages/redwingmill-core/src/call/gate.ts
+++ b/packages/redwingmill-core/src/call/gate.ts
@@ -327,6 +327,11 @@
 				break;
 			}
 
+			if (this.#crashes.suspicionOf(call, now) === 'quarantined') {
+				effects.push(this.#refuse(call, 'quarantined', now));
+				continue;
+			}
+
 			const isSuspected = this.#needsIsolation(call, now);
 			this.#runningSuspectedCount += isSuspected ? 1 : 0;
 			if (this.#running.size === 0) {
