Run a request alone when one more crash would quarantine it

Cause: a crash counts against all calls that it ends, and the deployment doesn't isolate suspected requests, because isolating each bystander of one crash would stop a worker's other calls.

A request that is one crash short of quarantine is rarely a bystander, and its next run decides whether it is refused everywhere. It now runs alone also where other suspects don't; a call held back for it is still refused once it has waited too long. A crashing request thus takes no other call along the third time.

--- a/packages/redwingmill-core/src/__tests__/unit/gate.test.ts
+++ b/packages/redwingmill-core/src/__tests__/unit/gate.test.ts
@@ -297,6 +297,20 @@
 		expect(answers(effects)).to.deep.equal(['ran', 'not-run quarantined']);
 	});
 
+	it('runs a request that is one crash short of quarantine alone', () => {
+		const gate = gateWith(3, {deathsToQuarantine: 3, isolatesSuspects: false});
+		const answered = {type: 'answered', payload: '', bytes: 0, isFailure: false} as const;
+		gate.onCrashReport(crashReport('once', 'another', 1), 'another', 0);
+		gate.onCrashReport(crashReport('twice', 'another', 2), 'another', 0);
+		gate.submit(callWith('running'), 0);
+		expect(dispatched(gate.submit(callWith('once'), 0))).to.deep.equal(['once']);
+		expect(dispatched(gate.submit(callWith('twice'), 0))).to.deep.equal([]);
+		gate.finish('running', answered, 1);
+		expect(dispatched(gate.finish('once', answered, 2))).to.deep.equal(['twice']);
+		expect(dispatched(gate.submit(callWith('later'), 3))).to.deep.equal([]);
+		expect(dispatched(gate.finish('twice', answered, 4))).to.deep.equal(['later']);
+	});
+
 	it('admits a quarantined request again after it was cleared', () => {
 		const gate = gateWith(1);
 		gate.onCrashReport(crashReport('same', 'first'), 'first', 0);
--- a/packages/redwingmill-core/src/call/gate-limits.ts
+++ b/packages/redwingmill-core/src/call/gate-limits.ts
@@ -14,7 +14,10 @@
 	readonly quarantineMs: number;
 	/** Number of workers that must crash on a request before it is refused. */
 	readonly deathsToQuarantine: number;
-	/** Whether a suspected request runs only while the worker runs nothing else. */
+	/**
+	 * Whether every suspected request runs only while the worker runs nothing else; if not, only one that
+	 * is a crash short of quarantine.
+	 */
 	readonly isolatesSuspects: boolean;
 	/** Added to the age of a withdrawn attempt to cover the time its request was in transit. */
 	readonly withdrawMarginMs: number;
--- a/packages/redwingmill-core/src/call/gate.ts
+++ b/packages/redwingmill-core/src/call/gate.ts
@@ -347,8 +347,8 @@
 	}
 
 	/**
-	 * Removes and returns the call to dispatch next. A suspected call runs alone, so that a crash can be
-	 * attributed to it.
+	 * Removes and returns the call to dispatch next. A call on probation runs alone, so that only a crash
+	 * of its own quarantines it.
 	 */
 	#takeNextCall(now: number): GateCall | undefined {
 		const call = this.#heldCall ?? this.#queue.pick();
@@ -362,7 +362,20 @@
 	}
 
 	#needsIsolation(call: GateCall, now: number): boolean {
-		return this.#limits.isolatesSuspects && this.#crashes.suspicionOf(call, now) !== 'none';
+		switch (this.#crashes.suspicionOf(call, now)) {
+			case 'none':
+			case 'quarantined': {
+				return false;
+			}
+
+			case 'suspect': {
+				return this.#limits.isolatesSuspects;
+			}
+
+			case 'probation': {
+				return true;
+			}
+		}
 	}
 
 	#hasFreeSlot(): boolean {
--- a/packages/redwingmill-core/src/call/suspected-requests.ts
+++ b/packages/redwingmill-core/src/call/suspected-requests.ts
@@ -1,8 +1,11 @@
 import {digestOf} from 'redwingmill-shared';
 import {mergeCrashes, totalCrashes, type CrashCounts} from './crash-counts.js';
 
-/** How strongly a request is suspected of crashing workers; 'quarantined' ones are refused. */
-export type SuspicionLevel = 'none' | 'suspect' | 'quarantined';
+/**
+ * How strongly a request is suspected of crashing workers: one on 'probation' is a crash short of those
+ * that are 'quarantined', which are refused.
+ */
+export type SuspicionLevel = 'none' | 'suspect' | 'probation' | 'quarantined';
 
 /** A suspected request as other nodes need to know it. */
 export type Suspicion = {
@@ -116,7 +119,11 @@
 			return 'quarantined';
 		}
 
-		return count > 0 ? 'suspect' : 'none';
+		if (count === 0) {
+			return 'none';
+		}
+
+		return count === this.#crashesToQuarantine - 1 ? 'probation' : 'suspect';
 	}
 
 	/** Returns the crashes that count against the request. */
