A request that crashes workers again after its quarantine is refused at once

After a quarantine the request is now on probation for as long again: it may run alone, a success clears it, and a crash quarantines it at once for twice as long, at most 64 times the first.

The new test failed before: the request was under no suspicion after 60 s.

--- a/packages/redwingmill-core/src/__tests__/unit/suspected-requests.test.ts
+++ b/packages/redwingmill-core/src/__tests__/unit/suspected-requests.test.ts
@@ -32,6 +32,19 @@
 		expect(requests.suspicionOf('bystander', [], 3)).to.equal('none');
 	});
 
+	it('quarantines a request again, and for longer, at its first crash after a quarantine', () => {
+		const requests = new SuspectedRequests(durationMs, 3);
+		const suspicionAt = (now: number) => requests.suspicionOf('poison', [], now);
+		requests.recordCrashes('poison', crashesAt('a', 'b', 'c'), 0, 0);
+		expect(suspicionAt(durationMs - 1)).to.equal('quarantined');
+		expect(suspicionAt(durationMs)).to.equal('probation');
+		requests.recordCrashes('poison', crashesAt('d'), 0, durationMs);
+		expect(requests.remainingMs('poison', durationMs)).to.equal(2 * durationMs);
+		expect(suspicionAt(3 * durationMs - 1)).to.equal('quarantined');
+		expect(suspicionAt(3 * durationMs)).to.equal('probation');
+		expect(suspicionAt(5 * durationMs)).to.equal('none');
+	});
+
 	it('has the same digest after the same crashes in another order, and another after fewer', () => {
 		const [first, second] = [
 			new SuspectedRequests(durationMs, 3),
--- a/packages/redwingmill-core/src/call/suspected-requests.ts
+++ b/packages/redwingmill-core/src/call/suspected-requests.ts
@@ -31,6 +31,8 @@
 const hexadecimalRadix = 16;
 const digestModulus = 2 ** 32;
 
+/** Limits the quarantine to 64 times the first one. */
+const maximumDoublings = 6;
 const maximumSuspectedRequests = 1000;
 const maximumSuccesses = 1000;
 
@@ -49,7 +51,8 @@
 	readonly #cleared = new Map<string, number>();
 
 	/**
-	 * @param durationMs - time for which a crash or a success of a request is taken into account.
+	 * @param durationMs - time for which a crash or a success of a request is taken into account, and for
+	 *   which a request is quarantined first. Each further crash doubles the quarantine.
 	 * @param crashesToQuarantine - number of workers that must crash on a request.
 	 */
 	constructor(durationMs: number, crashesToQuarantine: number) {
@@ -71,19 +74,16 @@
 			return false;
 		}
 
-		if (ageMs >= this.#durationMs) {
-			return true;
-		}
-
 		const known = this.#current(fingerprint, now);
 		const merged = mergeCrashes(known?.crashes ?? [], crashes);
-		this.#requests.delete(fingerprint);
-		this.#requests.set(fingerprint, {
-			crashes: merged,
-			crashedAt: Math.max(known?.crashedAt ?? Number.NEGATIVE_INFINITY, now - ageMs),
-			hash: hashOf(fingerprint, merged),
-		});
-		this.#evict();
+		const crashedAt = Math.max(known?.crashedAt ?? Number.NEGATIVE_INFINITY, now - ageMs);
+		const request = {crashes: merged, crashedAt, hash: hashOf(fingerprint, merged)};
+		if (!this.#hasLapsed(request, now)) {
+			this.#requests.delete(fingerprint);
+			this.#requests.set(fingerprint, request);
+			this.#evict();
+		}
+
 		return true;
 	}
 
@@ -114,9 +114,11 @@
 			return 'none';
 		}
 
-		const count = totalCrashes(mergeCrashes(this.crashesOf(fingerprint, now), crashes));
+		const known = this.#current(fingerprint, now);
+		const count = totalCrashes(mergeCrashes(known?.crashes ?? [], crashes));
+		const hasNewCrash = known === undefined || count > totalCrashes(known.crashes);
 		if (count >= this.#crashesToQuarantine) {
-			return 'quarantined';
+			return hasNewCrash || this.#quarantineEndAt(known) > now ? 'quarantined' : 'probation';
 		}
 
 		if (count === 0) {
@@ -131,10 +133,10 @@
 		return this.#current(fingerprint, now)?.crashes ?? [];
 	}
 
-	/** Returns the milliseconds until the request is no longer suspected. */
+	/** Returns the milliseconds until a quarantined request may run again. */
 	remainingMs(fingerprint: string, now: number): number {
-		const crashedAt = this.#current(fingerprint, now)?.crashedAt;
-		return crashedAt === undefined ? 0 : crashedAt + this.#durationMs - now;
+		const known = this.#current(fingerprint, now);
+		return known === undefined ? 0 : Math.max(0, this.#quarantineEndAt(known) - now);
 	}
 
 	/**
@@ -199,8 +201,21 @@
 		return undefined;
 	}
 
-	#hasLapsed({crashedAt}: SuspectedRequest, now: number): boolean {
-		return now - crashedAt >= this.#durationMs;
+	/** Whether the crashes are forgotten: a quarantined request stays on probation for as long again. */
+	#hasLapsed(request: SuspectedRequest, now: number): boolean {
+		const {crashes, crashedAt} = request;
+		const isRepeated = totalCrashes(crashes) >= this.#crashesToQuarantine;
+		const keptMs = (isRepeated ? 2 : 1) * this.#quarantineMs(crashes);
+		return now - crashedAt >= keptMs;
+	}
+
+	#quarantineEndAt({crashes, crashedAt}: SuspectedRequest): number {
+		return crashedAt + this.#quarantineMs(crashes);
+	}
+
+	#quarantineMs(crashes: CrashCounts): number {
+		const excess = Math.max(0, totalCrashes(crashes) - this.#crashesToQuarantine);
+		return this.#durationMs * 2 ** Math.min(excess, maximumDoublings);
 	}
 }
 
