Nodes send each other their crash reports over each new link

Nodes that are linked through relays passed a report on once. A node that joined later, or a data centre that was cut off, never learned of it and ran the request again.

The two ends of a new link now send each other their reports of requests with several crashes, as they do with records that differ. A registration that is put off or redirected sends none.

--- a/packages/redwingmill-core/src/controllers/suspected-request-controller.ts
+++ b/packages/redwingmill-core/src/controllers/suspected-request-controller.ts
@@ -5,18 +5,46 @@
 
 type SuspectMessage = Extract<Message, {type: 'suspect'}>;
 
-/** Distributes reports of requests suspected of crashing workers, or cleared of the suspicion. */
+/**
+ * Distributes reports of requests suspected of crashing workers, or cleared of the suspicion. The ends
+ * of a new link send each other what they know, since either may be new or have been cut off.
+ */
 export class SuspectedRequestController implements Controller {
 	handle(update: Update, event: Event, _context: Context): void {
 		if (event.type === 'crash-reported') {
 			const node = update.pending.roster.self.address;
 			this.#distribute(update, {type: 'suspect', report: event.report, node}, true);
-		} else if (event.type === 'link-message' && event.message.type === 'suspect') {
-			update.emit(event.message);
-			// A relay forwards only its members' reports to other relays, so none circulates endlessly.
-			const role = update.pending.links.links.get(event.link)?.role;
-			if (update.pending.links.uplink.type === 'relay') {
-				this.#distribute(update, event.message, role === 'member');
+		} else if (event.type === 'link-message') {
+			this.#handleMessage(update, event.link, event.message);
+		}
+	}
+
+	#handleMessage(update: Update, link: number, message: Message): void {
+		const role = update.pending.links.links.get(link)?.role;
+		switch (message.type) {
+			case 'register':
+			case 'welcome': {
+				// A registration that was put off or redirected leaves the link without a role.
+				if (role !== undefined) {
+					update.emit({type: 'send-crash-reports', link});
+				}
+
+				break;
+			}
+
+			case 'suspect': {
+				const {report, node} = message;
+				update.emit({type: 'suspect', report, node});
+				// A relay forwards only its members' reports to other relays, so none circulates endlessly.
+				if (update.pending.links.uplink.type === 'relay') {
+					this.#distribute(update, message, role === 'member');
+				}
+
+				break;
+			}
+
+			default: {
+				break;
 			}
 		}
 	}
--- a/packages/redwingmill-core/src/engine/effect.ts
+++ b/packages/redwingmill-core/src/engine/effect.ts
@@ -18,5 +18,7 @@
 	| {readonly type: 'request-tick'; readonly delayMs: number}
 	| {readonly type: 'count'; readonly counter: Counter}
 	| {readonly type: 'notify'; readonly notice: Notice}
+	/** Sends the local gate's crash reports over a link. */
+	| {readonly type: 'send-crash-reports'; readonly link: number}
 	/** Another node's crash report arrived; `node` is the control address of the node that issued it. */
 	| {readonly type: 'suspect'; readonly report: CrashReport; readonly node: string};
--- a/packages/redwingmill-node/src/control/relay-control-plane.ts
+++ b/packages/redwingmill-node/src/control/relay-control-plane.ts
@@ -21,7 +21,11 @@
 import {nodeStatusOf} from '../operators/status.js';
 import {type Settings} from '../settings/settings.js';
 import {type ConfigurationReply} from './configuration-history.js';
-import {type ControlPlane, type CrashReportHandler} from './control-plane.js';
+import {
+	type ControlPlane,
+	type CrashReportHandler,
+	type CrashReportSource,
+} from './control-plane.js';
 import {LinkTransport} from './link-transport.js';
 
 const tickIntervalMs = 500;
@@ -45,6 +49,7 @@
 	#timer: NodeJS.Timeout | undefined;
 	#isStopped = false;
 	#crashReportHandler: CrashReportHandler | undefined;
+	#crashReportSource: CrashReportSource | undefined;
 
 	constructor(settings: Settings, self: NodeRecord, log: Log, metrics: Metrics) {
 		this.#log = log;
@@ -149,7 +154,7 @@
 	}
 
 	updateCrashDigest(): void {
-		// Links are reliable: reports are sent once.
+		// Reports are sent over each new link, and links lose nothing.
 	}
 
 	status(): unknown {
@@ -186,9 +191,11 @@
 		};
 	}
 
-	/** The source is never called. */
-	registerCrashReportSource(): Teardown {
-		return () => undefined;
+	registerCrashReportSource(source: CrashReportSource): Teardown {
+		this.#crashReportSource = source;
+		return () => {
+			this.#crashReportSource = undefined;
+		};
 	}
 
 	/** The handler is never called: loads arrive with the answers to calls only. */
@@ -268,6 +275,15 @@
 				break;
 			}
 
+			case 'send-crash-reports': {
+				const node = this.blackboard.roster.self.address;
+				for (const report of this.#crashReportSource?.() ?? []) {
+					this.#transport.send([effect.link], {type: 'suspect', report, node});
+				}
+
+				break;
+			}
+
 			case 'suspect': {
 				this.#crashReportHandler?.(effect.report, effect.node);
 				break;
--- a/test/support/fake-mesh.ts
+++ b/test/support/fake-mesh.ts
@@ -1,5 +1,6 @@
 import {
 	singletonName,
+	type CrashReport,
 	type Effect,
 	type Event,
 	type Limits,
@@ -63,6 +64,10 @@
 	intercept: Interceptor | undefined;
 	/** Receives a line per message (except heartbeats), write, notice and count, for golden sessions. */
 	onTrace: ((line: string) => void) | undefined;
+	/** Receives the crash reports that reach a node. */
+	onCrashReport: ((node: FakeNode, report: CrashReport) => void) | undefined;
+	/** Returns the crash reports that a node sends over a new link. */
+	crashReportsOf: ((node: FakeNode) => readonly CrashReport[]) | undefined;
 	readonly #random: Random;
 	readonly #limits: Partial<Limits>;
 	readonly #connections = new Map<FakeNode, Map<number, Connection>>();
@@ -96,6 +101,11 @@
 		return node;
 	}
 
+	/** Reports crashes as a node's gate does. */
+	reportCrashes(node: FakeNode, report: CrashReport): void {
+		this.#dispatch(node, {type: 'crash-reported', report});
+	}
+
 	/** Announces a state of the node's worker to the node. */
 	announce(node: FakeNode, state: WorkerState): void {
 		const {service, address} = node.settings;
@@ -334,6 +344,15 @@
 			}
 
 			case 'suspect': {
+				this.onCrashReport?.(node, effect.report);
+				break;
+			}
+
+			case 'send-crash-reports': {
+				for (const report of this.crashReportsOf?.(node) ?? []) {
+					this.#send(node, effect.link, {type: 'suspect', report, node: node.settings.address});
+				}
+
 				break;
 			}
 		}
