Attribute crashes of workers that had begun to answer or left connections open

What callers saw: none traced to it; found by asking what the place that learns of a crash does when it is cut.

Cause: a broken exchange led to a look at the worker only if no response had begun, and a call that timed out never did. A request that crashes its worker in the middle of the answer, or on a host that leaves the connections open, was never counted.

Each broken exchange now leads to that look, and so does a call that times out if the worker has ended no other call since it was dispatched. Not covered: a caller that leaves before its deadline while the connection is silent.

--- a/packages/redwingmill-core/src/call/gate-call.ts
+++ b/packages/redwingmill-core/src/call/gate-call.ts
@@ -61,5 +61,7 @@
 	/** Ends the exchange with the worker because nobody waits for its answer any more. */
 	| {readonly type: 'abort'; readonly key: string}
 	| CrashEffect
+	/** Finds out whether the worker is still alive; this call timed out and no other has ended since. */
+	| {readonly type: 'check-worker'; readonly call: GateCall}
 	/** The worker can't be reached or isn't the announced one; it counts as absent from now on. */
 	| {readonly type: 'worker-gone'};
--- a/packages/redwingmill-core/src/call/gate.ts
+++ b/packages/redwingmill-core/src/call/gate.ts
@@ -49,6 +49,8 @@
 	readonly #failures = new FailureMeter();
 	readonly #stallDetector = new StallDetector();
 	#worker: Worker | undefined;
+	/** When the worker last answered or ended a call. */
+	#answeredAt = Number.NEGATIVE_INFINITY;
 	#isStopping = false;
 	/** Suspected request held back until the worker is idle; nothing is dispatched before it. */
 	#heldCall: GateCall | undefined;
@@ -170,6 +172,7 @@
 		this.#running.delete(key);
 		if (result.type !== 'timed-out' && result.type !== 'aborted') {
 			this.#stallDetector.onProgress(now);
+			this.#answeredAt = now;
 		}
 
 		this.#runningSuspectedCount -= running.isSuspected ? 1 : 0;
@@ -198,6 +201,11 @@
 		return this.#running.has(id) ? [{type: 'abort', key: id}] : [];
 	}
 
+	/** Handles the end of the worker, found out after a call that it was running had timed out. */
+	onWorkerFoundDead(call: GateCall, now: number): Array<GateEffect<Payload>> {
+		return [...this.#crashes.onCrash(call, now), {type: 'worker-gone'}];
+	}
+
 	/**
 	 * Applies another node's report on a request. Contradicts a crash report if the request has recently
 	 * succeeded here.
@@ -445,7 +453,9 @@
 			}
 
 			case 'timed-out': {
-				return [this.#settleUnknown(call, 'worker-timeout', now)];
+				const answer = this.#settleUnknown(call, 'worker-timeout', now);
+				// The host of a crashed worker may leave its connections open.
+				return this.#answeredAt < startedAt ? [answer, {type: 'check-worker', call}] : [answer];
 			}
 
 			case 'aborted': {
--- a/packages/redwingmill-node/src/call/exchange.ts
+++ b/packages/redwingmill-node/src/call/exchange.ts
@@ -16,11 +16,7 @@
 	/** Nothing was sent: there was no connection, or the client is closed or rejected the request. */
 	| {readonly type: 'refused'}
 	/** The connection failed, or the exchange was aborted, before the response was complete. */
-	| {
-			readonly type: 'broken';
-			/** Whether status and headers of a response had been received. */
-			readonly hasResponseHead: boolean;
-	  }
+	| {readonly type: 'broken'}
 	/** The response belongs to another request; its connection was closed. */
 	| {readonly type: 'foreign'}
 	| {readonly type: 'too-large'};
@@ -92,7 +88,7 @@
 	}
 
 	abort(): void {
-		this.#finish({type: 'broken', hasResponseHead: this.#status > 0});
+		this.#finish({type: 'broken'});
 		this.#controller?.abort(new AbortedExchangeError('The exchange was aborted by this node'));
 	}
 
@@ -146,9 +142,7 @@
 
 	onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
 		const isRefused = isConnectFailure(error);
-		this.#finish(
-			isRefused ? {type: 'refused'} : {type: 'broken', hasResponseHead: this.#status > 0},
-		);
+		this.#finish({type: isRefused ? 'refused' : 'broken'});
 	}
 
 	#finish(result: ExchangeResult): void {
--- a/packages/redwingmill-node/src/call/gate-service.ts
+++ b/packages/redwingmill-node/src/call/gate-service.ts
@@ -248,6 +248,11 @@
 					break;
 				}
 
+				case 'check-worker': {
+					void this.#checkWorker(effect.call);
+					break;
+				}
+
 				case 'crash-notice': {
 					this.#options.onCrashNotice?.(effect.notice);
 					break;
@@ -333,7 +338,7 @@
 			this.#perform(this.#gate.finish(key, workerResult, performance.now()));
 		};
 
-		if (result.type === 'broken' && !result.hasResponseHead && this.#worker) {
+		if (result.type === 'broken' && this.#worker) {
 			void isAlive(this.#worker.address).then((isWorkerAlive) => {
 				finish({type: isWorkerAlive ? 'lost' : 'died'});
 			});
@@ -343,6 +348,13 @@
 		finish(this.#workerResult(request, result));
 	}
 
+	async #checkWorker(call: GateCall): Promise<void> {
+		const worker = this.#worker;
+		if (worker && !(await isAlive(worker.address)) && worker === this.#worker) {
+			this.#perform(this.#gate.onWorkerFoundDead(call, performance.now()));
+		}
+	}
+
 	#workerResult({headers}: CallRequest, result: ExchangeResult): WorkerResult<Payload> {
 		switch (result.type) {
 			case 'complete': {
--- a/test/support/fake-crash-mesh.ts
+++ b/test/support/fake-crash-mesh.ts
@@ -382,6 +382,14 @@
 					break;
 				}
 
+				case 'check-worker': {
+					if (!host.isWorkerUp) {
+						this.#perform(host, host.gate.onWorkerFoundDead(effect.call, this.now));
+					}
+
+					break;
+				}
+
 				case 'abort': {
 					break;
 				}
