A node that doesn't know the mesh yet spends none of its retry slack

Cause: each node spends its part of the slack, the slack divided by the number of nodes that it knows. When all nodes lose power at once while the store is down, nine of them may take 302 of a budget of 56.

Until it has listed the registry, a node now retries only within its share of the calls that it has received.

The directory's test failed before: the node counted itself alone. The figures are worked out, not measured.

--- a/packages/redwingmill-core/src/__tests__/unit/retry-budget.test.ts
+++ b/packages/redwingmill-core/src/__tests__/unit/retry-budget.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import {Random} from 'redwingmill-shared';
-import {RetryBudget} from '../../index.js';
+import {allowanceOfNode, RetryBudget} from '../../index.js';
 
 const windowMs = 10_000;
 const seed = 11;
@@ -25,6 +25,12 @@
 		expect(budget.tryTake({share: 0, slack: 1}, windowMs + 1)).to.equal(true);
 	});
 
+	it('gives each node its part of the slack, and none to one that does not know the mesh', () => {
+		const allowance = {share: 0.2, slack: 56};
+		expect(allowanceOfNode(allowance, 8)).to.deep.equal({share: 0.2, slack: 7});
+		expect(allowanceOfNode(allowance, undefined)).to.deep.equal({share: 0.2, slack: 0});
+	});
+
 	it('keeps the mesh within its budget in every window without coordination between nodes', () => {
 		const random = new Random(seed);
 		const nodes = Array.from({length: 9}, () => new RetryBudget(windowMs));
--- a/packages/redwingmill-core/src/call/retry-budget.ts
+++ b/packages/redwingmill-core/src/call/retry-budget.ts
@@ -6,6 +6,19 @@
 	readonly slack: number;
 };
 
+/**
+ * Returns one node's part of the mesh's allowance.
+ *
+ * @param nodeCount - number of nodes that share the slack; undefined when this node doesn't know it, and
+ *   may not use any.
+ */
+export function allowanceOfNode(
+	{share, slack}: RetryAllowance,
+	nodeCount: number | undefined,
+): RetryAllowance {
+	return {share, slack: nodeCount === undefined ? 0 : slack / nodeCount};
+}
+
 /** Attempts counted in one slice of the window. */
 type Slice = {
 	readonly startedAt: number;
--- a/packages/redwingmill-core/src/directory/directory-state.ts
+++ b/packages/redwingmill-core/src/directory/directory-state.ts
@@ -116,3 +116,11 @@
 		routing: emptyRoutingTable,
 	};
 }
+
+/**
+ * Returns the number of nodes, including this one; undefined until the registry has been listed, since
+ * a node that has just started may know only a few of them.
+ */
+export function knownNodeCount({registry, members}: DirectoryState): number | undefined {
+	return registry.hasBeenListed ? members.records.size + 1 : undefined;
+}
--- a/packages/redwingmill-core/src/index.ts
+++ b/packages/redwingmill-core/src/index.ts
@@ -51,7 +51,7 @@
 export {type Withdrawal} from './call/call-deduplicator.js';
 export * from './call/outcome.js';
 export {type WorkerLoad} from './call/worker-load.js';
-export {RetryBudget, type RetryAllowance} from './call/retry-budget.js';
+export {allowanceOfNode, RetryBudget, type RetryAllowance} from './call/retry-budget.js';
 export {matchRoute} from './call/route-matcher.js';
 export {type CrashCounts, type GateCrashes} from './call/crash-counts.js';
 export {type CrashNotice, type CrashReport, type GateIdentity} from './call/crash-tracker.js';
@@ -61,6 +61,7 @@
 export {createDirectory, type Directory} from './directory/create-directory.js';
 export {
 	initialDirectoryState,
+	knownNodeCount,
 	type DirectoryServingState,
 	type DirectoryState,
 } from './directory/directory-state.js';
--- a/packages/redwingmill-node/src/__tests__/unit/gate-service.test.ts
+++ b/packages/redwingmill-node/src/__tests__/unit/gate-service.test.ts
@@ -84,7 +84,9 @@
 				return notice;
 			}
 
-			await new Promise(setImmediate);
+			await new Promise<void>((resolve) => {
+				setImmediate(resolve);
+			});
 		}
 	}
 }
--- a/packages/redwingmill-node/src/call/entry-service.ts
+++ b/packages/redwingmill-node/src/call/entry-service.ts
@@ -1,4 +1,5 @@
 import {
+	allowanceOfNode,
 	EndpointChooser,
 	EntryCall,
 	formatTicket,
@@ -323,10 +324,10 @@
 			{
 				group: route.path,
 				bytes: (request.body?.length ?? 0) + this.#responseBytes.expected(route.path),
-				retryAllowance: {
-					share: nodeRetryShare * route.retryShare,
-					slack: (nodeRetryShare * meshRetrySlack) / Math.max(1, this.#control.nodeCount),
-				},
+				retryAllowance: allowanceOfNode(
+					{share: nodeRetryShare * route.retryShare, slack: nodeRetryShare * meshRetrySlack},
+					this.#control.nodeCount,
+				),
 				isIdempotent: idempotent.includes(anyMethod) || idempotent.includes(request.method),
 				targetAt,
 				deadlineAt,
--- a/packages/redwingmill-node/src/control/control-plane.ts
+++ b/packages/redwingmill-node/src/control/control-plane.ts
@@ -31,8 +31,8 @@
 	 * Whether new callers should connect; false during a shutdown, though calls are still accepted.
 	 */
 	readonly isReady: boolean;
-	/** Number of known nodes, including this one. */
-	readonly nodeCount: number;
+	/** Number of nodes, including this one; undefined while this node doesn't know it. */
+	readonly nodeCount: number | undefined;
 	/** Bytes of control traffic sent and received since the start. */
 	readonly controlBytes: number;
 	/** Whether this node is the relay of its data centre. */
--- a/packages/redwingmill-node/src/control/relay-control-plane.ts
+++ b/packages/redwingmill-node/src/control/relay-control-plane.ts
@@ -110,9 +110,10 @@
 		return this.isServing;
 	}
 
-	get nodeCount(): number {
+	get nodeCount(): number | undefined {
 		const sections = [...this.blackboard.roster.roster.values()];
-		return sections.reduce((sum, section) => sum + section.size, 0);
+		const count = sections.reduce((sum, section) => sum + section.size, 0);
+		return count === 0 ? undefined : count;
 	}
 
 	get isRelay(): boolean {
--- a/packages/redwingmill-node/src/control/store-control-plane.ts
+++ b/packages/redwingmill-node/src/control/store-control-plane.ts
@@ -3,6 +3,7 @@
 	createDirectory,
 	defaultDirectoryLimits,
 	initialDirectoryState,
+	knownNodeCount,
 	type ConfigurationDocument,
 	type Directory,
 	type DirectoryEffect,
@@ -111,8 +112,8 @@
 		return this.#state.serving.state === 'serving';
 	}
 
-	get nodeCount(): number {
-		return this.#state.members.records.size + 1;
+	get nodeCount(): number | undefined {
+		return knownNodeCount(this.#state);
 	}
 
 	get controlBytes(): number {
--- a/test/matrix/directory.test.ts
+++ b/test/matrix/directory.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
-import {type CrashReport} from 'redwingmill-core';
+import {knownNodeCount, type CrashReport} from 'redwingmill-core';
 import {documentOf, FakeDirectoryMesh, fullReachability} from '../support/fake-directory-mesh.js';
 
 const seed = 20_261_204;
@@ -104,6 +104,21 @@
 		expect(mesh.endpointsOf('a/1')).to.include('a/1');
 	});
 
+	it('do not know how many nodes share the retry budget before they have listed the registry', () => {
+		const mesh = startedMesh();
+		const countAt = (address: string) =>
+			knownNodeCount(mesh.nodes.get(address)!.directory.blackboard);
+		expect(countAt('b/2')).to.equal(addresses.length);
+		mesh.reachability = {...fullReachability, canReachStore: () => false};
+		mesh.kill('a/1');
+		mesh.run(500);
+		mesh.start('a/1');
+		expect(countAt('a/1')).to.equal(undefined);
+		mesh.reachability = fullReachability;
+		mesh.run(5000);
+		expect(countAt('a/1')).to.equal(addresses.length);
+	});
+
 	it('join through seed addresses when the store is unreachable from the start', () => {
 		const mesh = new FakeDirectoryMesh(seed);
 		mesh.writeConfiguration(documentOf(1));
