Keep a service's retry budget while its retries count

What callers saw: none traced to it; found by asking what forgets a count. A configuration without a service dropped its retry budget, and the next one that had it again began with a full one, although the retries of the last window still count against the mesh.

A budget is now dropped only once its window holds no retry. The test covers the budget's own answer; that a configuration changes back and forth within a window is not played by a test of its own.

--- a/packages/redwingmill-core/src/__tests__/unit/retry-budget.test.ts
+++ b/packages/redwingmill-core/src/__tests__/unit/retry-budget.test.ts
@@ -25,6 +25,14 @@
 		expect(budget.tryTake({share: 0, slack: 1}, windowMs + 1)).to.equal(true);
 	});
 
+	it('is unused only once its last retry is older than the window', () => {
+		const budget = new RetryBudget(windowMs);
+		expect(budget.isUnusedAt(0)).to.equal(true);
+		budget.tryTake({share: 0, slack: 1}, 0);
+		expect(budget.isUnusedAt(windowMs - 1)).to.equal(false);
+		expect(budget.isUnusedAt(windowMs + 1)).to.equal(true);
+	});
+
 	it('gives each node its part of the slack, and none to one that does not know the mesh', () => {
 		const allowance = {share: 0.2, slack: 56};
 		expect(allowanceOfNode(allowance, 8)).to.deep.equal({share: 0.2, slack: 7});
--- a/packages/redwingmill-core/src/call/retry-budget.ts
+++ b/packages/redwingmill-core/src/call/retry-budget.ts
@@ -59,6 +59,13 @@
 		return true;
 	}
 
+	/** Whether no retry was made within the window, so that nothing is lost by forgetting the budget. */
+	isUnusedAt(now: number): boolean {
+		return this.#slices.every(
+			({startedAt, retries}) => retries === 0 || startedAt <= now - this.#windowMs,
+		);
+	}
+
 	#slice(now: number): Slice {
 		const windowMs = this.#windowMs;
 		const oldest = now - windowMs;
--- a/packages/redwingmill-node/src/call/entry-service.ts
+++ b/packages/redwingmill-node/src/call/entry-service.ts
@@ -137,11 +137,13 @@
 	/** Applies a new routing table and discards the state of endpoints and routes that it lacks. */
 	onRouting(routing: RoutingTable): void {
 		const endpoints = [...routing.endpoints.values()].flat();
-		this.#chooser.retain(endpoints, performance.now());
+		const now = performance.now();
+		this.#chooser.retain(endpoints, now);
 		this.#client.retain(new Set(endpoints.map((endpoint) => endpoint.gateAddress)));
 		this.#splitChooser.retain(routing.routes.map(({route}) => route));
-		for (const service of this.#budgets.keys()) {
-			if (!routing.endpoints.has(service)) {
+		for (const [service, budget] of this.#budgets) {
+			// A later configuration may have the service again.
+			if (!routing.endpoints.has(service) && budget.isUnusedAt(now)) {
 				this.#budgets.delete(service);
 			}
 		}
