Soak with real processes: requests that crash each worker that runs them

Two requests, one on an idempotent route and one that may run once, are sent to random hosts all through the fault phase and crash each worker that runs them. The soak reports one that begins more than three runs at hosts in touch later than 3 s after its third crash. A worker's port is now closed while none runs, so that connections to a crashed worker are refused; its proxy accepted them before. Starts and stops of a worker no longer overlap.

--- a/packages/redwingmill-soak/src/__tests__/unit/invariant-checker.test.ts
+++ b/packages/redwingmill-soak/src/__tests__/unit/invariant-checker.test.ts
@@ -1,5 +1,6 @@
 import {expect} from 'chai';
 import {
+	crashingPathOf,
 	InvariantChecker,
 	responseBodyOf,
 	type CallResult,
@@ -137,6 +138,23 @@
 		expect(delayed.breaches).to.deep.equal([]);
 	});
 
+	it('reports a request that hosts in touch send on after its third crash', () => {
+		const runs = (disruptedUntil: (host: number) => number, isHeldUp = false) => {
+			const checker = new InvariantChecker(disruptedUntil);
+			for (let index = 0; index < 7; index++) {
+				const call = sentCall({id: `c${index}`, path: `/second/${crashingPathOf(1)}`});
+				checker.onSent(call);
+				checker.onRun(runOf(call, {isHeldUp}), 10_000 + (index < 3 ? index : index * 2000));
+			}
+
+			return violatedInvariantsOf(checker);
+		};
+
+		expect(runs(() => 0)).to.deep.equal(['sent-after-crashes']);
+		expect(runs(() => 15_000)).to.deep.equal([]);
+		expect(runs(() => 0, true)).to.deep.equal([]);
+	});
+
 	it('reports a call pending beyond its timeout, unless its host was disrupted after it was sent', () => {
 		const checker = checkerOf(sentCall({sentAt: 1000}));
 		checker.checkPending(5000, () => -Infinity);
--- a/packages/redwingmill-soak/src/invariant-checker.ts
+++ b/packages/redwingmill-soak/src/invariant-checker.ts
@@ -51,6 +51,9 @@
 	readonly isHeldUp: boolean;
 };
 
+/** A run of a request that crashes workers. */
+type CrashingRun = {readonly at: number; readonly isInTouch: boolean};
+
 /** A violated invariant, in the field `promise`, and the evidence. */
 export type InvariantViolation = {readonly promise: Invariant; readonly detail: string};
 
@@ -66,6 +69,8 @@
 	| 'unasked'
 	/** A call ran at a worker of another service. */
 	| 'wrong-service'
+	/** A request that had crashed three workers was sent to more than three others. */
+	| 'sent-after-crashes'
 	/** A call ran at a worker too long after its leaving was acknowledged. */
 	| 'ran-after-leaving'
 	/** A call was pending beyond its timeout. */
@@ -92,6 +97,22 @@
 /** Allows for timers that fire late on a busy machine. */
 const timeoutSlackMs = 2500;
 
+const crashesToQuarantine = 3;
+/** Runs that a request may still begin once its crashes are known everywhere. */
+const maximumRunsAfterCrashes = 3;
+/** Time in which a crash is detected and reported; also that in which a host recovers its contacts. */
+const contactMs = 3000;
+const crashingPathEnd = /\/crash-\d+$/v;
+
+/** Returns the end of the path of a request that crashes each worker that runs it. */
+export function crashingPathOf(index: number): string {
+	return `crash-${index}`;
+}
+
+export function isCrashingPath(path: string): boolean {
+	return crashingPathEnd.test(path);
+}
+
 /** Returns the response body that a worker sends for a call, and the only one a caller accepts. */
 export function responseBodyOf(id: string, service: string): string {
 	return `${service} ran ${id}`;
@@ -109,10 +130,18 @@
 	/** Time until which calls may reach an instance that is leaving. */
 	readonly #callsAllowedUntil = new Map<string, number>();
 	readonly #faultFreeCalls = new Set<string>();
+	/** Times at which a request that crashes workers began to run, and whether its hosts were in touch. */
+	readonly #crashingRuns = new Map<string, CrashingRun[]>();
+	readonly #disruptedUntil: (host: number) => number;
 	#isFaultFree = false;
 	/** Newest version seen in force by host and incarnation, and when it was first seen. */
 	readonly #newestVersions = new Map<string, {readonly version: number; readonly at: number}>();
 
+	/** @param disruptedUntil - returns the time until which a host was disrupted. */
+	constructor(disruptedUntil: (host: number) => number = () => Number.NEGATIVE_INFINITY) {
+		this.#disruptedUntil = disruptedUntil;
+	}
+
 	onSent(call: SentCall): void {
 		this.#calls.set(call.id, call);
 		this.#pending.add(call.id);
@@ -148,6 +177,10 @@
 			this.#report('refused-but-ran', `${run.id} ran after its refusal`);
 		}
 
+		if (isCrashingPath(run.path)) {
+			this.#checkCrashingRun(run, call, now);
+		}
+
 		if (run.service !== call.expects.service) {
 			this.#report('wrong-service', `${run.id} for ${call.expects.service} ran at ${run.service}`);
 		}
@@ -229,6 +262,21 @@
 		}
 	}
 
+	/** Checks that hosts in touch don't send a request on once it has crashed three workers. */
+	#checkCrashingRun({path, isHeldUp}: ObservedRun, {host}: SentCall, now: number): void {
+		const isInTouch = !isHeldUp && now - this.#disruptedUntil(host) >= contactMs;
+		const runs = [...(this.#crashingRuns.get(path) ?? []), {at: now, isInTouch}];
+		this.#crashingRuns.set(path, runs);
+		const thirdCrashAt = runs.at(crashesToQuarantine - 1)?.at ?? now;
+		const lateRuns = runs.filter((run) => run.isInTouch && run.at > thirdCrashAt + contactMs);
+		if (lateRuns.length > maximumRunsAfterCrashes) {
+			this.#report(
+				'sent-after-crashes',
+				`${path} began ${lateRuns.length} runs after its third crash, ${runs.length} in all`,
+			);
+		}
+	}
+
 	/** Checks that an incarnation serves no call by a version older than one seen before the call. */
 	#checkVersion({id, host, incarnation, sentAt, expects}: SentCall, now: number): void {
 		if (expects.type !== 'version') {
--- a/packages/redwingmill-soak/src/soak-caller.ts
+++ b/packages/redwingmill-soak/src/soak-caller.ts
@@ -14,7 +14,12 @@
 };
 
 /** A route and what the configuration says about it. */
-export type CallTarget = {readonly route: SoakRoute; readonly expects: Expectation};
+export type CallTarget = {
+	readonly route: SoakRoute;
+	readonly expects: Expectation;
+	/** End of the path of a request that is repeated; by default each call has a path of its own. */
+	readonly pathEnd?: string;
+};
 
 /** Dependencies of a caller. */
 export type CallerOptions = {
@@ -81,11 +86,13 @@
 		const {nextId, onSent, onEnd, random} = this.#options;
 		const {path, isIdempotent, timeoutMs} = target.route;
 		const id = nextId();
+		const {pathEnd = id} = target;
+		const bodyBytes = target.pathEnd === undefined ? 1 + random.below(maximumBodyBytes) : 1;
 		const request: CallRequest = {
 			id,
 			method: isIdempotent ? 'GET' : 'POST',
-			path: `${path}${id}`,
-			body: isIdempotent ? '' : 'x'.repeat(1 + random.below(maximumBodyBytes)),
+			path: `${path}${pathEnd}`,
+			body: isIdempotent ? '' : 'x'.repeat(bodyBytes),
 			timeoutMs,
 		};
 		onSent(request, target);
--- a/packages/redwingmill-soak/src/soak-host.ts
+++ b/packages/redwingmill-soak/src/soak-host.ts
@@ -1,7 +1,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {type Teardown} from 'redwingmill-shared';
 import {type DatagramFaultProxy} from './datagram-fault-proxy.js';
-import {responseBodyOf, type InvariantChecker} from './invariant-checker.js';
+import {isCrashingPath, responseBodyOf, type InvariantChecker} from './invariant-checker.js';
 import {NodeProcess} from './node-process.js';
 import {
 	type NodeAddresses,
@@ -38,6 +38,8 @@
 /** Calls that arrive within this time after a disruption may have been delayed by it. */
 const disruptionAftermathMs = 3000;
 const maximumLeaveAttempts = 3;
+/** Time after which a worker that a request has crashed is replaced. */
+const crashRestartMs = 1200;
 
 /** A host: its node's process, its worker, and the fault-injecting proxies in front of them. */
 export class SoakHost {
@@ -48,11 +50,12 @@
 		const streamProxies = {
 			caller: new StreamFaultProxy(addresses.proxy),
 			gate: new StreamFaultProxy(addresses.gate),
-			// Nothing connects before startWorker() sets the worker's address as the target.
+			// Listens while a worker runs, so that connections to a crashed one are refused.
 			worker: new StreamFaultProxy(addresses.gate),
 			store: new StreamFaultProxy(storeAddress),
 		};
-		await Promise.all(Object.values(streamProxies).map(async (proxy) => proxy.listen()));
+		const {caller, gate, store} = streamProxies;
+		await Promise.all([caller, gate, store].map(async (proxy) => proxy.listen()));
 		const control = await datagramProxy.add(addresses.control);
 		const settings = deployment.settingsOf({
 			dataCentre,
@@ -72,6 +75,11 @@
 	#workerFault: WorkerFault | undefined;
 	#workerInstanceNumber = 0;
 	#isWorkerRunning = false;
+	/** Address at which the node reaches the worker; undefined while none runs. */
+	#workerAddress: string | undefined;
+	/** Ends when the worker's last start or stop has completed. */
+	#workerTransition: Promise<void> = Promise.resolve();
+	#isClosed = false;
 	#isLeaving = false;
 	#openDisruptions = 0;
 	#lastDisruptionEndedAt = -Infinity;
@@ -124,6 +132,7 @@
 
 	async close(): Promise<void> {
 		clearInterval(this.#announcementTimer);
+		this.#isClosed = true;
 		await this.process.kill();
 		await this.stopWorker();
 		for (const proxy of Object.values(this.#streamProxies)) {
@@ -165,19 +174,43 @@
 	}
 
 	async startWorker(): Promise<void> {
-		if (!this.#isWorkerRunning) {
-			this.#isWorkerRunning = true;
+		return this.#changeWorker(async () => {
+			if (this.#isWorkerRunning || this.#isClosed) {
+				return;
+			}
+
+			const {worker: proxy} = this.#streamProxies;
 			this.#workerInstanceNumber += 1;
 			this.#isLeaving = false;
-			this.#streamProxies.worker.setTarget(await this.#worker.start(this.#workerInstanceNumber));
-		}
+			proxy.setTarget(await this.#worker.start(this.#workerInstanceNumber));
+			await proxy.listen();
+			this.#workerAddress = proxy.address;
+			this.#isWorkerRunning = true;
+		});
 	}
 
 	async stopWorker(): Promise<void> {
-		if (this.#isWorkerRunning) {
-			this.#isWorkerRunning = false;
-			await this.#worker.stop();
-		}
+		return this.#changeWorker(async () => {
+			if (this.#isWorkerRunning) {
+				this.#isWorkerRunning = false;
+				this.#workerAddress = undefined;
+				this.#streamProxies.worker.close();
+				await this.#worker.stop();
+			}
+		});
+	}
+
+	/** Starts or stops the worker once earlier starts and stops have completed. */
+	async #changeWorker(change: () => Promise<void>): Promise<void> {
+		this.#workerTransition = this.#workerTransition.then(change);
+		return this.#workerTransition;
+	}
+
+	/** Crashes the worker because of a request that it runs; another instance follows. */
+	async #crashWorker(): Promise<void> {
+		await this.stopWorker();
+		await delay(crashRestartMs);
+		await this.startWorker();
 	}
 
 	/**
@@ -200,22 +233,21 @@
 	}
 
 	async #announce(): Promise<boolean> {
-		if (!this.#isWorkerRunning) {
-			return false;
-		}
-
 		const {announcements} = this.#options.addresses;
-		return this.#worker.announce(
-			announcements,
-			this.#streamProxies.worker.address,
-			this.#isLeaving,
-		);
+		return this.#workerAddress === undefined
+			? false
+			: this.#worker.announce(announcements, this.#workerAddress, this.#isLeaving);
 	}
 
 	#handleRun(run: ReportedRun, reply: RunReply): void {
 		const now = performance.now();
 		const isHeldUp = now - this.disruptedUntil < disruptionAftermathMs;
 		this.#options.checker.onRun({...run, isHeldUp}, now);
+		if (isCrashingPath(run.path)) {
+			void this.#crashWorker();
+			return;
+		}
+
 		const respond = () => {
 			reply.send(responseBodyOf(run.id, this.service));
 		};
--- a/packages/redwingmill-soak/src/soak.ts
+++ b/packages/redwingmill-soak/src/soak.ts
@@ -5,7 +5,7 @@
 import {Random} from 'redwingmill-shared';
 import {DatagramFaultProxy} from './datagram-fault-proxy.js';
 import {planFaults} from './fault-plan.js';
-import {InvariantChecker, type InvariantViolation} from './invariant-checker.js';
+import {crashingPathOf, InvariantChecker, type InvariantViolation} from './invariant-checker.js';
 import {SoakCaller, type CallTarget} from './soak-caller.js';
 import {type SoakDeployment, type SoakRoute, type SoakStore} from './soak-deployment.js';
 import {type PlannedFault, type SoakFault} from './soak-fault.js';
@@ -57,12 +57,18 @@
 	{name: 'third', path: '/third/', service: 'third', isIdempotent: true, timeoutMs: routeTimeoutMs},
 ];
 
+const meanCrashingRequestIntervalMs = 400;
+/** Requests that crash each worker that runs them, on an idempotent route and on another one. */
+const crashingTargets: readonly CallTarget[] = stableRoutes
+	.slice(0, 2)
+	.map((route, index) => ({...stableTarget(route), pathEnd: crashingPathOf(index)}));
+
 /** Runs a mesh of real processes, injects faults drawn from a seed, and checks the invariants. */
 export class Soak {
 	readonly #deployment: SoakDeployment;
 	readonly #options: SoakOptions;
 	readonly #random: Random;
-	readonly #checker = new InvariantChecker();
+	readonly #checker = new InvariantChecker((host) => this.#hosts[host].disruptedUntil);
 	readonly #datagramProxy = new DatagramFaultProxy();
 	readonly #store: SoakStore;
 	readonly #folder = mkdtempSync(join(tmpdir(), 'redwingmill-soak-'));
@@ -70,6 +76,7 @@
 	readonly #callers: SoakCaller[] = [];
 	#version = 0;
 	#lastCallId = 0;
+	#isFaultPhaseOver = false;
 
 	constructor(deployment: SoakDeployment, options: SoakOptions) {
 		this.#deployment = deployment;
@@ -101,7 +108,10 @@
 	async #runPhases(faults: readonly PlannedFault[]): Promise<void> {
 		await this.#expectRecovery('at the start');
 		const calls = this.#callers.map(async (caller) => caller.run());
+		const crashingCalls = this.#repeatCrashingRequests();
 		await Promise.all(faults.map(async (fault) => this.#injectOnSchedule(fault)));
+		this.#isFaultPhaseOver = true;
+		await crashingCalls;
 		await this.#expectRecovery('after the faults');
 		await this.#restartWithoutFaults();
 		for (const caller of this.#callers) {
@@ -197,6 +207,19 @@
 		this.#store.write(this.#version, [...stableRoutes, versionRoute(this.#version)]);
 	}
 
+	/** Sends each crashing request to random hosts again and again until the fault phase is over. */
+	async #repeatCrashingRequests(): Promise<void> {
+		await Promise.all(
+			crashingTargets.map(async (target) => {
+				while (!this.#isFaultPhaseOver) {
+					const index = this.#random.below(this.#hosts.length);
+					await this.#probe(this.#hosts[index], index, target);
+					await delay(this.#random.below(2 * meanCrashingRequestIntervalMs));
+				}
+			}),
+		);
+	}
+
 	async #injectOnSchedule({atMs, forMs, fault}: PlannedFault): Promise<void> {
 		await delay(atMs);
 		await this.#injectFault(fault, forMs);
