--- a/test/matrix/crashing-requests.test.ts
+++ b/test/matrix/crashing-requests.test.ts
@@ -51,6 +51,12 @@
 		expect(sentOnTooOften(outcomes)).to.deep.equal([]);
 	});
 
+	it('is not sent on after its third crash when all nodes lose power at the same time', () => {
+		const plan = {...threeWorkers, intervalMs: 1500, powerLossesAtMs: [12_000, 20_000]};
+		const outcomes = outcomesOf(plan, [1, 2, 3, 4, 5, 6, 7, 8, 9, 10], {hasFaults: false});
+		expect(sentOnTooOften(outcomes)).to.deep.equal([]);
+	});
+
 	it('gets no sound request refused that ran beside it', () => {
 		const calm = outcomesOf(manyWorkers, [5], {hasFaults: false});
 		const faulty = outcomesOf(manyWorkers, [10, 20], {hasFaults: true});
--- a/test/support/crash-soak.ts
+++ b/test/support/crash-soak.ts
@@ -10,6 +10,10 @@
 	readonly crashingRequests: number;
 	/** Whether faults other than the crashes are injected. */
 	readonly hasFaults: boolean;
+	/** Mean time between two sends of one crashing request. */
+	readonly intervalMs?: number;
+	/** Times at which all nodes are killed, in virtual milliseconds. */
+	readonly powerLossesAtMs?: readonly number[];
 };
 
 /** What a soak observed. */
@@ -74,6 +78,12 @@
 			this.#scheduleCrashingRequest(request);
 		}
 
+		for (const atMs of this.#plan.powerLossesAtMs ?? []) {
+			this.#after(atMs, () => {
+				this.#loseAllPower();
+			});
+		}
+
 		if (hasFaults) {
 			this.#scheduleFaults();
 		}
@@ -97,7 +107,7 @@
 	}
 
 	#scheduleCrashingRequest(request: RepeatedRequest): void {
-		this.#repeat(crashingRequestIntervalMs, () => {
+		this.#repeat(this.#plan.intervalMs ?? crashingRequestIntervalMs, () => {
 			this.#mesh.send(this.#anyAddress(), request);
 		});
 	}
@@ -169,6 +179,16 @@
 		}
 	}
 
+	#loseAllPower(): void {
+		this.#disrupt(this.#addresses, minimumFaultMs);
+		for (const address of this.#addresses) {
+			this.#mesh.kill(address);
+			this.#after(minimumFaultMs, () => {
+				this.#mesh.restart(address);
+			});
+		}
+	}
+
 	/** Cuts a data centre off from the others, unless one is cut off already. */
 	#cutDataCentre(dataCentre: string, forMs: number): void {
 		if (this.#cut.size > 0) {
