Keep crashes on quarantined requests in the store

Cause: the count was kept in the memory of the nodes only. Each loss of power of all of them let a request crash three more workers.

The node whose worker's crash quarantines a request now adds the crashes to one object in the store, and so does the first of the nodes concerned where reports bring the count together; a write that fails is tried again. A node reads the object once at its start. Kept are at most 50 requests for at most 128 minutes, the longest that a request can be under suspicion. A write is conditional on the revision read, so that two writers at once lose nothing.

Cost: one read for each start of a node, and a read and a write for each quarantine and its writer. Nothing waits for the store: a gate that hasn't read it yet goes by what the other nodes tell it.

Ruled out as a place for the count: the nodes' own records in the registry, which each node overwrites at its start.

--- a/packages/redwingmill-core/src/call/crash-tracker.ts
+++ b/packages/redwingmill-core/src/call/crash-tracker.ts
@@ -6,6 +6,7 @@
 	type CrashCounts,
 	type GateCrashes,
 } from './crash-counts.js';
+import {type SuspicionReport} from './stored-crashes.js';
 import {type SuspectedRequests, type Suspicion, type SuspicionLevel} from './suspected-requests.js';
 
 /** Properties of a call by which crashes are attributed. */
@@ -48,6 +49,8 @@
 export type CrashEffect =
 	/** Reports to the other nodes that a request crashed a worker or, if suspected, succeeded. */
 	| {readonly type: 'suspect'; readonly report: CrashReport}
+	/** Keeps the crashes on a quarantined request where nodes that start later find them. */
+	| {readonly type: 'keep-crashes'; readonly report: SuspicionReport}
 	| {readonly type: 'crash-notice'; readonly notice: CrashNotice};
 
 /**
@@ -123,6 +126,7 @@
 		return [
 			{type: 'crash-notice', notice},
 			this.#reportCrash({fingerprint, crashes: known, ageMs: 0}, now),
+			...this.#keepIfQuarantined(fingerprint, now),
 		];
 	}
 
@@ -136,12 +140,24 @@
 
 		// Nodes of earlier versions report only that a worker crashed.
 		const reported = report.crashes.length > 0 ? report.crashes : crashesAtNodes([node]);
+		const levelBefore = this.#suspectedRequests.suspicionOf(fingerprint, [], now);
 		if (!this.#suspectedRequests.recordCrashes(fingerprint, reported, report.ageMs, now)) {
 			return [this.#reportCleared(fingerprint, now)];
 		}
 
-		const crashes = totalCrashes(this.#suspectedRequests.crashesOf(fingerprint, now));
-		return [{type: 'crash-notice', notice: {type: 'report-received', fingerprint, node, crashes}}];
+		const known = this.#suspectedRequests.crashesOf(fingerprint, now);
+		const notice = {
+			type: 'report-received',
+			fingerprint,
+			node,
+			crashes: totalCrashes(known),
+		} as const;
+		return [
+			{type: 'crash-notice', notice},
+			...(levelBefore !== 'quarantined' && node !== this.#identity.node && this.#isFirstOf(known)
+				? this.#keepIfQuarantined(fingerprint, now)
+				: []),
+		];
 	}
 
 	/** Returns a digest by which nodes notice that they know of different crashes; 0 for none. */
@@ -185,6 +201,21 @@
 		return [...known, ...crashesBefore].some(({node}) => node !== this.#identity.node);
 	}
 
+	/** Whether this node is the first, by address, of those whose workers crashed. */
+	#isFirstOf(crashes: CrashCounts): boolean {
+		const {node} = this.#identity;
+		const nodes = crashes.map((each) => each.node);
+		return nodes.includes(node) && nodes.every((each) => each >= node);
+	}
+
+	#keepIfQuarantined(fingerprint: string, now: number): CrashEffect[] {
+		const level = this.#suspectedRequests.suspicionOf(fingerprint, [], now);
+		const suspicion = this.#suspectedRequests.lookUp(fingerprint, now);
+		return level === 'quarantined' && suspicion
+			? [{type: 'keep-crashes', report: {isCleared: false, ...suspicion}}]
+			: [];
+	}
+
 	#reportCrash(suspicion: Suspicion, now: number): CrashEffect {
 		const {fingerprint, crashes} = suspicion;
 		// Few requests crash two workers, and each of these may crash many more.
--- /dev/null
+++ b/packages/redwingmill-core/src/call/stored-crashes.ts
@@ -0,0 +1,60 @@
+import {mergeCrashes, totalCrashes, type CrashCounts} from './crash-counts.js';
+import {type CrashReport} from './crash-tracker.js';
+
+/** Crashes on a quarantined request as the store keeps them for nodes that start later. */
+export type StoredCrashes = {
+	readonly fingerprint: string;
+	readonly crashes: CrashCounts;
+	/** Time of the last crash, in Unix milliseconds. */
+	readonly crashedAt: number;
+};
+
+/** Report of crashes, without those that only clear a request. */
+export type SuspicionReport = Extract<CrashReport, {isCleared: false}>;
+
+const maximumStoredRequests = 50;
+/** Longest time for which a request can be quarantined or on probation; see `SuspectedRequests`. */
+const retentionMs = 2 * 64 * 60_000;
+
+/**
+ * Returns what the store has to keep once the reports are added: no requests that are forgotten by now,
+ * and only those that crashed last.
+ *
+ * @param now - Unix milliseconds.
+ */
+export function mergeStoredCrashes(
+	stored: readonly StoredCrashes[],
+	reports: readonly SuspicionReport[],
+	now: number,
+): StoredCrashes[] {
+	const merged = new Map(stored.map((each) => [each.fingerprint, each]));
+	for (const {fingerprint, crashes, ageMs} of reports) {
+		const known = merged.get(fingerprint);
+		merged.set(fingerprint, {
+			fingerprint,
+			crashes: mergeCrashes(known?.crashes ?? [], crashes),
+			crashedAt: Math.max(known?.crashedAt ?? 0, Math.round(now - ageMs)),
+		});
+	}
+
+	return [...merged.values()]
+		.filter(({crashedAt}) => now - crashedAt < retentionMs)
+		.toSorted((a, b) => b.crashedAt - a.crashedAt)
+		.slice(0, maximumStoredRequests);
+}
+
+/**
+ * Returns the reports for a node that has read the store.
+ *
+ * @param now - Unix milliseconds; a clock that was set back makes the crashes recent.
+ */
+export function reportsOfStored(stored: readonly StoredCrashes[], now: number): SuspicionReport[] {
+	return stored
+		.filter(({crashes}) => totalCrashes(crashes) > 0)
+		.map(({fingerprint, crashes, crashedAt}) => ({
+			isCleared: false,
+			fingerprint,
+			crashes,
+			ageMs: Math.max(0, now - crashedAt),
+		}));
+}
--- a/packages/redwingmill-core/src/call/suspected-requests.ts
+++ b/packages/redwingmill-core/src/call/suspected-requests.ts
@@ -152,11 +152,13 @@
 		return this.#repeated(now)
 			.toSorted(([, a], [, b]) => totalCrashes(b.crashes) - totalCrashes(a.crashes))
 			.slice(0, limit)
-			.map(([fingerprint, {crashes, crashedAt}]) => ({
-				fingerprint,
-				crashes,
-				ageMs: now - crashedAt,
-			}));
+			.map(([fingerprint, request]) => toSuspicion(fingerprint, request, now));
+	}
+
+	/** Returns what is known of a suspected request. */
+	lookUp(fingerprint: string, now: number): Suspicion | undefined {
+		const request = this.#current(fingerprint, now);
+		return request && toSuspicion(fingerprint, request, now);
 	}
 
 	/** Removes the requests with the fewest crashes beyond the bound, oldest first. */
@@ -219,6 +221,14 @@
 	}
 }
 
+function toSuspicion(
+	fingerprint: string,
+	{crashes, crashedAt}: SuspectedRequest,
+	now: number,
+): Suspicion {
+	return {fingerprint, crashes, ageMs: now - crashedAt};
+}
+
 /** Returns a hash that doesn't depend on the order of the crashes. */
 function hashOf(fingerprint: string, crashes: CrashCounts): number {
 	const counts = crashes.map(({node, incarnation, count}) => `${node} ${incarnation} ${count}`);
--- a/packages/redwingmill-core/src/directory/create-directory.ts
+++ b/packages/redwingmill-core/src/directory/create-directory.ts
@@ -1,6 +1,7 @@
 import {Engine, type EngineOptions} from '../engine/engine.js';
 import {AdoptionController} from './adoption-controller.js';
 import {CrashReportController} from './crash-report-controller.js';
+import {CrashStoreController} from './crash-store-controller.js';
 import {type DirectoryEffect, type DirectoryEvent} from './directory-event.js';
 import {type DirectoryLimits} from './directory-limits.js';
 import {type DirectoryState} from './directory-state.js';
@@ -24,6 +25,7 @@
 	registry: 5,
 	endpoints: 6,
 	crashReport: 7,
+	crashStore: 8,
 } as const;
 
 /** Creates an engine with all controllers of the directory. */
@@ -40,5 +42,6 @@
 	directory.registerController(new ServingStateController(), priorities.servingState);
 	directory.registerController(new EndpointsController(), priorities.endpoints);
 	directory.registerController(new CrashReportController(), priorities.crashReport);
+	directory.registerController(new CrashStoreController(), priorities.crashStore);
 	return directory;
 }
--- a/packages/redwingmill-core/src/directory/directory-event.ts
+++ b/packages/redwingmill-core/src/directory/directory-event.ts
@@ -1,4 +1,5 @@
 import {type CrashReport} from '../call/crash-tracker.js';
+import {type SuspicionReport} from '../call/stored-crashes.js';
 import {type WorkerLoad} from '../call/worker-load.js';
 import {type ConfigurationDocument} from '../model/configuration-document.js';
 import {type Datagram} from '../model/datagram.js';
@@ -24,6 +25,15 @@
 	  }
 	/** The local gate suspects a request of crashing workers, or clears it. */
 	| {readonly type: 'crash-reported'; readonly report: CrashReport}
+	/** The local gate has quarantined a request, and this node is the one that keeps it in the store. */
+	| {readonly type: 'request-quarantined'; readonly report: SuspicionReport}
+	/** The crashes in the store were read; `reports` is undefined if that failed. */
+	| {readonly type: 'crashes-read'; readonly reports: readonly SuspicionReport[] | undefined}
+	| {
+			readonly type: 'crashes-saved';
+			readonly reports: readonly SuspicionReport[];
+			readonly hasSucceeded: boolean;
+	  }
 	/** The local gate knows of other crashes than before. */
 	| {readonly type: 'crash-digest-changed'; readonly digest: number}
 	/** The watch reached the store, or lost it. */
@@ -49,6 +59,9 @@
 	| {readonly type: 'load-heard'; readonly node: string; readonly load: WorkerLoad}
 	/** A node stopped responding, so requests sent to it will most likely stay unanswered. */
 	| {readonly type: 'node-silent'; readonly node: string}
+	| {readonly type: 'read-crashes'}
+	/** Adds these reports to the crashes in the store. */
+	| {readonly type: 'save-crashes'; readonly reports: readonly SuspicionReport[]}
 	/** Sends the local gate's crash reports to a node that knows of other crashes. */
 	| {readonly type: 'send-crash-reports'; readonly to: string}
 	/** Another node's crash report arrived. */
--- a/packages/redwingmill-core/src/directory/directory-state.ts
+++ b/packages/redwingmill-core/src/directory/directory-state.ts
@@ -1,3 +1,4 @@
+import {type SuspicionReport} from '../call/stored-crashes.js';
 import {type WorkerLoad} from '../call/worker-load.js';
 import {type ConfigurationDocument} from '../model/configuration-document.js';
 import {type NodeRecord} from '../model/node-record.js';
@@ -79,6 +80,11 @@
 	readonly digest: number;
 	/** When reports were last sent to a node with another digest, in monotonic milliseconds. */
 	readonly sentAt: number;
+	/** Reads the crashes from the store, once after the start. */
+	readonly reading: RegistryRequest;
+	readonly saving: RegistryRequest;
+	/** Reports of quarantined requests that the store doesn't keep yet, by fingerprint. */
+	readonly unsaved: ReadonlyMap<string, SuspicionReport>;
 };
 
 /** States of a node. A node in the state `leaving` is not routed to by other nodes any more. */
@@ -111,7 +117,13 @@
 		},
 		registry: {writing: due, listing: due, hasBeenListed: false},
 		watch: {isOn: true, isStoreReachable: false},
-		crashes: {digest: 0, sentAt: Number.NEGATIVE_INFINITY},
+		crashes: {
+			digest: 0,
+			sentAt: Number.NEGATIVE_INFINITY,
+			reading: due,
+			saving: due,
+			unsaved: new Map(),
+		},
 		serving: {state: 'starting', since: now},
 		routing: emptyRoutingTable,
 	};
--- a/packages/redwingmill-core/src/directory/registry-controller.ts
+++ b/packages/redwingmill-core/src/directory/registry-controller.ts
@@ -90,7 +90,8 @@
 	return {isInProgress: false, dueAt, attempt: 0};
 }
 
-function failed(
+/** Schedules another attempt at a request that failed, after a backoff. */
+export function failed(
 	{attempt}: RegistryRequest,
 	{now, limits, random}: DirectoryContext,
 ): RegistryRequest {
--- a/packages/redwingmill-node/src/call/gate-service.ts
+++ b/packages/redwingmill-node/src/call/gate-service.ts
@@ -8,6 +8,7 @@
 	type GateEffect,
 	type GateIdentity,
 	type GateLimits,
+	type SuspicionReport,
 	type Withdrawal,
 	type Worker,
 	type WorkerLoad,
@@ -40,6 +41,8 @@
 	readonly protocol: WorkerProtocol;
 	/** Called when a request is suspected of crashing the worker, or cleared of the suspicion. */
 	readonly onCrashReport: (report: CrashReport) => void;
+	/** Called with the crashes on a request that this node should keep for nodes that start later. */
+	readonly onQuarantine?: (report: SuspicionReport) => void;
 	/** Called with what became of a crash or of a report on one. */
 	readonly onCrashNotice?: (notice: CrashNotice) => void;
 	/** Called when the worker crashed, is unreachable, or another worker answers at its address. */
@@ -248,6 +251,11 @@
 					break;
 				}
 
+				case 'keep-crashes': {
+					this.#options.onQuarantine?.(effect.report);
+					break;
+				}
+
 				case 'check-worker': {
 					void this.#checkWorker(effect.call);
 					break;
--- a/packages/redwingmill-node/src/control/control-plane.ts
+++ b/packages/redwingmill-node/src/control/control-plane.ts
@@ -2,6 +2,7 @@
 	type CrashReport,
 	type NodeRecord,
 	type RoutingTable,
+	type SuspicionReport,
 	type Worker,
 	type WorkerLoad,
 } from 'redwingmill-core';
@@ -54,6 +55,8 @@
 	/** Records that another node is alive because it answered a call. */
 	markNodeAlive: (node: string) => void;
 	sendCrashReport: (report: CrashReport) => void;
+	/** Keeps the crashes on a quarantined request where nodes that start later find them. */
+	keepCrashes: (report: SuspicionReport) => void;
 	/** Publishes the digest of the crashes that this node knows of. */
 	updateCrashDigest: (digest: number) => void;
 	/** Returns the state for the operators' status page, as JSON. */
--- a/packages/redwingmill-node/src/control/relay-control-plane.ts
+++ b/packages/redwingmill-node/src/control/relay-control-plane.ts
@@ -154,6 +154,10 @@
 		this.dispatch({type: 'crash-reported', report});
 	}
 
+	keepCrashes(): void {
+		// The platform's objects hold nothing about requests.
+	}
+
 	updateCrashDigest(): void {
 		// Reports are sent over each new link, and links lose nothing.
 	}
--- a/packages/redwingmill-node/src/control/store-control-plane.ts
+++ b/packages/redwingmill-node/src/control/store-control-plane.ts
@@ -4,6 +4,9 @@
 	defaultDirectoryLimits,
 	initialDirectoryState,
 	knownNodeCount,
+	mergeStoredCrashes,
+	reportsOfStored,
+	type SuspicionReport,
 	type ConfigurationDocument,
 	type Directory,
 	type DirectoryEffect,
@@ -181,6 +184,10 @@
 		this.#dispatch({type: 'crash-reported', report});
 	}
 
+	keepCrashes(report: SuspicionReport): void {
+		this.#dispatch({type: 'request-quarantined', report});
+	}
+
 	updateCrashDigest(digest: number): void {
 		if (digest !== this.#state.crashes.digest) {
 			this.#dispatch({type: 'crash-digest-changed', digest});
@@ -306,6 +313,16 @@
 				break;
 			}
 
+			case 'read-crashes': {
+				void this.#readCrashes();
+				break;
+			}
+
+			case 'save-crashes': {
+				void this.#saveCrashes(effect.reports);
+				break;
+			}
+
 			case 'send-crash-reports': {
 				for (const report of this.#crashReportSource?.() ?? []) {
 					this.#socket.send(effect.to, {type: 'suspicion', report});
@@ -336,6 +353,21 @@
 		this.#dispatch({type: 'registry-listed', records});
 	}
 
+	async #readCrashes(): Promise<void> {
+		const result = await this.#ports.crashes.read();
+		const reports = result && reportsOfStored(result.stored, Date.now());
+		this.#dispatch({type: 'crashes-read', reports});
+	}
+
+	async #saveCrashes(reports: readonly SuspicionReport[]): Promise<void> {
+		const {crashes} = this.#ports;
+		const known = await crashes.read();
+		const hasSucceeded =
+			known !== undefined &&
+			(await crashes.write(mergeStoredCrashes(known.stored, reports, Date.now()), known.revision));
+		this.#dispatch({type: 'crashes-saved', reports, hasSucceeded});
+	}
+
 	#setWatch(isOn: boolean): void {
 		this.#stopWatch?.();
 		this.#stopWatch = isOn ? this.#createWatch().start() : undefined;
--- a/packages/redwingmill-node/src/control/store-ports.ts
+++ b/packages/redwingmill-node/src/control/store-ports.ts
@@ -1,4 +1,4 @@
-import {type ConfigurationDocument, type NodeRecord} from 'redwingmill-core';
+import {type ConfigurationDocument, type NodeRecord, type StoredCrashes} from 'redwingmill-core';
 
 /** Result of reading the configuration. `revision` is the one after which to wait for a change. */
 export type ConfigurationReadResult =
@@ -36,10 +36,28 @@
 	list: () => Promise<readonly NodeRecord[] | undefined>;
 };
 
+/** Crashes as read from the store; `revision` is absent when the store keeps none yet. */
+export type CrashesReadResult = {
+	readonly stored: readonly StoredCrashes[];
+	readonly revision?: number;
+};
+
+/** Crashes on quarantined requests in the store. Methods don't throw. */
+export type CrashStore = {
+	/** Returns undefined if they can't be read. */
+	read: () => Promise<CrashesReadResult | undefined>;
+	/**
+	 * Replaces them, unless they have changed since `revision`. Returns true only if the store confirmed
+	 * the write.
+	 */
+	write: (stored: readonly StoredCrashes[], revision: number | undefined) => Promise<boolean>;
+};
+
 /** Access to the store that a node requires. */
 export type StorePorts = {
 	readonly configuration: ConfigurationSource;
 	readonly decode: ConfigurationDecoder;
 	readonly registry: NodeRegistry;
+	readonly crashes: CrashStore;
 	readonly close: () => Promise<void>;
 };
--- a/packages/redwingmill-node/src/daemon.ts
+++ b/packages/redwingmill-node/src/daemon.ts
@@ -108,6 +108,9 @@
 
 				this.#control.sendCrashReport(report);
 			},
+			onQuarantine: (report) => {
+				this.#control.keepCrashes(report);
+			},
 			onCrashNotice(notice) {
 				logCrashNotice(log, notice);
 			},
--- a/packages/redwingmill-node/src/index.ts
+++ b/packages/redwingmill-node/src/index.ts
@@ -23,6 +23,8 @@
 	type ConfigurationDecoder,
 	type ConfigurationReadResult,
 	type ConfigurationSource,
+	type CrashesReadResult,
+	type CrashStore,
 	type DecodedConfiguration,
 	type NodeRegistry,
 	type StorePorts,
--- a/test/matrix/directory.test.ts
+++ b/test/matrix/directory.test.ts
@@ -1,6 +1,6 @@
 import {expect} from 'chai';
 import fc from 'fast-check';
-import {knownNodeCount, type CrashReport} from 'redwingmill-core';
+import {knownNodeCount, type SuspicionReport} from 'redwingmill-core';
 import {documentOf, FakeDirectoryMesh, fullReachability} from '../support/fake-directory-mesh.js';
 
 const seed = 20_261_204;
@@ -351,7 +351,7 @@
 });
 
 describe('crash reports in a mesh', () => {
-	const crashReport: CrashReport = {
+	const crashReport: SuspicionReport = {
 		isCleared: false,
 		fingerprint: 'GET /codes/1',
 		crashes: [
@@ -430,4 +430,37 @@
 		mesh.run(5000);
 		expect(sent).to.equal(0);
 	});
+
+	it('on a quarantined request are kept in the store once it is reachable, for nodes that start later', () => {
+		const {mesh, informed} = meshWithReport();
+		mesh.reachability = {...fullReachability, canReachStore: () => false};
+		mesh.dispatch(mesh.nodes.get('a/1')!, {type: 'request-quarantined', report: crashReport});
+		mesh.run(5000);
+		for (const address of addresses) {
+			mesh.kill(address);
+		}
+
+		mesh.reachability = fullReachability;
+		mesh.start('a/2');
+		mesh.run(1000);
+		expect([...informed], 'the report was lost with its node').to.deep.equal([]);
+		mesh.dispatch(mesh.nodes.get('a/2')!, {type: 'request-quarantined', report: crashReport});
+		mesh.run(100);
+		mesh.kill('a/2');
+		mesh.reachability = {...fullReachability, canReachStore: () => false};
+		mesh.start('b/1');
+		mesh.run(3000);
+		expect([...informed]).to.deep.equal([]);
+		mesh.reachability = fullReachability;
+		mesh.run(3000);
+		expect([...informed]).to.deep.equal(['b/1']);
+	});
+
+	it('on a quarantined request cost the store one read for each start and one save', () => {
+		const {mesh} = meshWithReport();
+		expect(mesh.crashStoreCalls).to.equal(addresses.length);
+		mesh.dispatch(mesh.nodes.get('a/1')!, {type: 'request-quarantined', report: crashReport});
+		mesh.run(5000);
+		expect(mesh.crashStoreCalls).to.equal(addresses.length + 1);
+	});
 });
--- a/test/support/fake-call-path.ts
+++ b/test/support/fake-call-path.ts
@@ -279,6 +279,7 @@
 					break;
 				}
 
+				case 'keep-crashes':
 				case 'check-worker':
 				case 'crash-notice':
 				case 'worker-gone': {
--- a/test/support/fake-crash-mesh.ts
+++ b/test/support/fake-crash-mesh.ts
@@ -382,6 +382,12 @@
 					break;
 				}
 
+				case 'keep-crashes': {
+					const {report} = effect;
+					this.directories.dispatch(host.node, {type: 'request-quarantined', report});
+					break;
+				}
+
 				case 'check-worker': {
 					if (!host.isWorkerUp) {
 						this.#perform(host, host.gate.onWorkerFoundDead(effect.call, this.now));
--- a/test/support/fake-directory-mesh.ts
+++ b/test/support/fake-directory-mesh.ts
@@ -2,6 +2,10 @@
 	createDirectory,
 	defaultDirectoryLimits,
 	initialDirectoryState,
+	mergeStoredCrashes,
+	reportsOfStored,
+	type StoredCrashes,
+	type SuspicionReport,
 	type ConfigurationDocument,
 	type CrashReport,
 	type Datagram,
@@ -75,6 +79,8 @@
 	crashReportsOf: ((node: DirectoryNode) => readonly CrashReport[]) | undefined;
 	/** Number of attempts to write to or list the registry in the store. */
 	storeCalls = 0;
+	/** Number of attempts to read or save the crashes in the store. */
+	crashStoreCalls = 0;
 	/** Number of attempts to read the configuration from the store. */
 	configurationReads = 0;
 	/** Reachability in force; tests replace it to partition the mesh. */
@@ -82,6 +88,7 @@
 	readonly #random: Random;
 	readonly #registry = new Map<string, NodeRecord>();
 	#storedDocument: ConfigurationDocument | undefined;
+	#storedCrashes: readonly StoredCrashes[] = [];
 
 	constructor(seed: number) {
 		this.#random = new Random(seed);
@@ -197,6 +204,32 @@
 				break;
 			}
 
+			case 'read-crashes': {
+				this.crashStoreCalls += 1;
+				let reports: readonly SuspicionReport[] | undefined;
+				this.#callStore(
+					node,
+					() => {
+						reports = reportsOfStored(this.#storedCrashes, this.clock.now);
+					},
+					() => ({type: 'crashes-read', reports}),
+				);
+				break;
+			}
+
+			case 'save-crashes': {
+				this.crashStoreCalls += 1;
+				const {reports} = effect;
+				this.#callStore(
+					node,
+					() => {
+						this.#storedCrashes = mergeStoredCrashes(this.#storedCrashes, reports, this.clock.now);
+					},
+					(hasSucceeded) => ({type: 'crashes-saved', reports, hasSucceeded}),
+				);
+				break;
+			}
+
 			case 'send-crash-reports': {
 				for (const report of this.crashReportsOf?.(node) ?? []) {
 					this.#send(node, effect.to, {type: 'suspicion', report});
@@ -206,6 +239,7 @@
 			}
 
 			case 'write-record': {
+				this.storeCalls += 1;
 				this.#callStore(
 					node,
 					() => {
@@ -217,6 +251,7 @@
 			}
 
 			case 'list-registry': {
+				this.storeCalls += 1;
 				let records: readonly NodeRecord[] | undefined;
 				this.#callStore(
 					node,
@@ -277,7 +312,6 @@
 		applyToStore: () => void,
 		toEvent: (isReached: boolean) => DirectoryEvent,
 	): void {
-		this.storeCalls += 1;
 		const isReached = this.reachability.canReachStore(node.address);
 		this.clock.after(storeLatencyMs, () => {
 			if (isReached) {
