--- a/packages/redwingmill-core/src/call/crash-tracker.ts
+++ b/packages/redwingmill-core/src/call/crash-tracker.ts
@@ -6,7 +6,6 @@
 	type CrashCounts,
 	type GateCrashes,
 } from './crash-counts.js';
-import {type SuspicionReport} from './stored-crashes.js';
 import {type SuspectedRequests, type Suspicion, type SuspicionLevel} from './suspected-requests.js';
 
 /** Properties of a call by which crashes are attributed. */
@@ -17,12 +16,14 @@
 	readonly fingerprint: () => string;
 };
 
+/** All crashes on a request that the reporting node knows of. */
+export type SuspicionReport = {readonly isCleared: false} & Suspicion;
+
 /** Report to the other nodes on a request that crashed workers or was suspected of it. */
 export type CrashReport =
+	| SuspicionReport
 	/** The request succeeded, so it is no longer suspected. */
-	| {readonly isCleared: true; readonly fingerprint: string}
-	/** All crashes on the request that the reporting node knows of. */
-	| ({readonly isCleared: false} & Suspicion);
+	| {readonly isCleared: true; readonly fingerprint: string};
 
 /** Identifies one life of a gate. */
 export type GateIdentity = Pick<GateCrashes, 'node' | 'incarnation'>;
--- a/packages/redwingmill-core/src/call/stored-crashes.ts
+++ b/packages/redwingmill-core/src/call/stored-crashes.ts
@@ -1,5 +1,5 @@
 import {mergeCrashes, totalCrashes, type CrashCounts} from './crash-counts.js';
-import {type CrashReport} from './crash-tracker.js';
+import {type SuspicionReport} from './crash-tracker.js';
 
 /** Crashes on a quarantined request as the store keeps them for nodes that start later. */
 export type StoredCrashes = {
@@ -9,9 +9,6 @@
 	readonly crashedAt: number;
 };
 
-/** Report of crashes, without those that only clear a request. */
-export type SuspicionReport = Extract<CrashReport, {isCleared: false}>;
-
 const maximumStoredRequests = 50;
 /** Longest time for which a request can be quarantined or on probation; see `SuspectedRequests`. */
 const retentionMs = 2 * 64 * 60_000;
--- a/packages/redwingmill-core/src/directory/crash-store-controller.ts
+++ b/packages/redwingmill-core/src/directory/crash-store-controller.ts
@@ -1,4 +1,4 @@
-import {type SuspicionReport} from '../call/stored-crashes.js';
+import {type SuspicionReport} from '../call/crash-tracker.js';
 import {
 	type DirectoryContext,
 	type DirectoryController,
--- a/packages/redwingmill-core/src/directory/directory-event.ts
+++ b/packages/redwingmill-core/src/directory/directory-event.ts
@@ -1,5 +1,4 @@
-import {type CrashReport} from '../call/crash-tracker.js';
-import {type SuspicionReport} from '../call/stored-crashes.js';
+import {type CrashReport, type SuspicionReport} from '../call/crash-tracker.js';
 import {type WorkerLoad} from '../call/worker-load.js';
 import {type ConfigurationDocument} from '../model/configuration-document.js';
 import {type Datagram} from '../model/datagram.js';
--- a/packages/redwingmill-core/src/directory/directory-state.ts
+++ b/packages/redwingmill-core/src/directory/directory-state.ts
@@ -1,4 +1,4 @@
-import {type SuspicionReport} from '../call/stored-crashes.js';
+import {type SuspicionReport} from '../call/crash-tracker.js';
 import {type WorkerLoad} from '../call/worker-load.js';
 import {type ConfigurationDocument} from '../model/configuration-document.js';
 import {type NodeRecord} from '../model/node-record.js';
--- a/packages/redwingmill-core/src/index.ts
+++ b/packages/redwingmill-core/src/index.ts
@@ -54,14 +54,14 @@
 export {allowanceOfNode, RetryBudget, type RetryAllowance} from './call/retry-budget.js';
 export {matchRoute} from './call/route-matcher.js';
 export {type CrashCounts, type GateCrashes} from './call/crash-counts.js';
-export {type CrashNotice, type CrashReport, type GateIdentity} from './call/crash-tracker.js';
-export {SuspectedRequests, type SuspicionLevel} from './call/suspected-requests.js';
 export {
-	mergeStoredCrashes,
-	reportsOfStored,
-	type StoredCrashes,
+	type CrashNotice,
+	type CrashReport,
+	type GateIdentity,
 	type SuspicionReport,
-} from './call/stored-crashes.js';
+} from './call/crash-tracker.js';
+export {SuspectedRequests, type SuspicionLevel} from './call/suspected-requests.js';
+export {mergeStoredCrashes, reportsOfStored, type StoredCrashes} from './call/stored-crashes.js';
 export {formatTicket, parseTicket, type Ticket} from './call/ticket.js';
 export {WorkerLease, type AnnouncementOrder, type Renewal} from './call/worker-lease.js';
 export {createDirectory, type Directory} from './directory/create-directory.js';
