--- a/test/support/fake-crash-mesh.ts
+++ b/test/support/fake-crash-mesh.ts
@@ -6,7 +6,6 @@
 	RetryBudget,
 	type Answer,
 	type CrashNotice,
-	type Endpoint,
 	type EntryAction,
 	type GateCall,
 	type GateEffect,
@@ -314,14 +313,13 @@
 			crashedNodes,
 			fingerprint: () => request.fingerprint,
 		};
-		this.#deliver(entry, target, endpoint, gateCall, endAttempt);
+		this.#deliver(entry, target, gateCall, endAttempt);
 	}
 
 	/** Delivers a call to a gate over the network. A cut network holds it up until its deadline. */
 	#deliver(
 		entry: CrashHost,
 		target: CrashHost,
-		endpoint: Endpoint,
 		call: GateCall,
 		endAttempt: (result: Parameters<EntryCall<string>['onAttempt']>[0]) => void,
 	): void {
