Store requests: one module for due, scheduled and failed ones

The crash store controller repeated the check whether a request is due and the literal of a scheduled one, both of which the registry controller had, and imported its backoff from there. Both now use store-request.ts.

--- a/packages/redwingmill-core/src/directory/crash-store-controller.ts
+++ b/packages/redwingmill-core/src/directory/crash-store-controller.ts
@@ -5,8 +5,7 @@
 	type DirectoryUpdate,
 } from './directory-controller.js';
 import {type DirectoryEvent} from './directory-event.js';
-import {type RegistryRequest} from './directory-state.js';
-import {failed} from './registry-controller.js';
+import {failed, isDue, scheduledAt} from './store-request.js';
 
 /**
  * Keeps quarantined requests in the store, from which a node reads them once at its start: the other
@@ -69,9 +68,7 @@
 	}
 
 	const {address} = update.pending.members.self;
-	update.set('crashes', {
-		reading: {isInProgress: false, dueAt: Number.POSITIVE_INFINITY, attempt: 0},
-	});
+	update.set('crashes', {reading: scheduledAt(Number.POSITIVE_INFINITY)});
 	update.emit(...reports.map((report) => ({type: 'suspect', report, node: address}) as const));
 }
 
@@ -90,10 +87,6 @@
 	const remaining = [...unsaved].filter(([, report]) => !reports.includes(report));
 	update.set('crashes', {
 		unsaved: new Map(remaining),
-		saving: {isInProgress: false, dueAt: context.now, attempt: 0},
+		saving: scheduledAt(context.now),
 	});
 }
-
-function isDue({isInProgress, dueAt}: RegistryRequest, now: number): boolean {
-	return !isInProgress && dueAt <= now;
-}
--- a/packages/redwingmill-core/src/directory/registry-controller.ts
+++ b/packages/redwingmill-core/src/directory/registry-controller.ts
@@ -1,11 +1,10 @@
-import {backoffDelay} from 'redwingmill-shared';
 import {
 	type DirectoryContext,
 	type DirectoryController,
 	type DirectoryUpdate,
 } from './directory-controller.js';
 import {type DirectoryEvent} from './directory-event.js';
-import {type RegistryRequest} from './directory-state.js';
+import {failed, isDue, scheduledAt} from './store-request.js';
 
 /**
  * Writes this node's record to the registry before listing it, so that of two nodes that start at the
@@ -42,14 +41,14 @@
 
 function startDueRequests(update: DirectoryUpdate, now: number): void {
 	const {writing, listing} = update.pending.registry;
-	if (!writing.isInProgress && writing.dueAt <= now) {
+	if (isDue(writing, now)) {
 		update.set('registry', {writing: {...writing, isInProgress: true}});
 		update.emit({type: 'write-record', record: update.pending.members.self});
 	}
 
 	// A node that fails to write its record still lists the others.
 	const hasTriedWriting = writing.dueAt === Number.POSITIVE_INFINITY || writing.attempt > 0;
-	if (hasTriedWriting && !listing.isInProgress && listing.dueAt <= now) {
+	if (hasTriedWriting && isDue(listing, now)) {
 		update.set('registry', {listing: {...listing, isInProgress: true}});
 		update.emit({type: 'list-registry'});
 	}
@@ -85,16 +84,3 @@
 		update.set('registry', {writing: scheduledAt(now)});
 	}
 }
-
-function scheduledAt(dueAt: number): RegistryRequest {
-	return {isInProgress: false, dueAt, attempt: 0};
-}
-
-/** Schedules another attempt at a request that failed, after a backoff. */
-export function failed(
-	{attempt}: RegistryRequest,
-	{now, limits, random}: DirectoryContext,
-): RegistryRequest {
-	const dueAt = now + backoffDelay(limits.registryBackoff, attempt, random);
-	return {isInProgress: false, dueAt, attempt: attempt + 1};
-}
--- /dev/null
+++ b/packages/redwingmill-core/src/directory/store-request.ts
@@ -0,0 +1,21 @@
+import {backoffDelay} from 'redwingmill-shared';
+import {type DirectoryContext} from './directory-controller.js';
+import {type RegistryRequest} from './directory-state.js';
+
+export function isDue({isInProgress, dueAt}: RegistryRequest, now: number): boolean {
+	return !isInProgress && dueAt <= now;
+}
+
+/** Schedules a request at a time in monotonic milliseconds; infinity when none is due. */
+export function scheduledAt(dueAt: number): RegistryRequest {
+	return {isInProgress: false, dueAt, attempt: 0};
+}
+
+/** Schedules another attempt at a request that failed, after a backoff. */
+export function failed(
+	{attempt}: RegistryRequest,
+	{now, limits, random}: DirectoryContext,
+): RegistryRequest {
+	const dueAt = now + backoffDelay(limits.registryBackoff, attempt, random);
+	return {isInProgress: false, dueAt, attempt: attempt + 1};
+}
