Soak: start a node's process only after the one being stopped has exited

Cause: two overlapping stops of one host; the second found no process and started one while the first still drained and held its ports. A fault of the harness, not of a node. NodeProcess now starts a process only after the exit of the one that is being stopped, and two starts that wait for one stop start one process.

--- a/packages/redwingmill-soak/src/node-process.ts
+++ b/packages/redwingmill-soak/src/node-process.ts
@@ -19,6 +19,9 @@
 export class NodeProcess {
 	readonly #options: ProcessOptions;
 	#child: ChildProcess | undefined;
+	/** Resolves when the process that was killed or stopped last has exited. */
+	#exited: Promise<unknown> = Promise.resolve();
+	#isTerminating = false;
 	#incarnation = 0;
 
 	constructor(options: ProcessOptions) {
@@ -30,12 +33,12 @@
 		return this.#incarnation;
 	}
 
-	get isRunning(): boolean {
-		return this.#child !== undefined;
-	}
-
-	/** Starts the process unless it is running. */
-	start(): void {
+	/**
+	 * Starts the process unless it is running. A process that is being stopped still holds its ports, so
+	 * the next one starts after its exit.
+	 */
+	async start(): Promise<void> {
+		await this.#exited;
 		if (this.#child) {
 			return;
 		}
@@ -50,15 +53,18 @@
 		closeSync(log);
 		this.#child = child;
 		child.once('exit', (code, signal) => {
-			if (this.#child === child) {
-				this.#child = undefined;
+			this.#child = undefined;
+			if (!this.#isTerminating) {
 				onUnexpectedExit(`exit code ${code}, signal ${signal}`);
 			}
 		});
 	}
 
+	/** Pauses the process, unless it is being stopped. */
 	pause(): void {
-		this.#child?.kill('SIGSTOP');
+		if (!this.#isTerminating) {
+			this.#child?.kill('SIGSTOP');
+		}
 	}
 
 	resume(): void {
@@ -88,14 +94,21 @@
 
 	async #terminate(signal: 'SIGKILL' | 'SIGTERM'): Promise<void> {
 		const child = this.#child;
-		this.#child = undefined;
-		if (child) {
-			const exit = once(child, 'exit');
-			child.kill(signal);
-			// A paused process handles SIGTERM only after it is resumed.
-			child.kill('SIGCONT');
-			await exit;
+		if (child === undefined) {
+			return;
+		}
+
+		if (!this.#isTerminating) {
+			this.#isTerminating = true;
+			this.#exited = once(child, 'exit').then(() => {
+				this.#isTerminating = false;
+			});
 		}
+
+		child.kill(signal);
+		// A paused process handles SIGTERM only after it is resumed.
+		child.kill('SIGCONT');
+		await this.#exited;
 	}
 }
 
--- a/packages/redwingmill-soak/src/soak-host.ts
+++ b/packages/redwingmill-soak/src/soak-host.ts
@@ -124,7 +124,7 @@
 
 	async start(): Promise<void> {
 		await this.startWorker();
-		this.process.start();
+		await this.process.start();
 		this.#announcementTimer = setInterval(() => {
 			void this.#announce();
 		}, announcementIntervalMs);
--- a/packages/redwingmill-soak/src/soak.ts
+++ b/packages/redwingmill-soak/src/soak.ts
@@ -271,13 +271,13 @@
 			case 'kill': {
 				await host.process.kill();
 				await delay(forMs);
-				host.process.start();
+				await host.process.start();
 				break;
 			}
 
 			case 'stop': {
 				await this.#stopWithinLimit(host);
-				host.process.start();
+				await host.process.start();
 				break;
 			}
 
@@ -363,7 +363,7 @@
 		this.#checker.setFaultFree(true);
 		for (const host of this.#hosts.slice(0, plannedRestartCount)) {
 			await this.#stopWithinLimit(host);
-			host.process.start();
+			await host.process.start();
 			this.#writeNextVersion();
 			const unserved = await this.#waitForService(changeLimitMs);
 			if (unserved.length > 0) {
