Bench: processor time of the deployed program by task

An experiment that prints, from real processes of a build on the store's stand-in, the processor time of a start, of a second at rest beside a crowd of nodes (played by one process that speaks the datagrams), of a change of a configuration with 1,200 routes, and of a side of a call by how many came before, beside a bare proxy; profiles on request, and another build in the same run as a baseline.

The scale of heartbeats is a function of its own now, so that the crowd sends as often as a mesh of that size.

--- a/packages/redwingmill-bench/src/index.ts
+++ b/packages/redwingmill-bench/src/index.ts
@@ -16,3 +16,4 @@
 	type PolicyResult,
 } from './simulation/compare-policies.js';
 export {plotPolicies} from './simulation/plot-policies.js';
+export {measureNodeCost, type NodeCost, type NodeCostOptions} from './experiments/node-cost.js';
--- a/packages/redwingmill-bench/src/mesh/mesh.ts
+++ b/packages/redwingmill-bench/src/mesh/mesh.ts
@@ -12,11 +12,13 @@
 	type PlatformCounters,
 	type PlatformFault,
 } from 'redwingmill-platform';
+import {invariant} from 'redwingmill-shared';
 import {BenchError} from '../errors.js';
 import {behaviourPath, type WorkerBehaviour, type WorkerPlan} from '../worker/worker-plan.js';
 import {ChildProcesses, stopChild, type Child} from './child-processes.js';
 import {findFreeAddresses} from './free-ports.js';
 import {type MeshPlan} from './mesh-plan.js';
+import {processorSecondsOf} from './processor-seconds.js';
 import {VersionObserver} from './version-observer.js';
 
 /** A node and the worker beside it; addresses are `ip:port`. */
@@ -54,7 +56,6 @@
 const pollIntervalMs = 20;
 const scrapeIntervalMs = 250;
 const waitTimeoutMs = 60_000;
-const clockTicksPerSecond = 100;
 const pageBytes = 4096;
 
 /** Runs a mesh of real node processes on loopback, with stand-ins for the platform and workers. */
@@ -259,9 +260,7 @@
 
 	/** Returns the processor time that a node has used since its start, in seconds. */
 	processorSeconds(host: Host): number {
-		const fields = this.#procFile(host, 'stat').split(') ')[1].split(' ');
-		// User and system time: fields 14 and 15 of `/proc/PID/stat`.
-		return (Number(fields[11]) + Number(fields[12])) / clockTicksPerSecond;
+		return processorSecondsOf(this.#pidOf(host));
 	}
 
 	/** Returns the resident memory of a node, in bytes. */
@@ -278,8 +277,13 @@
 	}
 
 	#procFile(host: Host, name: string): string {
+		return readFileSync(`/proc/${this.#pidOf(host)}/${name}`, 'utf8');
+	}
+
+	#pidOf(host: Host): number {
 		const pid = this.#nodes.get(host)?.process.pid;
-		return readFileSync(`/proc/${pid}/${name}`, 'utf8');
+		invariant(pid, `Host ${host.control} has no running node`);
+		return pid;
 	}
 
 	async #startPlatform(): Promise<void> {
--- a/packages/redwingmill-core/src/directory/heartbeat-controller.ts
+++ b/packages/redwingmill-core/src/directory/heartbeat-controller.ts
@@ -6,6 +6,7 @@
 import {type DirectoryEvent} from './directory-event.js';
 import {type DirectoryLimits} from './directory-limits.js';
 import {type DirectoryState, type Peer} from './directory-state.js';
+import {heartbeatIntervals, type HeartbeatIntervals} from './heartbeat-intervals.js';
 import {announceToAll, heartbeatOf, isWatching, setMembers} from './member-actions.js';
 import {isSmallMesh} from './watchers.js';
 
@@ -23,36 +24,18 @@
 	}
 }
 
-/** Intervals of heartbeats to peers of the local data centre and to the others. */
-type HeartbeatIntervals = {
-	readonly localMs: number;
-	readonly remoteMs: number;
-	/** Whether other nodes rely on this one for new versions and get heartbeats more often. */
-	readonly isWatcher: boolean;
-};
+/** Intervals of this node's heartbeats, and whether other nodes rely on it for new versions. */
+type OwnIntervals = HeartbeatIntervals & {readonly isWatcher: boolean};
 
-/**
- * Returns intervals that grow with the number of nodes, which keeps the traffic of a node constant.
- * Nodes of the local data centre, which receive most of the calls, are counted separately.
- */
-function heartbeatIntervalsOf(
-	{members, watch}: DirectoryState,
-	limits: DirectoryLimits,
-): HeartbeatIntervals {
+function ownIntervals({members, watch}: DirectoryState, limits: DirectoryLimits): OwnIntervals {
 	const {self, records, peers} = members;
 	const local = [...records.values()].filter(({dataCentre}) => dataCentre === self.dataCentre);
 	return {
-		localMs: scaledIntervalMs(local.length, limits),
-		remoteMs: scaledIntervalMs(peers.size, limits),
+		...heartbeatIntervals({local: local.length, total: peers.size}, limits),
 		isWatcher: isWatching(watch) && !isSmallMesh(members, limits),
 	};
 }
 
-function scaledIntervalMs(nodes: number, limits: DirectoryLimits): number {
-	const scale = Math.max(1, nodes / limits.heartbeatScalingNodes);
-	return Math.min(limits.maximumHeartbeatIntervalMs, limits.heartbeatIntervalMs * scale);
-}
-
 /** Extends the time-outs of all peers by a pause in which this process could not receive anything. */
 function compensateForPause(update: DirectoryUpdate, {now, limits}: DirectoryContext): void {
 	const {members} = update.pending;
@@ -81,7 +64,7 @@
 
 function checkPeers(update: DirectoryUpdate, {now, limits}: DirectoryContext): void {
 	const {members} = update.pending;
-	const intervals = heartbeatIntervalsOf(update.pending, limits);
+	const intervals = ownIntervals(update.pending, limits);
 	const datagram = heartbeatOf(update.pending);
 	const peers = new Map(members.peers);
 	const records = new Map(members.records);
@@ -130,7 +113,7 @@
 function sendingIntervalMs(
 	{lapsedAt, watchReportedAt}: Peer,
 	isLocal: boolean,
-	{localMs, remoteMs, isWatcher}: HeartbeatIntervals,
+	{localMs, remoteMs, isWatcher}: OwnIntervals,
 	{lapsedHeartbeatIntervalMs, watcherHeartbeatIntervalMs}: DirectoryLimits,
 ): number {
 	if (lapsedAt !== undefined) {
--- a/packages/redwingmill-core/src/index.ts
+++ b/packages/redwingmill-core/src/index.ts
@@ -76,6 +76,11 @@
 	type DirectoryEvent,
 	type DirectoryNotice,
 } from './directory/directory-event.js';
+export {
+	heartbeatIntervals,
+	type HeartbeatIntervals,
+	type NodeCounts,
+} from './directory/heartbeat-intervals.js';
 export {defaultDirectoryLimits, type DirectoryLimits} from './directory/directory-limits.js';
 export {type CallerLimits, type ConfigurationDocument} from './model/configuration-document.js';
 export {type Datagram} from './model/datagram.js';
