--- a/packages/redwingmill-node/src/observe/non-blocking-stdout.ts
+++ b/packages/redwingmill-node/src/observe/non-blocking-stdout.ts
@@ -1,23 +1,31 @@
+import {Buffer} from 'node:buffer';
 import {write} from 'node:fs';
-import {Writable} from 'node:stream';
 
 const standardOutput = 1;
 /** Limit in UTF-16 code units for queued lines. Further lines are dropped and counted. */
 const maximumQueuedCodeUnits = 256 * 1024;
 
+/** Writes bytes to a file descriptor, possibly only some of them, as `fs.write` does. */
+export type DescriptorWriter = (
+	descriptor: number,
+	bytes: Uint8Array,
+	onWritten: (error: Error | null, written: number) => void,
+) => void;
+
 /**
  * Writes lines to standard output without blocking. `process.stdout` writes to a pipe
  * synchronously, so a stalled reader would block the process. Lines are queued in memory up to a
  * limit instead.
  */
-export class NonBlockingStdout extends Writable {
+export class NonBlockingStdout {
+	readonly #write: DescriptorWriter;
 	#queuedLines: string[] = [];
 	#queuedCodeUnits = 0;
 	#isWriting = false;
 	#droppedLines = 0;
 
-	constructor() {
-		super({decodeStrings: false});
+	constructor(writer: DescriptorWriter = write) {
+		this.#write = writer;
 	}
 
 	/** Returns the number of lines dropped since the last call. */
@@ -27,11 +35,7 @@
 		return dropped;
 	}
 
-	override _write(line: unknown, _encoding: string, done: () => void): void {
-		this.enqueue(String(line));
-		done();
-	}
-
+	/** @param line - ends with a line end. */
 	enqueue(line: string): void {
 		if (this.#queuedCodeUnits + line.length > maximumQueuedCodeUnits) {
 			this.#droppedLines += 1;
@@ -48,18 +52,20 @@
 			return;
 		}
 
-		const text = this.#queuedLines.join('');
+		const bytes = Buffer.from(this.#queuedLines.join(''));
 		this.#queuedLines = [];
 		this.#queuedCodeUnits = 0;
 		this.#isWriting = true;
-		this.#writeText(text);
+		this.#writeBytes(bytes);
 	}
 
-	#writeText(text: string): void {
-		write(standardOutput, text, (error, written) => {
-			const remaining = error ? '' : text.slice(written);
-			if (remaining.length > 0) {
-				this.#writeText(remaining);
+	#writeBytes(bytes: Buffer): void {
+		this.#write(standardOutput, bytes, (error, written) => {
+			const remaining = bytes.subarray(error ? 0 : written);
+			if (error) {
+				this.#droppedLines += countLines(remaining);
+			} else if (remaining.length > 0) {
+				this.#writeBytes(remaining);
 				return;
 			}
 
@@ -68,3 +74,13 @@
 		});
 	}
 }
+
+function countLines(bytes: Buffer): number {
+	const lineEnd = 0x0a;
+	let count = 0;
+	for (const byte of bytes) {
+		count += byte === lineEnd ? 1 : 0;
+	}
+
+	return count;
+}
