Start: leave out what a node on the platform doesn't run

The bundle held the relay control plane with its transport (Connect, HTTP/2), the HTTP/2 client of undici and its fetch; a start ran their modules.

--- a/packages/redwingmill-node/src/__tests__/unit/daemon.test.ts
+++ b/packages/redwingmill-node/src/__tests__/unit/daemon.test.ts
@@ -7,6 +7,7 @@
 import {request} from 'undici';
 import {PlatformClient, PlatformServer} from 'redwingmill-platform';
 import {digestOf} from 'redwingmill-shared';
+import {RelayControlPlane} from '../../control/relay-control-plane.js';
 import {Daemon, parseSettings, ticketPath, type Settings} from '../../index.js';
 
 /**
@@ -20,6 +21,12 @@
 	routes: [{path: '/coding', service: 'coding', deadlineMs: 3000}],
 });
 
+function createDaemon(settings: Settings): Daemon {
+	return new Daemon(settings, {
+		createControlPlane: (options) => new RelayControlPlane(options),
+	});
+}
+
 type Handler = (path: string, response: ServerResponse) => void;
 
 /** A stand-in platform, an entry node without a worker, and a gate's node with a worker. */
@@ -40,8 +47,8 @@
 		const [proxy, gateProxy, operators, ...others] = await freeAddresses(8);
 		this.proxy = proxy;
 		this.gateProxy = gateProxy;
-		this.entry = new Daemon(settingsOf(platform, [proxy, others[0], others[1], others[2]]));
-		this.gate = new Daemon(settingsOf(platform, [gateProxy, others[3], others[4], operators]));
+		this.entry = createDaemon(settingsOf(platform, [proxy, others[0], others[1], others[2]]));
+		this.gate = createDaemon(settingsOf(platform, [gateProxy, others[3], others[4], operators]));
 		await this.entry.start();
 		await this.gate.start();
 		const worker = await this.#startWorker();
--- a/packages/redwingmill-node/src/call/exchange.ts
+++ b/packages/redwingmill-node/src/call/exchange.ts
@@ -14,9 +14,9 @@
 			readonly headers: IncomingHttpHeaders;
 	  }
 	/** Nothing was sent: there was no connection, or the client is closed or rejected the request. */
-	| {readonly type: 'refused'}
+	| {readonly type: 'refused'; readonly reason: string}
 	/** The connection failed, or the exchange was aborted, before the response was complete. */
-	| {readonly type: 'broken'}
+	| {readonly type: 'broken'; readonly reason: string}
 	/** The response belongs to another request; its connection was closed. */
 	| {readonly type: 'foreign'}
 	| {readonly type: 'too-large'};
@@ -35,6 +35,11 @@
 	readonly answerLimitBytes: number;
 	/** Absent when every response is accepted. */
 	readonly isMatchingResponse?: ResponseCheck;
+	/**
+	 * Time without any byte of the response after which the exchange breaks. Absent when the caller
+	 * enforces a deadline.
+	 */
+	readonly silenceTimeoutMs?: number;
 };
 
 const acceptAll: ResponseCheck = () => true;
@@ -53,20 +58,49 @@
 		path,
 		headers: headers as Record<string, string>,
 		body: body ?? null,
-		// The caller of this function enforces the deadline.
-		headersTimeout: 0,
-		bodyTimeout: 0,
+		headersTimeout: limits.silenceTimeoutMs ?? 0,
+		bodyTimeout: limits.silenceTimeoutMs ?? 0,
 	};
 	try {
 		dispatcher.dispatch(options, handler);
-	} catch {
-		// The client rejects the request as invalid, or is closed: nothing was sent.
-		handler.finishUnsent();
+	} catch (error) {
+		// The client rejects the request as invalid, or is closed.
+		handler.finishUnsent(describeError(error));
 	}
 
 	return handler;
 }
 
+/**
+ * Sends a request and resolves with the result; never rejects.
+ *
+ * @param signal - aborts the exchange.
+ */
+export async function exchange(
+	dispatcher: Dispatcher,
+	request: CallRequest,
+	limits: ExchangeLimits,
+	signal?: AbortSignal,
+): Promise<ExchangeResult> {
+	return new Promise((resolve) => {
+		const handler = beginExchange(dispatcher, request, limits, (result) => {
+			signal?.removeEventListener('abort', onAbort);
+			resolve(result);
+		});
+		const onAbort = () => {
+			handler.abort();
+		};
+
+		signal?.addEventListener('abort', onAbort);
+	});
+}
+
+/** Returns the code of a system error, or the name and message of another one. */
+export function describeError(error: unknown): string {
+	const {code, name, message} = error as NodeJS.ErrnoException;
+	return code ?? `${name}: ${message}`;
+}
+
 class ExchangeHandler implements Dispatcher.DispatchHandler, Exchange {
 	readonly #limitBytes: number;
 	readonly #onResult: (result: ExchangeResult) => void;
@@ -88,13 +122,13 @@
 	}
 
 	abort(): void {
-		this.#finish({type: 'broken'});
+		this.#finish({type: 'broken', reason: 'aborted'});
 		this.#controller?.abort(new AbortedExchangeError('The exchange was aborted by this node'));
 	}
 
 	/** Ends an exchange of which nothing was sent. */
-	finishUnsent(): void {
-		this.#finish({type: 'refused'});
+	finishUnsent(reason: string): void {
+		this.#finish({type: 'refused', reason});
 	}
 
 	onRequestStart(controller: Dispatcher.DispatchController): void {
@@ -141,8 +175,8 @@
 	}
 
 	onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
-		const isRefused = isConnectFailure(error);
-		this.#finish({type: isRefused ? 'refused' : 'broken'});
+		const type = isConnectFailure(error) ? 'refused' : 'broken';
+		this.#finish({type, reason: describeError(error)});
 	}
 
 	#finish(result: ExchangeResult): void {
--- a/packages/redwingmill-node/src/control/control-plane.ts
+++ b/packages/redwingmill-node/src/control/control-plane.ts
@@ -7,8 +7,19 @@
 	type WorkerLoad,
 } from 'redwingmill-core';
 import {type Teardown} from 'redwingmill-shared';
+import {type Log} from '../observe/log.js';
+import {type Metrics} from '../observe/metrics.js';
+import {type Settings} from '../settings/settings.js';
 import {type ConfigurationReply} from './configuration-history.js';
 
+/** Settings of a node and dependencies of its control plane. */
+export type ControlPlaneOptions = {
+	readonly settings: Settings;
+	readonly self: NodeRecord;
+	readonly log: Log;
+	readonly metrics: Metrics;
+};
+
 /** Handles a crash report of another node. */
 export type CrashReportHandler = (report: CrashReport, node: string) => void;
 
--- a/packages/redwingmill-node/src/control/relay-control-plane.ts
+++ b/packages/redwingmill-node/src/control/relay-control-plane.ts
@@ -19,10 +19,10 @@
 import {logNotice} from '../observe/notice-log.js';
 import {TrafficMeter} from '../observe/traffic-meter.js';
 import {nodeStatusOf} from '../operators/status.js';
-import {type Settings} from '../settings/settings.js';
 import {type ConfigurationReply} from './configuration-history.js';
 import {
 	type ControlPlane,
+	type ControlPlaneOptions,
 	type CrashReportHandler,
 	type CrashReportSource,
 } from './control-plane.js';
@@ -51,7 +51,7 @@
 	#crashReportHandler: CrashReportHandler | undefined;
 	#crashReportSource: CrashReportSource | undefined;
 
-	constructor(settings: Settings, self: NodeRecord, log: Log, metrics: Metrics) {
+	constructor({settings, self, log, metrics}: ControlPlaneOptions) {
 		this.#log = log;
 		this.#metrics = metrics;
 		this.#dataCentre = self.dataCentre;
--- a/packages/redwingmill-node/src/control/store-control-plane.ts
+++ b/packages/redwingmill-node/src/control/store-control-plane.ts
@@ -19,16 +19,18 @@
 	type CrashReport,
 } from 'redwingmill-core';
 import {Random, type Teardown} from 'redwingmill-shared';
+import {exchange, type ExchangeResult} from '../call/exchange.js';
 import {configurationPath} from '../call/gate-server.js';
 import {logDirectoryNotice} from '../observe/directory-log.js';
-import {type Log} from '../observe/log.js';
 import {logEvents} from '../observe/log-event.js';
+import {type Log} from '../observe/log.js';
 import {type Metrics} from '../observe/metrics.js';
 import {type Settings} from '../settings/settings.js';
 import {ConfigurationHistory, type ConfigurationReply} from './configuration-history.js';
 import {ConfigurationWatch} from './configuration-watch.js';
 import {
 	type ControlPlane,
+	type ControlPlaneOptions,
 	type CrashReportHandler,
 	type CrashReportSource,
 	type LoadHandler,
@@ -40,16 +42,11 @@
 const tickIntervalMs = 100;
 /** Long enough to transfer a whole configuration over a slow link. */
 const configurationRequestTimeoutMs = 3000;
+const configurationLimitBytes = 16 * 1024 * 1024;
 const randomSeedModulus = 0x7f_ff_ff_ff;
 
-/** Dependencies of a {@link StoreControlPlane}. */
-export type StoreControlPlaneOptions = {
-	readonly settings: Settings;
-	readonly self: NodeRecord;
-	readonly ports: StorePorts;
-	readonly log: Log;
-	readonly metrics: Metrics;
-};
+/** Options of a {@link StoreControlPlane}. */
+export type StoreControlPlaneOptions = ControlPlaneOptions & {readonly ports: StorePorts};
 
 /**
  * Control plane that discovers other nodes and reads the configuration through the store. Passes
@@ -388,27 +385,20 @@
 
 	/** Requests another node's configuration, or the patch to it from version `since`. */
 	async #requestConfiguration(gateAddress: string, since: number | undefined): Promise<void> {
-		const timeouts = {
-			headersTimeout: configurationRequestTimeoutMs,
-			bodyTimeout: configurationRequestTimeoutMs,
-		};
 		const connect = {timeout: configurationRequestTimeoutMs};
-		const client = new Client(`http://${gateAddress}`, {...timeouts, connect});
-		try {
-			const path = configurationPath(since);
-			const {body} = await client.request({method: 'GET', path});
-			const reply = (await body.json()) as ConfigurationReply;
-			const source = this.#history.sourceFromReply(reply);
-			// A restarted node may have no configuration yet; others announce the version too.
-			if (source === undefined) {
-				this.#metrics.countControlEvent('configuration-unanswered');
-			} else {
-				this.#applySource(source, 'node');
-			}
-		} catch {
+		const client = new Client(`http://${gateAddress}`, {connect});
+		const result = await exchange(
+			client,
+			{method: 'GET', path: configurationPath(since), headers: {}, body: undefined},
+			{answerLimitBytes: configurationLimitBytes, silenceTimeoutMs: configurationRequestTimeoutMs},
+		);
+		void client.destroy();
+		const source = this.#history.sourceFromReply(toConfigurationReply(result));
+		// A restarted node may have no configuration yet; others announce the version too.
+		if (source === undefined) {
 			this.#metrics.countControlEvent('configuration-unanswered');
-		} finally {
-			void client.destroy();
+		} else {
+			this.#applySource(source, 'node');
 		}
 	}
 
@@ -421,3 +411,16 @@
 		}
 	}
 }
+
+/** Returns a node's reply, or `none` if the exchange failed or its body is malformed. */
+function toConfigurationReply(result: ExchangeResult): ConfigurationReply {
+	if (result.type !== 'complete') {
+		return {type: 'none'};
+	}
+
+	try {
+		return JSON.parse(result.payload.body.toString()) as ConfigurationReply;
+	} catch {
+		return {type: 'none'};
+	}
+}
--- a/packages/redwingmill-node/src/daemon.ts
+++ b/packages/redwingmill-node/src/daemon.ts
@@ -15,8 +15,7 @@
 import {GateServer} from './call/gate-server.js';
 import {GateService} from './call/gate-service.js';
 import {defaultWorkerProtocol, type WorkerProtocol} from './call/worker-protocol.js';
-import {type ControlPlane} from './control/control-plane.js';
-import {RelayControlPlane} from './control/relay-control-plane.js';
+import {type ControlPlane, type ControlPlaneOptions} from './control/control-plane.js';
 import {CallLog} from './observe/call-log.js';
 import {logCrashNotice} from './observe/crash-log.js';
 import {Log} from './observe/log.js';
@@ -43,20 +42,11 @@
 	readonly isDrained: boolean;
 };
 
-/** Arguments of {@link DaemonOptions.createControlPlane}. */
-export type ControlPlaneOptions = {
-	readonly settings: Settings;
-	readonly self: NodeRecord;
-	readonly log: Log;
-	readonly metrics: Metrics;
-};
-
-/** Dependencies of a daemon that replace the defaults. */
+/** Control plane of a daemon, and dependencies that replace the defaults. */
 export type DaemonOptions = {
 	readonly callerProtocol?: CallerProtocol;
 	readonly workerProtocol?: WorkerProtocol;
-	/** Creates the control plane. By default, nodes are linked through relays. */
-	readonly createControlPlane?: (options: ControlPlaneOptions) => ControlPlane;
+	readonly createControlPlane: (options: ControlPlaneOptions) => ControlPlane;
 	readonly log?: Log;
 };
 
@@ -75,14 +65,14 @@
 	#loadTimer: NodeJS.Timeout | undefined;
 	#workerTimer: NodeJS.Timeout | undefined;
 
-	constructor(settings: Settings, options: DaemonOptions = {}) {
+	constructor(settings: Settings, options: DaemonOptions) {
 		const {calls} = settings;
 		const self = createNodeRecord(settings);
 		this.#settings = settings;
 		const {
 			callerProtocol = defaultCallerProtocol,
 			workerProtocol = defaultWorkerProtocol,
-			createControlPlane = createRelayControlPlane,
+			createControlPlane,
 			log = new Log(settings),
 		} = options;
 		this.#log = log;
@@ -295,15 +285,6 @@
 	}
 }
 
-function createRelayControlPlane({
-	settings,
-	self,
-	log,
-	metrics,
-}: ControlPlaneOptions): ControlPlane {
-	return new RelayControlPlane(settings, self, log, metrics);
-}
-
 /** Creates the first record. The clock sets the incarnation, so that later starts have a higher one. */
 function createNodeRecord({
 	dataCentre,
--- a/packages/redwingmill-node/src/index.ts
+++ b/packages/redwingmill-node/src/index.ts
@@ -1,4 +1,4 @@
-export {Daemon, type ControlPlaneOptions, type DaemonOptions, type StopResult} from './daemon.js';
+export {Daemon, type DaemonOptions, type StopResult} from './daemon.js';
 export {ListenError, SettingsError} from './errors.js';
 export {headerNames} from './call/headers.js';
 export {ticketPath} from './call/entry-server.js';
@@ -17,7 +17,7 @@
 	type WorkerProtocol,
 	type WorkerResponseClass,
 } from './call/worker-protocol.js';
-export {type ControlPlane} from './control/control-plane.js';
+export {type ControlPlane, type ControlPlaneOptions} from './control/control-plane.js';
 export {StoreControlPlane, type StoreControlPlaneOptions} from './control/store-control-plane.js';
 export {
 	type ConfigurationDecoder,
@@ -29,6 +29,7 @@
 	type NodeRegistry,
 	type StorePorts,
 } from './control/store-ports.js';
+export {describeError, exchange, type ExchangeResult} from './call/exchange.js';
 export {readRequestBody} from './call/read-request.js';
 export {listenOn} from './listen.js';
 export {Log} from './observe/log.js';
--- a/packages/redwingmill-node/src/main.ts
+++ b/packages/redwingmill-node/src/main.ts
@@ -1,6 +1,7 @@
 #!/usr/bin/env -S node --max-semi-space-size=2
 import process from 'node:process';
 import {parseArgs} from 'node:util';
+import {RelayControlPlane} from './control/relay-control-plane.js';
 import {Daemon} from './daemon.js';
 import {ListenError, SettingsError} from './errors.js';
 import {readSettings} from './settings/read-settings.js';
@@ -43,7 +44,9 @@
 		return;
 	}
 
-	const daemon = new Daemon(settings);
+	const daemon = new Daemon(settings, {
+		createControlPlane: (options) => new RelayControlPlane(options),
+	});
 	await daemon.start();
 	const signal = await new Promise<NodeJS.Signals>((resolve) => {
 		process.once('SIGTERM', resolve);
