--- a/packages/redwingmill-bench/src/experiments/node-cost.ts
+++ b/packages/redwingmill-bench/src/experiments/node-cost.ts
@@ -36,6 +36,8 @@
 	readonly startMs: number;
 	/** Milliseconds for each second at rest, by the number of other nodes. */
 	readonly restMsPerSecond: Readonly<Record<string, number>>;
+	/** The same for a watcher, which sends digests to its data centre. */
+	readonly watcherRestMsPerSecond: Readonly<Record<string, number>>;
 	/** Milliseconds for each change of a configuration with {@link routeCount} routes. */
 	readonly changeMs: number;
 	/** Milliseconds for each call, by how many calls the processes had served before. */
@@ -69,6 +71,9 @@
 const services = ['first', 'second', 'third'] as const;
 const dataCentres = ['dc-a', 'dc-b', 'dc-c', 'dc-d', 'dc-e'] as const;
 const runMs = 2;
+const ownLinkMbps = 100;
+const widerLinkMbps = 1000;
+const narrowerLinkMbps = 10;
 const bareProxyScript = fileURLToPath(new URL('../worker/bare-proxy.js', import.meta.url));
 
 /** Measures the processor time that the deployed program uses for each of its tasks. */
@@ -81,7 +86,8 @@
 	try {
 		return {
 			startMs: await bench.measureStart(),
-			restMsPerSecond: await bench.measureRest(),
+			restMsPerSecond: await bench.measureRest(widerLinkMbps),
+			watcherRestMsPerSecond: await bench.measureRest(narrowerLinkMbps),
 			changeMs: await bench.measureChange(),
 			callMs: await bench.measureCalls(),
 		};
@@ -135,17 +141,19 @@
 		return quantilesOf(times, 1).p50;
 	}
 
-	async measureRest(): Promise<Record<string, number>> {
+	/** @param linkMbps - of the other nodes; the node under test has {@link ownLinkMbps}. */
+	async measureRest(linkMbps: number): Promise<Record<string, number>> {
 		const {meshSizes, restSeconds} = this.#options;
 		const results: Record<string, number> = {};
 		for (const nodes of meshSizes) {
-			const node = await this.#startNode('first', `rest-${nodes}`);
+			const node = await this.#startNode('first', `rest-${nodes}-${linkMbps}`);
 			const crowd = new PeerCrowd({
 				nodes,
 				dataCentres,
 				services,
 				version: this.#version,
 				target: node.addresses.control,
+				linkMbps,
 			});
 			await crowd.start();
 			await delay(settleMs);
@@ -225,6 +233,7 @@
 				addresses,
 				advertised: {control, gate},
 				storeAddress: this.#storeAddress,
+				linkMbps: ownLinkMbps,
 			}),
 		);
 		const profileFlags =
--- a/packages/redwingmill-bench/src/mesh/peer-crowd.ts
+++ b/packages/redwingmill-bench/src/mesh/peer-crowd.ts
@@ -1,12 +1,17 @@
 import {createSocket, type Socket} from 'node:dgram';
 import {once} from 'node:events';
 import {
+	createDirectory,
 	defaultDirectoryLimits,
-	heartbeatIntervals,
-	type Datagram,
+	initialDirectoryState,
+	type ConfigurationDocument,
+	type Directory,
+	type DirectoryEffect,
+	type DirectoryEvent,
 	type NodeRecord,
 } from 'redwingmill-core';
 import {decodeDatagram, encodeDatagram} from 'redwingmill-protocol';
+import {Random} from 'redwingmill-shared';
 
 /** Options of a {@link PeerCrowd}. */
 export type CrowdOptions = {
@@ -16,35 +21,49 @@
 	readonly services: readonly string[];
 	/** Version of the configuration that all of them hold. */
 	readonly version: number;
-	/** Control address of the node that they send to. */
+	/** Control address of the node that the crowd surrounds. */
 	readonly target: string;
+	/** Capacity of the crowd's links in Mbit/s, which decides who the watchers are. */
+	readonly linkMbps: number;
 };
 
 type Peer = {
+	readonly directory: Directory;
 	readonly socket: Socket;
-	readonly record: NodeRecord;
 	readonly timer: NodeJS.Timeout;
 };
 
 const host = '127.0.0.1';
 const slots = 6;
+const tickIntervalMs = 100;
+/** Interval at which the load of each peer's worker changes. */
+const loadIntervalMs = 1000;
 
 /**
- * The other nodes of a mesh, as one of its nodes sees them: each has an address of its own, announces a
- * worker, and sends heartbeats at the interval that a mesh of this size uses.
+ * The other nodes of a mesh, in one process: production directories, each with an address of its own and
+ * a worker, but without calls, a store or a configuration to fetch.
  */
 export class PeerCrowd {
 	readonly #options: CrowdOptions;
-	readonly #peers: Peer[] = [];
+	readonly #document: ConfigurationDocument;
+	#peers: readonly Peer[] = [];
 
 	constructor(options: CrowdOptions) {
 		this.#options = options;
+		const configuration = {services: [], routes: []};
+		this.#document = {version: options.version, configuration, source: undefined};
 	}
 
 	async start(): Promise<void> {
+		const sockets: Socket[] = [];
 		for (let index = 0; index < this.#options.nodes; index++) {
-			this.#peers.push(await this.#createPeer(index));
+			const socket = createSocket('udp4').bind(0, host);
+			await once(socket, 'listening');
+			sockets.push(socket);
 		}
+
+		const records = sockets.map((socket, index) => this.#recordOf(socket, index));
+		this.#peers = sockets.map((socket, index) => this.#createPeer(socket, records, index));
 	}
 
 	close(): void {
@@ -54,75 +73,92 @@
 		}
 	}
 
-	async #createPeer(index: number): Promise<Peer> {
-		const {dataCentres, services, nodes} = this.#options;
-		const socket = createSocket('udp4');
-		socket.bind(0, host);
-		await once(socket, 'listening');
-		const {port} = socket.address();
-		const record: NodeRecord = {
-			address: `${host}:${port}`,
+	#recordOf(socket: Socket, index: number): NodeRecord {
+		const {dataCentres, services, linkMbps} = this.#options;
+		const address = `${host}:${socket.address().port}`;
+		const worker = {
+			service: services[index % services.length],
+			address,
+			slots,
+			state: 'ready',
+			instance: `i-${index}`,
+		} as const;
+		return {
+			address,
 			dataCentre: dataCentres[index % dataCentres.length],
 			incarnation: Date.now(),
 			revision: 1,
 			status: 'live',
-			gateAddress: `${host}:${port}`,
-			worker: {
-				service: services[index % services.length],
-				address: `${host}:${port}`,
-				slots,
-				state: 'ready',
-				instance: `i-${index}`,
-				startedAt: Date.now(),
-			},
+			gateAddress: address,
+			worker,
+			linkMbps,
+		};
+	}
+
+	#createPeer(socket: Socket, records: readonly NodeRecord[], index: number): Peer {
+		const directory = createDirectory(initialDirectoryState(records[index], performance.now()), {
+			limits: defaultDirectoryLimits,
+			seeds: [],
+			random: new Random(index + 1),
+		});
+		const dispatch = (event: DirectoryEvent) => {
+			for (const effect of directory.dispatch(event, performance.now())) {
+				const answer = perform(socket, effect);
+				if (answer) {
+					dispatch(answer);
+				}
+			}
 		};
-		socket.on('message', (bytes) => {
-			this.#answer(socket, record, decodeDatagram(bytes));
+
+		socket.on('message', (bytes, {address, port}) => {
+			dispatch({type: 'datagram', from: `${address}:${port}`, datagram: decodeDatagram(bytes)});
 		});
-		this.#announce(socket, record, true);
-		const isLocal = record.dataCentre === dataCentres[0];
-		const local = Math.ceil(nodes / dataCentres.length);
-		const {localMs, remoteMs} = heartbeatIntervals({local, total: nodes}, defaultDirectoryLimits);
-		const timer = setInterval(
-			() => {
-				this.#sendHeartbeat(socket, record);
-			},
-			isLocal ? localMs : remoteMs,
-		);
-		return {socket, record, timer};
+		dispatch({type: 'configuration-read', document: this.#document, origin: 'store'});
+		dispatch({type: 'store-contact', isStoreReachable: true});
+		dispatch({type: 'registry-listed', records});
+		dispatch({type: 'seeds-known', addresses: [this.#options.target]});
+		let ticks = 0;
+		const timer = setInterval(() => {
+			ticks += 1;
+			if (ticks % (loadIntervalMs / tickIntervalMs) === 0) {
+				const load = {callsPerSlot: Math.random(), waitMs: 0, runMs: 60, failureShare: 0};
+				dispatch({type: 'load-changed', load});
+			}
+
+			dispatch({type: 'tick'});
+		}, tickIntervalMs);
+		return {directory, socket, timer};
 	}
+}
 
-	#answer(socket: Socket, record: NodeRecord, datagram: Datagram): void {
-		const isAsked =
-			datagram.type === 'inquiry' || (datagram.type === 'announcement' && datagram.wantsReply);
-		if (isAsked) {
-			this.#announce(socket, record, false);
+/** Performs an effect. Returns the event with which a store that does nothing would answer. */
+function perform(socket: Socket, effect: DirectoryEffect): DirectoryEvent | undefined {
+	switch (effect.type) {
+		case 'send': {
+			const colon = effect.to.lastIndexOf(':');
+			const port = Number(effect.to.slice(colon + 1));
+			socket.send(encodeDatagram(effect.datagram), port, effect.to.slice(0, colon));
+			return undefined;
 		}
-	}
 
-	#announce(socket: Socket, record: NodeRecord, wantsReply: boolean): void {
-		const {version} = this.#options;
-		this.#send(socket, {type: 'announcement', record, version, wantsReply});
-	}
+		case 'write-record': {
+			return {type: 'record-written', hasSucceeded: true};
+		}
 
-	#sendHeartbeat(socket: Socket, {incarnation, revision}: NodeRecord): void {
-		const {version} = this.#options;
-		const load = {callsPerSlot: Math.random(), waitMs: 0, runMs: 60, failureShare: 0};
-		this.#send(socket, {
-			type: 'pulse',
-			incarnation,
-			revision,
-			version,
-			load,
-			isWatching: false,
-			crashDigest: 0,
-		});
-	}
+		case 'list-registry': {
+			return {type: 'registry-listed', records: []};
+		}
 
-	#send(socket: Socket, datagram: Datagram): void {
-		const {target} = this.#options;
-		const colon = target.lastIndexOf(':');
-		const port = Number(target.slice(colon + 1));
-		socket.send(encodeDatagram(datagram), port, target.slice(0, colon));
+		case 'read-crashes': {
+			return {type: 'crashes-read', reports: []};
+		}
+
+		case 'set-watch': {
+			return effect.isOn ? {type: 'store-contact', isStoreReachable: true} : undefined;
+		}
+
+		default: {
+			return undefined;
+		}
 	}
 }
--- a/packages/redwingmill-core/src/directory/adoption-controller.ts
+++ b/packages/redwingmill-core/src/directory/adoption-controller.ts
@@ -22,7 +22,11 @@
 
 			case 'datagram': {
 				const {datagram, from} = event;
-				if (datagram.type === 'announcement' || datagram.type === 'pulse') {
+				if (
+					datagram.type === 'announcement' ||
+					datagram.type === 'pulse' ||
+					datagram.type === 'digest'
+				) {
 					recordNewerVersion(update, datagram.version, from, context.now);
 					requestNewerVersion(update, context);
 				}
--- a/packages/redwingmill-core/src/directory/crash-report-controller.ts
+++ b/packages/redwingmill-core/src/directory/crash-report-controller.ts
@@ -4,6 +4,9 @@
 	type DirectoryUpdate,
 } from './directory-controller.js';
 import {type DirectoryEvent} from './directory-event.js';
+import {type DirectoryLimits} from './directory-limits.js';
+import {localPeers} from './member-actions.js';
+import {isSmallMesh, watchersOf} from './watchers.js';
 
 /**
  * Exchanges crash reports with the other nodes. A new report is sent to all of them at once. Heartbeats
@@ -33,7 +36,7 @@
 				const {from, datagram} = event;
 				if (datagram.type === 'suspicion') {
 					update.emit({type: 'suspect', report: datagram.report, node: from});
-				} else if (datagram.type === 'pulse') {
+				} else if (datagram.type === 'pulse' || datagram.type === 'digest') {
 					compareDigests(update, from, datagram.crashDigest, context);
 				}
 
@@ -54,15 +57,28 @@
 	digest: number,
 	{now, limits, random}: DirectoryContext,
 ): void {
-	const {crashes, members} = update.pending;
+	const {crashes} = update.pending;
 	if (crashes.digest === 0 || crashes.digest === digest) {
 		return;
 	}
 
 	const isDue = now - crashes.sentAt >= limits.crashReportIntervalMs;
-	const isChosen = random.fraction() * members.peers.size < limits.crashReportSenders;
+	const isChosen = random.fraction() * hearersOf(from, update, limits) < limits.crashReportSenders;
 	if (isDue && isChosen) {
 		update.set('crashes', {sentAt: now});
 		update.emit({type: 'send-crash-reports', to: from});
 	}
 }
+
+/** Returns the number of nodes that hear a node's heartbeats or digests. */
+function hearersOf(node: string, update: DirectoryUpdate, limits: DirectoryLimits): number {
+	const {members} = update.pending;
+	const local = localPeers(members).length;
+	if (isSmallMesh(members, limits)) {
+		return members.peers.size;
+	}
+
+	return watchersOf(members, members.self.dataCentre, limits).includes(node)
+		? local
+		: limits.watchersPerDataCentre;
+}
--- a/packages/redwingmill-core/src/directory/create-directory.ts
+++ b/packages/redwingmill-core/src/directory/create-directory.ts
@@ -5,8 +5,10 @@
 import {type DirectoryEffect, type DirectoryEvent} from './directory-event.js';
 import {type DirectoryLimits} from './directory-limits.js';
 import {type DirectoryState} from './directory-state.js';
+import {DigestController} from './digest-controller.js';
 import {EndpointsController} from './endpoints-controller.js';
 import {HeartbeatController} from './heartbeat-controller.js';
+import {LivenessController} from './liveness-controller.js';
 import {PeersController} from './peers-controller.js';
 import {RegistryController} from './registry-controller.js';
 import {ServingStateController} from './serving-state-controller.js';
@@ -21,11 +23,13 @@
 	servingState: 1,
 	peers: 2,
 	heartbeat: 3,
-	watch: 4,
-	registry: 5,
-	endpoints: 6,
-	crashReport: 7,
-	crashStore: 8,
+	digest: 4,
+	liveness: 5,
+	watch: 6,
+	registry: 7,
+	endpoints: 8,
+	crashReport: 9,
+	crashStore: 10,
 } as const;
 
 /** Creates an engine with all controllers of the directory. */
@@ -36,6 +40,8 @@
 	const directory: Directory = new Engine(initial, options);
 	directory.registerController(new PeersController(), priorities.peers);
 	directory.registerController(new HeartbeatController(), priorities.heartbeat);
+	directory.registerController(new DigestController(), priorities.digest);
+	directory.registerController(new LivenessController(), priorities.liveness);
 	directory.registerController(new AdoptionController(), priorities.adoption);
 	directory.registerController(new RegistryController(), priorities.registry);
 	directory.registerController(new WatchController(), priorities.watch);
--- a/packages/redwingmill-core/src/directory/directory-event.ts
+++ b/packages/redwingmill-core/src/directory/directory-event.ts
@@ -55,7 +55,8 @@
 			/** Version held, to which the requested change applies; absent when there is none. */
 			readonly since?: number;
 	  }
-	| {readonly type: 'load-heard'; readonly node: string; readonly load: WorkerLoad}
+	/** Loads of other nodes' workers, by control address. */
+	| {readonly type: 'loads-heard'; readonly loads: ReadonlyMap<string, WorkerLoad>}
 	/** A node stopped responding, so requests sent to it will most likely stay unanswered. */
 	| {readonly type: 'node-silent'; readonly node: string}
 	| {readonly type: 'read-crashes'}
--- a/packages/redwingmill-core/src/directory/directory-limits.ts
+++ b/packages/redwingmill-core/src/directory/directory-limits.ts
@@ -30,10 +30,34 @@
 	readonly smallMeshNodes: number;
 	/** Number of nodes in each data centre that watch the store in a larger mesh. */
 	readonly watchersPerDataCentre: number;
+	/** Nodes of a data centre above which the intervals of digests grow in proportion to their number. */
+	readonly digestScalingNodes: number;
+	/** Nodes of the mesh above which the interval of relayed statuses grows in proportion to their number. */
+	readonly relayedScalingNodes: number;
+	/** Interval of digests from a watcher to the nodes of its data centre. */
+	readonly digestIntervalMs: number;
+	/** Interval of summaries from a watcher to the watchers of other data centres. */
+	readonly summaryIntervalMs: number;
+	/** Interval at which a summary to other data centres has the nodes' statuses and loads. */
+	readonly statusIntervalMs: number;
+	/** Interval at which a digest has the statuses of other data centres' nodes. */
+	readonly relayedStatusIntervalMs: number;
+	/** Shortest time between two requests for statuses of one data centre, or for records. */
+	readonly digestRequestIntervalMs: number;
+	/** Time without a sign of life, beyond an interval of digests, after which a node is inquired. */
+	readonly inquiryAfterMs: number;
+	/** Time for which an inquired node may stay silent before it lapses. */
+	readonly inquiryTimeoutMs: number;
+	/** Largest number of silent nodes that are inquired at once. */
+	readonly inquiriesAtOnce: number;
+	/** Interval of looking for silent nodes, and of contacting one of those that have lapsed. */
+	readonly silenceCheckIntervalMs: number;
 	/** Interval of heartbeats from a larger mesh's watchers to their data centre and to each other. */
 	readonly watcherHeartbeatIntervalMs: number;
 	/** Time without a watcher's heartbeat after which a node watches the store itself. */
 	readonly watcherTimeoutMs: number;
+	/** Intervals of digests for which that time lasts at least. */
+	readonly watcherTimeoutDigests: number;
 	/** Shortest time between two transfers of crash reports to nodes that lack some. */
 	readonly crashReportIntervalMs: number;
 	/** Mean number of nodes that send crash reports to one that lacks some, at each heartbeat. */
@@ -58,8 +82,20 @@
 	configurationRequestIntervalMs: 600,
 	smallMeshNodes: 16,
 	watchersPerDataCentre: 2,
+	digestScalingNodes: 40,
+	relayedScalingNodes: 200,
+	digestIntervalMs: 400,
+	summaryIntervalMs: 500,
+	statusIntervalMs: 2000,
+	relayedStatusIntervalMs: 4000,
+	digestRequestIntervalMs: 400,
+	inquiryAfterMs: 700,
+	inquiryTimeoutMs: 700,
+	inquiriesAtOnce: 16,
+	silenceCheckIntervalMs: 200,
 	watcherHeartbeatIntervalMs: 300,
 	watcherTimeoutMs: 1000,
+	watcherTimeoutDigests: 2.5,
 	crashReportIntervalMs: 250,
 	crashReportSenders: 8,
 	pauseThresholdMs: 1000,
--- a/packages/redwingmill-core/src/directory/directory-state.ts
+++ b/packages/redwingmill-core/src/directory/directory-state.ts
@@ -1,3 +1,4 @@
+import {PersistentMap} from 'redwingmill-shared';
 import {type SuspicionReport} from '../call/crash-tracker.js';
 import {type WorkerLoad} from '../call/worker-load.js';
 import {type ConfigurationDocument} from '../model/configuration-document.js';
@@ -35,6 +36,8 @@
 	readonly watchReportedAt?: number;
 	/** Since when the node counts as unreachable; absent while it is reachable. */
 	readonly lapsedAt?: number;
+	/** Load of the node's worker as last reported; absent when it wasn't. */
+	readonly load?: WorkerLoad;
 };
 
 /** This node, and the other nodes by control address. */
@@ -42,7 +45,9 @@
 	readonly self: NodeRecord;
 	readonly load?: WorkerLoad;
 	readonly records: ReadonlyMap<string, NodeRecord>;
-	readonly peers: ReadonlyMap<string, Peer>;
+	readonly peers: PersistentMap<Peer>;
+	/** Records of the nodes that are alive and don't leave, including this one. */
+	readonly alive: readonly NodeRecord[];
 	/** Records of the nodes that calls may be routed to, including this one. */
 	readonly reachable: readonly NodeRecord[];
 	readonly lastTickAt: number;
@@ -50,6 +55,28 @@
 	readonly reannounceAt: readonly number[];
 };
 
+/** Exchange of digests in a mesh that is too large for heartbeats between all nodes. Times as in {@link Peer}. */
+export type DigestSection = {
+	/** When this node last sent a heartbeat to the watchers of its data centre. */
+	readonly heartbeatSentAt: number;
+	/** When this node, as a watcher, last sent each kind of digest. */
+	readonly localSentAt: number;
+	readonly relayedSentAt: number;
+	readonly summarySentAt: number;
+	readonly statusSentAt: number;
+	/** When silent nodes were last looked for. */
+	readonly checkedAt: number;
+	readonly recordsRequestedAt: number;
+	/** When the known nodes of another data centre were last confirmed as a whole, by its name. */
+	readonly confirmedAt: ReadonlyMap<string, number>;
+	/** When statuses of a data centre were last requested, by its identifier in digests. */
+	readonly statusRequestedAt: ReadonlyMap<number, number>;
+	/** Changed records of other data centres' nodes, which this watcher passes on when they are due. */
+	readonly unspread: readonly UnspreadRecord[];
+};
+
+export type UnspreadRecord = {readonly record: NodeRecord; readonly dueAt: number};
+
 /** Schedule of one kind of request to the registry. */
 export type RegistryRequest = {
 	readonly isInProgress: boolean;
@@ -95,6 +122,7 @@
 export type DirectoryState = {
 	readonly adoption: AdoptionSection;
 	readonly members: MembersSection;
+	readonly digests: DigestSection;
 	readonly registry: RegistrySection;
 	readonly watch: WatchSection;
 	readonly crashes: CrashesSection;
@@ -110,11 +138,24 @@
 		members: {
 			self,
 			records: new Map(),
-			peers: new Map(),
+			peers: PersistentMap.empty(),
+			alive: [self],
 			reachable: [self],
 			lastTickAt: now,
 			reannounceAt: [],
 		},
+		digests: {
+			heartbeatSentAt: Number.NEGATIVE_INFINITY,
+			localSentAt: Number.NEGATIVE_INFINITY,
+			relayedSentAt: Number.NEGATIVE_INFINITY,
+			summarySentAt: Number.NEGATIVE_INFINITY,
+			statusSentAt: Number.NEGATIVE_INFINITY,
+			checkedAt: Number.NEGATIVE_INFINITY,
+			recordsRequestedAt: Number.NEGATIVE_INFINITY,
+			confirmedAt: new Map(),
+			statusRequestedAt: new Map(),
+			unspread: [],
+		},
 		registry: {writing: due, listing: due, hasBeenListed: false},
 		watch: {isOn: true, isStoreReachable: false},
 		crashes: {
--- a/packages/redwingmill-core/src/directory/heartbeat-controller.ts
+++ b/packages/redwingmill-core/src/directory/heartbeat-controller.ts
@@ -5,12 +5,22 @@
 } from './directory-controller.js';
 import {type DirectoryEvent} from './directory-event.js';
 import {type DirectoryLimits} from './directory-limits.js';
-import {type DirectoryState, type Peer} from './directory-state.js';
-import {heartbeatIntervals, type HeartbeatIntervals} from './heartbeat-intervals.js';
-import {announceToAll, heartbeatOf, isWatching, setMembers} from './member-actions.js';
+import {type MembersSection, type Peer} from './directory-state.js';
+import {heartbeatIntervals} from './heartbeat-intervals.js';
+import {
+	announce,
+	emitLapse,
+	heartbeatOf,
+	localPeers,
+	sendToPeers,
+	setMembers,
+} from './member-actions.js';
 import {isSmallMesh} from './watchers.js';
 
-/** Detects nodes that have stopped responding, and sends heartbeats to the peers. */
+/**
+ * In a small mesh, sends heartbeats to all other nodes and detects those that have stopped responding.
+ * In a mesh of any size, repeats announcements and removes nodes that are long gone.
+ */
 export class HeartbeatController implements DirectoryController {
 	handle(update: DirectoryUpdate, event: DirectoryEvent, context: DirectoryContext): void {
 		if (event.type !== 'tick') {
@@ -20,107 +30,102 @@
 		compensateForPause(update, context);
 		update.set('members', {lastTickAt: context.now});
 		repeatAnnouncement(update, context);
-		checkPeers(update, context);
+		removeLapsed(update, context);
+		if (isSmallMesh(update.pending.members, context.limits)) {
+			detectSilentPeers(update, context);
+			sendHeartbeats(update, context);
+		}
 	}
 }
 
-/** Intervals of this node's heartbeats, and whether other nodes rely on it for new versions. */
-type OwnIntervals = HeartbeatIntervals & {readonly isWatcher: boolean};
-
-function ownIntervals({members, watch}: DirectoryState, limits: DirectoryLimits): OwnIntervals {
-	const {self, records, peers} = members;
-	const local = [...records.values()].filter(({dataCentre}) => dataCentre === self.dataCentre);
-	return {
-		...heartbeatIntervals({local: local.length, total: peers.size}, limits),
-		isWatcher: isWatching(watch) && !isSmallMesh(members, limits),
-	};
-}
-
 /** Extends the time-outs of all peers by a pause in which this process could not receive anything. */
 function compensateForPause(update: DirectoryUpdate, {now, limits}: DirectoryContext): void {
-	const {members} = update.pending;
+	const {members, digests} = update.pending;
 	const durationMs = now - members.lastTickAt;
 	if (durationMs < limits.pauseThresholdMs) {
 		return;
 	}
 
-	const peers = new Map(members.peers);
-	for (const [address, peer] of peers) {
-		peers.set(address, {...peer, receivedAt: peer.receivedAt + durationMs});
-	}
-
-	update.set('members', {peers});
+	const extended = [...members.peers].map(
+		([address, peer]) => [address, {...peer, receivedAt: peer.receivedAt + durationMs}] as const,
+	);
+	const confirmedAt = [...digests.confirmedAt].map(
+		([name, at]) => [name, at + durationMs] as const,
+	);
+	update.set('members', {peers: members.peers.withAll(extended)});
+	update.set('digests', {confirmedAt: new Map(confirmedAt)});
 	update.emit({type: 'notify', notice: {type: 'paused', durationMs}});
 }
 
-function repeatAnnouncement(update: DirectoryUpdate, {now}: DirectoryContext): void {
+function repeatAnnouncement(update: DirectoryUpdate, context: DirectoryContext): void {
 	const {reannounceAt} = update.pending.members;
-	const remaining = reannounceAt.filter((at) => at > now);
+	const remaining = reannounceAt.filter((at) => at > context.now);
 	if (remaining.length < reannounceAt.length) {
 		update.set('members', {reannounceAt: remaining});
-		announceToAll(update, false, now);
+		announce(update, false, context);
 	}
 }
 
-function checkPeers(update: DirectoryUpdate, {now, limits}: DirectoryContext): void {
+function removeLapsed(update: DirectoryUpdate, {now, limits}: DirectoryContext): void {
 	const {members} = update.pending;
-	const intervals = ownIntervals(update.pending, limits);
-	const datagram = heartbeatOf(update.pending);
-	const peers = new Map(members.peers);
-	const records = new Map(members.records);
-	for (const [address, peer] of members.peers) {
-		const isLocal = members.records.get(address)?.dataCentre === members.self.dataCentre;
-		const intervalMs = isLocal ? intervals.localMs : intervals.remoteMs;
-		if (isRemovalDue(peer, now, limits)) {
-			peers.delete(address);
-			records.delete(address);
-		} else if (hasTimedOut(peer, intervalMs, now, limits)) {
-			peers.set(address, {...peer, lapsedAt: now});
-			emitLapse(update, address, now - peer.receivedAt);
-		} else if (
-			members.records.get(address)?.status !== 'left' &&
-			now - peer.sentAt >= sendingIntervalMs(peer, isLocal, intervals, limits)
-		) {
-			peers.set(address, {...peer, sentAt: now});
-			update.emit({type: 'send', to: address, datagram});
+	const removed: string[] = [];
+	for (const [address, {lapsedAt}] of members.peers) {
+		if (lapsedAt !== undefined && now - lapsedAt > limits.removalTimeoutMs) {
+			removed.push(address);
 		}
 	}
 
-	const hasRemovedRecords = records.size < members.records.size;
-	setMembers(update, {...members, peers, records: hasRemovedRecords ? records : members.records});
-}
+	if (removed.length > 0) {
+		const records = new Map(members.records);
+		for (const address of removed) {
+			records.delete(address);
+		}
 
-function isRemovalDue({lapsedAt}: Peer, now: number, {removalTimeoutMs}: DirectoryLimits): boolean {
-	return lapsedAt !== undefined && now - lapsedAt > removalTimeoutMs;
+		setMembers(update, {...members, peers: members.peers.without(removed), records});
+	}
 }
 
-function hasTimedOut(
-	{lapsedAt, receivedAt}: Peer,
-	intervalMs: number,
-	now: number,
-	{lapseHeartbeatIntervals}: DirectoryLimits,
-): boolean {
-	return lapsedAt === undefined && now - receivedAt > intervalMs * lapseHeartbeatIntervals;
-}
+function detectSilentPeers(update: DirectoryUpdate, {now, limits}: DirectoryContext): void {
+	const {members} = update.pending;
+	const intervalOf = intervalsOf(members, limits);
+	const lapsed: Array<readonly [string, Peer]> = [];
+	for (const [address, peer] of members.peers) {
+		const timeoutMs = intervalOf(address) * limits.lapseHeartbeatIntervals;
+		if (peer.lapsedAt === undefined && now - peer.receivedAt > timeoutMs) {
+			lapsed.push([address, {...peer, lapsedAt: now}]);
+			emitLapse(update, address, now - peer.receivedAt);
+		}
+	}
 
-function emitLapse(update: DirectoryUpdate, address: string, silentMs: number): void {
-	update.emit(
-		{type: 'node-silent', node: address},
-		{type: 'notify', notice: {type: 'node-lapsed', peer: address, silentMs}},
-	);
+	if (lapsed.length > 0) {
+		setMembers(update, {...members, peers: members.peers.withAll(lapsed)});
+	}
 }
 
-function sendingIntervalMs(
-	{lapsedAt, watchReportedAt}: Peer,
-	isLocal: boolean,
-	{localMs, remoteMs, isWatcher}: OwnIntervals,
-	{lapsedHeartbeatIntervalMs, watcherHeartbeatIntervalMs}: DirectoryLimits,
-): number {
-	if (lapsedAt !== undefined) {
-		return lapsedHeartbeatIntervalMs;
+function sendHeartbeats(update: DirectoryUpdate, {now, limits}: DirectoryContext): void {
+	const {members} = update.pending;
+	const intervalOf = intervalsOf(members, limits);
+	const due: string[] = [];
+	for (const [address, {lapsedAt, sentAt}] of members.peers) {
+		const intervalMs =
+			lapsedAt === undefined ? intervalOf(address) : limits.lapsedHeartbeatIntervalMs;
+		if (now - sentAt >= intervalMs && members.records.get(address)?.status !== 'left') {
+			due.push(address);
+		}
 	}
 
-	const intervalMs = isLocal ? localMs : remoteMs;
-	const isReliedOn = isWatcher && (isLocal || watchReportedAt !== undefined);
-	return isReliedOn ? Math.min(intervalMs, watcherHeartbeatIntervalMs) : intervalMs;
+	if (due.length > 0) {
+		sendToPeers(update, due, heartbeatOf(update.pending), now);
+	}
+}
+
+/** Returns a function that returns the interval of heartbeats to and from a node, in milliseconds. */
+function intervalsOf(
+	members: MembersSection,
+	limits: DirectoryLimits,
+): (address: string) => number {
+	const {records, peers, self} = members;
+	const local = localPeers(members).length;
+	const {localMs, remoteMs} = heartbeatIntervals({local, total: peers.size}, limits);
+	return (address) => (records.get(address)?.dataCentre === self.dataCentre ? localMs : remoteMs);
 }
--- a/packages/redwingmill-core/src/directory/member-actions.ts
+++ b/packages/redwingmill-core/src/directory/member-actions.ts
@@ -1,12 +1,17 @@
+import {type WorkerLoad} from '../call/worker-load.js';
 import {type Datagram} from '../model/datagram.js';
-import {isRoutable, type NodeRecord} from '../model/node-record.js';
+import {isRoutable, supersedes, type NodeRecord} from '../model/node-record.js';
+import {aliveIndexOf} from './alive-index.js';
 import {type DirectoryContext, type DirectoryUpdate} from './directory-controller.js';
+import {type DirectoryLimits} from './directory-limits.js';
 import {
 	type DirectoryState,
 	type MembersSection,
 	type Peer,
 	type WatchSection,
 } from './directory-state.js';
+import {recordIndexOf} from './record-index.js';
+import {isSmallMesh, watchersOf} from './watchers.js';
 
 /** Returns a peer that has sent nothing yet. It is not routed to before it does. */
 export function newPeer(now: number): Peer {
@@ -18,6 +23,89 @@
 	};
 }
 
+/** Signs of life of other nodes, by control address. */
+export type SignOfLife = {
+	/** When the node was alive. */
+	readonly at: number;
+	/** Whether the node itself reported that it watches the store and reaches it. */
+	readonly isWatching?: boolean;
+	readonly load?: WorkerLoad;
+};
+
+/** Records signs of life of other nodes. Nodes that had lapsed are routed to again. */
+export function markAlive(
+	update: DirectoryUpdate,
+	signs: Iterable<readonly [string, SignOfLife]>,
+	now: number,
+): void {
+	const {members} = update.pending;
+	const changed: Array<readonly [string, Peer]> = [];
+	let hasReturned = false;
+	for (const [address, {at, isWatching, load}] of signs) {
+		const peer = members.peers.get(address) ?? newPeer(now);
+		if (at >= peer.receivedAt) {
+			const watchReportedAt = isWatching === true ? at : peer.watchReportedAt;
+			const {load: previousLoad, ...contact} = peer;
+			changed.push([
+				address,
+				{
+					...contact,
+					receivedAt: at,
+					watchReportedAt,
+					lapsedAt: undefined,
+					load: load ?? previousLoad,
+				},
+			]);
+			if (peer.lapsedAt !== undefined) {
+				hasReturned = true;
+				update.emit({type: 'notify', notice: {type: 'node-returned', peer: address}});
+			}
+		}
+	}
+
+	const peers = members.peers.withAll(changed);
+	if (hasReturned) {
+		setMembers(update, {...members, peers});
+	} else {
+		update.set('members', {peers});
+	}
+}
+
+/** Merges records that other nodes reported. Only a sign of life of a node makes it reachable. */
+export function mergeRecords(
+	update: DirectoryUpdate,
+	records: readonly NodeRecord[],
+	now: number,
+): void {
+	const {members} = update.pending;
+	const merged = new Map(members.records);
+	const added: Array<readonly [string, Peer]> = [];
+	let hasChanged = false;
+	for (const record of records) {
+		const {address, incarnation, status} = record;
+		const known = merged.get(address);
+		if (address === members.self.address || !supersedes(record, known)) {
+			continue;
+		}
+
+		hasChanged = true;
+		merged.set(address, record);
+		if (!members.peers.has(address)) {
+			added.push([address, newPeer(now)]);
+		}
+
+		if (status === 'left') {
+			update.emit({type: 'notify', notice: {type: 'node-left', peer: address}});
+		} else if (known?.incarnation !== incarnation) {
+			update.emit({type: 'notify', notice: {type: 'node-joined', peer: address, incarnation}});
+		}
+	}
+
+	if (hasChanged) {
+		setMembers(update, {...members, records: merged, peers: members.peers.withAll(added)});
+	}
+}
+
 /** Returns the datagram that announces this node's record. */
 export function announcementOf(state: DirectoryState, wantsReply: boolean): Datagram {
 	const {self} = state.members;
@@ -27,17 +115,80 @@
 	return {type: 'announcement', record, version, wantsReply};
 }
 
-/** Announces this node's record to every peer. */
-export function announceToAll(update: DirectoryUpdate, wantsReply: boolean, now: number): void {
+/** Sends a datagram to peers, and records when each was last sent one. */
+export function sendToPeers(
+	update: DirectoryUpdate,
+	addresses: Iterable<string>,
+	datagram: Datagram,
+	now: number,
+): void {
+	const {peers} = update.pending.members;
+	const sent: Array<readonly [string, Peer]> = [];
+	for (const to of addresses) {
+		const peer = peers.get(to);
+		if (peer) {
+			sent.push([to, {...peer, sentAt: now}]);
+			update.emit({type: 'send', to, datagram});
+		}
+	}
+
+	update.set('members', {peers: peers.withAll(sent)});
+}
+
+/**
+ * Announces this node's record. In a large mesh the watchers of the other data centres pass it on to
+ * their nodes.
+ */
+export function announce(
+	update: DirectoryUpdate,
+	wantsReply: boolean,
+	{now, limits}: Pick<DirectoryContext, 'now' | 'limits'>,
+): void {
 	const {members} = update.pending;
 	const datagram = announcementOf(update.pending, wantsReply);
-	const peers = new Map(members.peers);
-	for (const [to, peer] of peers) {
-		peers.set(to, {...peer, sentAt: now});
-		update.emit({type: 'send', to, datagram});
+	const receivers = isSmallMesh(members, limits)
+		? members.peers.keys()
+		: [...localPeers(members), ...remoteWatchers(members, limits)];
+	sendToPeers(update, receivers, datagram, now);
+}
+
+/** Reports that a node stopped responding. */
+export function emitLapse(update: DirectoryUpdate, address: string, silentMs: number): void {
+	update.emit(
+		{type: 'node-silent', node: address},
+		{type: 'notify', notice: {type: 'node-lapsed', peer: address, silentMs}},
+	);
+}
+
+/** Asks a node for its record, unless it was asked very recently. */
+export function inquire(
+	update: DirectoryUpdate,
+	to: string,
+	{now, limits}: Pick<DirectoryContext, 'now' | 'limits'>,
+): void {
+	const {peers} = update.pending.members;
+	const peer = peers.get(to) ?? newPeer(now);
+	if (now - peer.inquiredAt >= limits.inquiryIntervalMs) {
+		update.set('members', {peers: peers.with(to, {...peer, inquiredAt: now})});
+		update.emit({type: 'send', to, datagram: {type: 'inquiry'}});
 	}
+}
 
-	update.set('members', {peers});
+/** Returns the control addresses of the other nodes of the local data centre, whether alive or not. */
+export function localPeers({self, records}: MembersSection): readonly string[] {
+	const local = recordIndexOf(records).byDataCentre.get(self.dataCentre) ?? [];
+	return local.map(({address}) => address);
+}
+
+/** Returns the control addresses of the watchers of the other data centres. */
+export function remoteWatchers(
+	members: MembersSection,
+	limits: DirectoryLimits,
+): readonly string[] {
+	const dataCentres = [...aliveIndexOf(members.alive).keys()];
+	return dataCentres
+		.filter((dataCentre) => dataCentre !== members.self.dataCentre)
+		.flatMap((dataCentre) => watchersOf(members, dataCentre, limits));
 }
 
 /** Returns the heartbeat datagram, which shows that this node is alive and which version it holds. */
@@ -71,47 +222,51 @@
 		return;
 	}
 
-	const datagram = heartbeatOf(update.pending);
-	const peers = new Map(members.peers);
-	for (const [to, peer] of peers) {
-		if (members.records.get(to)?.dataCentre === members.self.dataCentre) {
-			peers.set(to, {...peer, sentAt: now});
-			update.emit({type: 'send', to, datagram});
-		}
-	}
-
-	update.set('members', {peers});
+	sendToPeers(update, localPeers(members), heartbeatOf(update.pending), now);
 }
 
 /** Changes this node's record; announces it at once and again later, because datagrams get lost. */
 export function updateSelf(
 	update: DirectoryUpdate,
 	change: Partial<NodeRecord>,
-	{now, limits}: DirectoryContext,
+	context: DirectoryContext,
 ): void {
+	const {now, limits} = context;
 	const {self} = update.pending.members;
 	const changed = {...self, revision: self.revision + 1, ...change};
 	const reannounceAt = limits.reannounceDelaysMs.map((delayMs) => now + delayMs);
 	update.set('members', {self: changed, reannounceAt});
 	setMembers(update, update.pending.members);
-	announceToAll(update, false, now);
+	announce(update, false, context);
 }
 
 /**
- * Sets the members and the reachable nodes. An unchanged list of reachable nodes stays the same object,
- * so that no routing table is derived from it again.
+ * Sets the members, the nodes that are alive and those that calls may be routed to. An unchanged list
+ * stays the same object, so that nothing is derived from it again.
  */
 export function setMembers(update: DirectoryUpdate, members: MembersSection): void {
-	const reachable = reachableRecords(members);
+	const alive = keepIfSame(members.alive, aliveRecords(members));
+	const reachable = keepIfSame(members.reachable, reachableRecords(members.self, alive));
+	update.set('members', {...members, alive, reachable});
+}
+
+function keepIfSame(
+	previous: readonly NodeRecord[],
+	next: readonly NodeRecord[],
+): readonly NodeRecord[] {
 	const isSame =
-		reachable.length === members.reachable.length &&
-		reachable.every((record, index) => record === members.reachable[index]);
-	update.set('members', {...members, reachable: isSame ? members.reachable : reachable});
+		next.length === previous.length && next.every((record, index) => record === previous[index]);
+	return isSame ? previous : next;
 }
 
-function reachableRecords({self, records, peers}: MembersSection): readonly NodeRecord[] {
+function aliveRecords({self, records, peers}: MembersSection): readonly NodeRecord[] {
 	const others = [...records.values()].filter(
-		(record) => isRoutable(record) && peers.get(record.address)?.lapsedAt === undefined,
+		({address, status}) => status === 'live' && peers.get(address)?.lapsedAt === undefined,
 	);
 	return [self, ...others];
 }
+
+/** This node itself is always listed: whether its worker takes calls is for its gate to decide. */
+function reachableRecords(self: NodeRecord, alive: readonly NodeRecord[]): readonly NodeRecord[] {
+	return alive.filter((record) => record === self || isRoutable(record));
+}
--- a/packages/redwingmill-core/src/directory/peers-controller.ts
+++ b/packages/redwingmill-core/src/directory/peers-controller.ts
@@ -1,12 +1,23 @@
 import {type Datagram} from '../model/datagram.js';
-import {supersedes, type NodeRecord} from '../model/node-record.js';
+import {type NodeRecord} from '../model/node-record.js';
+import {rankWatchers} from './alive-index.js';
 import {
 	type DirectoryContext,
 	type DirectoryController,
 	type DirectoryUpdate,
 } from './directory-controller.js';
 import {type DirectoryEvent} from './directory-event.js';
-import {announceToAll, announcementOf, newPeer, setMembers, updateSelf} from './member-actions.js';
+import {
+	announce,
+	announcementOf,
+	inquire,
+	markAlive,
+	mergeRecords,
+	newPeer,
+	sendToPeers,
+	updateSelf,
+} from './member-actions.js';
+import {isSmallMesh} from './watchers.js';
 
 /** Maintains the records of the other nodes and announces this node's record to them. */
 export class PeersController implements DirectoryController {
@@ -18,17 +29,17 @@
 			}
 
 			case 'node-heard': {
-				markResponsive(update, event.address, context.now);
+				markAlive(update, [[event.address, {at: context.now}]], context.now);
 				break;
 			}
 
 			case 'seeds-known': {
-				addSeeds(update, event.addresses, context.now);
+				addSeeds(update, event.addresses, context);
 				break;
 			}
 
 			case 'registry-listed': {
-				mergeRegistryRecords(update, event.records ?? [], context.now);
+				mergeRegistryRecords(update, event.records ?? [], context);
 				break;
 			}
 
@@ -63,7 +74,7 @@
 	switch (datagram.type) {
 		case 'announcement': {
 			if (datagram.record.address === from) {
-				handleAnnouncement(update, datagram, context.now);
+				handleAnnouncement(update, datagram, context);
 			}
 
 			break;
@@ -75,7 +86,7 @@
 		}
 
 		case 'inquiry': {
-			markResponsive(update, from, context.now);
+			markAlive(update, [[from, {at: context.now}]], context.now);
 			update.emit({type: 'send', to: from, datagram: announcementOf(update.pending, false)});
 			break;
 		}
@@ -85,8 +96,12 @@
 			break;
 		}
 
+		case 'digest':
+		case 'status-request':
+		case 'record-request':
+		case 'records':
 		case 'suspicion': {
-			// The crash report controller handles it.
+			// Other controllers handle them.
 			break;
 		}
 	}
@@ -95,7 +110,7 @@
 function handleAnnouncement(
 	update: DirectoryUpdate,
 	{record, wantsReply}: Extract<Datagram, {type: 'announcement'}>,
-	now: number,
+	{now}: DirectoryContext,
 ): void {
 	const {address, incarnation} = record;
 	const known = update.pending.members.records.get(address);
@@ -105,8 +120,8 @@
 		return;
 	}
 
-	mergeRecord(update, record, now);
-	markResponsive(update, address, now);
+	mergeRecords(update, [record], now);
+	markAlive(update, [[address, {at: now}]], now);
 	if (wantsReply) {
 		update.emit({type: 'send', to: address, datagram: announcementOf(update.pending, false)});
 	}
@@ -116,23 +131,18 @@
 	update: DirectoryUpdate,
 	from: string,
 	{incarnation, revision, load, isWatching}: Extract<Datagram, {type: 'pulse'}>,
-	{now, limits}: DirectoryContext,
+	context: DirectoryContext,
 ): void {
+	const {now} = context;
 	const known = update.pending.members.records.get(from);
-	if (known?.incarnation === incarnation && known.revision === revision) {
-		markResponsive(update, from, now, isWatching);
-		if (load) {
-			update.emit({type: 'load-heard', node: from, load});
-		}
-
+	if (known?.incarnation !== incarnation || known.revision !== revision) {
+		inquire(update, from, context);
 		return;
 	}
 
-	const {peers} = update.pending.members;
-	const peer = peers.get(from) ?? newPeer(now);
-	if (now - peer.inquiredAt >= limits.inquiryIntervalMs) {
-		update.set('members', {peers: new Map(peers).set(from, {...peer, inquiredAt: now})});
-		update.emit({type: 'send', to: from, datagram: {type: 'inquiry'}});
+	markAlive(update, [[from, {at: now, isWatching, load}]], now);
+	if (load) {
+		update.emit({type: 'loads-heard', loads: new Map([[from, load]])});
 	}
 }
 
@@ -157,77 +167,66 @@
 	});
 }
 
-/** Merges the registry's records. Only a message from a listed node itself makes it reachable. */
+/** Merges the registry's records, and announces this node to those that haven't answered. */
 function mergeRegistryRecords(
 	update: DirectoryUpdate,
 	records: readonly NodeRecord[],
-	now: number,
+	context: DirectoryContext,
 ): void {
-	const {self} = update.pending.members;
-	for (const record of records) {
-		if (record.address !== self.address) {
-			mergeRecord(update, record, now);
-		}
-	}
-
-	const hasUnresponsiveNode = records.some(
-		({address}) => update.pending.members.peers.get(address)?.lapsedAt !== undefined,
+	mergeRecords(update, records, context.now);
+	const {members} = update.pending;
+	const unresponsive = records.filter(
+		({address}) => members.peers.get(address)?.lapsedAt !== undefined,
 	);
-	if (hasUnresponsiveNode) {
-		announceToAll(update, true, now);
+	if (unresponsive.length === 0) {
+		return;
 	}
-}
 
-function mergeRecord(update: DirectoryUpdate, record: NodeRecord, now: number): void {
-	const {members} = update.pending;
-	const {address, incarnation, status} = record;
-	const known = members.records.get(address);
-	if (!supersedes(record, known)) {
+	if (isSmallMesh(members, context.limits)) {
+		announce(update, true, context);
 		return;
 	}
 
-	const peers = members.peers.has(address)
-		? members.peers
-		: new Map(members.peers).set(address, newPeer(now));
-	const records = new Map(members.records).set(address, record);
-	setMembers(update, {...members, records, peers});
-	if (status === 'left') {
-		update.emit({type: 'notify', notice: {type: 'node-left', peer: address}});
-	} else if (known?.incarnation !== incarnation) {
-		update.emit({type: 'notify', notice: {type: 'node-joined', peer: address, incarnation}});
-	}
+	const receivers = contactsAmong(unresponsive, members.self.dataCentre, context);
+	sendToPeers(update, receivers, announcementOf(update.pending, true), context.now);
 }
 
-/** Adds peers for addresses at which nodes may run, and asks every peer for its record. */
-function addSeeds(update: DirectoryUpdate, addresses: readonly string[], now: number): void {
-	const {members} = update.pending;
-	const peers = new Map(members.peers);
-	for (const address of addresses) {
-		if (address !== members.self.address && !peers.has(address)) {
-			peers.set(address, newPeer(now));
-		}
+/**
+ * Returns the nodes to contact among unresponsive ones: all of the local data centre, and some of each
+ * other one, among them its likely watchers, which know the rest.
+ */
+function contactsAmong(
+	records: readonly NodeRecord[],
+	localDataCentre: string,
+	{limits, random}: DirectoryContext,
+): readonly string[] {
+	const byDataCentre = new Map<string, NodeRecord[]>();
+	for (const record of records) {
+		byDataCentre.set(record.dataCentre, [...(byDataCentre.get(record.dataCentre) ?? []), record]);
 	}
 
-	update.set('members', {peers});
-	announceToAll(update, true, now);
+	return [...byDataCentre].flatMap(([dataCentre, candidates]) => {
+		const ranking = rankWatchers(candidates);
+		if (dataCentre === localDataCentre) {
+			return ranking;
+		}
+
+		const {watchersPerDataCentre: count} = limits;
+		const others = Array.from({length: count}, () => ranking[random.below(ranking.length)]);
+		return [...new Set([...ranking.slice(0, count), ...others])];
+	});
 }
 
-function markResponsive(
+/** Adds peers for addresses at which nodes may run, and asks them for their records. */
+function addSeeds(
 	update: DirectoryUpdate,
-	address: string,
-	now: number,
-	isWatching = false,
+	addresses: readonly string[],
+	{now}: DirectoryContext,
 ): void {
 	const {members} = update.pending;
-	const peer = members.peers.get(address) ?? newPeer(now);
-	const peers = new Map(members.peers);
-	const watchReportedAt = isWatching ? now : peer.watchReportedAt;
-	peers.set(address, {...peer, receivedAt: now, watchReportedAt, lapsedAt: undefined});
-	if (peer.lapsedAt === undefined) {
-		update.set('members', {peers});
-		return;
-	}
-
-	setMembers(update, {...members, peers});
-	update.emit({type: 'notify', notice: {type: 'node-returned', peer: address}});
+	const added = addresses
+		.filter((address) => address !== members.self.address && !members.peers.has(address))
+		.map((address) => [address, newPeer(now)] as const);
+	update.set('members', {peers: members.peers.withAll(added)});
+	sendToPeers(update, addresses, announcementOf(update.pending, true), now);
 }
--- a/packages/redwingmill-core/src/directory/watch-controller.ts
+++ b/packages/redwingmill-core/src/directory/watch-controller.ts
@@ -1,10 +1,12 @@
+import {aliveIndexOf} from './alive-index.js';
 import {
 	type DirectoryContext,
 	type DirectoryController,
 	type DirectoryUpdate,
 } from './directory-controller.js';
 import {type DirectoryEvent} from './directory-event.js';
-import {isSmallMesh, rankWatchers} from './watchers.js';
+import {scaledByDataCentre} from './digest-intervals.js';
+import {isSmallMesh} from './watchers.js';
 
 /**
  * Decides whether this node watches the configuration in the store. The store sends each version
@@ -45,15 +47,17 @@
 		return true;
 	}
 
-	const ranked = rankWatchers(members);
+	const ranked = aliveIndexOf(members.alive).get(members.self.dataCentre)?.ranking ?? [];
 	const ownRank = ranked.indexOf(members.self.address);
 	if (ownRank < limits.watchersPerDataCentre) {
 		return true;
 	}
 
+	const digestMs = scaledByDataCentre(limits.digestIntervalMs, members, limits);
+	const timeoutMs = Math.max(limits.watcherTimeoutMs, digestMs * limits.watcherTimeoutDigests);
 	// Only a watcher of higher rank lets a node stop, so two nodes never stop because of each other.
 	return !ranked.slice(0, ownRank).some((address) => {
 		const watchReportedAt = members.peers.get(address)?.watchReportedAt ?? Number.NEGATIVE_INFINITY;
-		return now - watchReportedAt <= limits.watcherTimeoutMs;
+		return now - watchReportedAt <= timeoutMs;
 	});
 }
--- a/packages/redwingmill-core/src/index.ts
+++ b/packages/redwingmill-core/src/index.ts
@@ -24,6 +24,13 @@
 	type Worker,
 	type WorkerState,
 } from './model/node-record.js';
+export {
+	digestIdOf,
+	stampOf,
+	stampSumOf,
+	type DataCentreSummary,
+	type NodeStatus,
+} from './model/node-status.js';
 export {applyMergePatch, mergePatchOf, type Json} from './model/merge-patch.js';
 export * from './model/platform-object.js';
 export {type Roster, type Section, type SectionDigest} from './model/roster.js';
--- a/packages/redwingmill-core/src/model/datagram.ts
+++ b/packages/redwingmill-core/src/model/datagram.ts
@@ -1,6 +1,7 @@
 import {type CrashReport} from '../call/crash-tracker.js';
 import {type WorkerLoad} from '../call/worker-load.js';
 import {type NodeRecord} from './node-record.js';
+import {type DataCentreSummary, type NodeStatus} from './node-status.js';
 
 /** Message from one node to another that may get lost. */
 export type Datagram =
@@ -25,6 +26,26 @@
 			/** Digest of the crashes that the sender knows of; 0 for none. */
 			readonly crashDigest: number;
 	  }
+	/**
+	 * What a watcher knows of other nodes, sent to nodes of its data centre and to the watchers of the
+	 * others. Also a heartbeat of the sender.
+	 */
+	| {
+			readonly type: 'digest';
+			readonly incarnation: number;
+			readonly revision: number;
+			readonly version: number;
+			readonly isWatching: boolean;
+			readonly crashDigest: number;
+			readonly summaries: readonly DataCentreSummary[];
+			readonly statuses: readonly NodeStatus[];
+	  }
+	/** Asks for statuses of all nodes of a data centre that the sender reaches. */
+	| {readonly type: 'status-request'; readonly dataCentreId: number}
+	/** Asks for the records of these nodes. */
+	| {readonly type: 'record-request'; readonly ids: readonly number[]}
+	/** Records of other nodes that the sender knows. They don't show that the nodes are alive. */
+	| {readonly type: 'records'; readonly records: readonly NodeRecord[]}
 	/** Asks for the receiver's record, which the sender lacks. */
 	| {readonly type: 'inquiry'}
 	/** The receiver announced an incarnation lower than `incarnation`, which the sender holds for it. */
--- a/packages/redwingmill-node/src/call/entry-service.ts
+++ b/packages/redwingmill-node/src/call/entry-service.ts
@@ -87,6 +87,7 @@
 	readonly #random: Random;
 	readonly #budgets = new Map<string, RetryBudget>();
 	readonly #splitChooser: SplitChooser;
+	#endpointsByNode: ReadonlyMap<string, Endpoint> = new Map();
 	readonly #refusedCalls = new RefusedCalls();
 	/** Mean response size in bytes, by route. */
 	readonly #responseBytes = new GroupMeans(initialResponseBytes);
@@ -139,6 +140,7 @@
 		const endpoints = [...routing.endpoints.values()].flat();
 		const now = performance.now();
 		this.#chooser.retain(endpoints, now);
+		this.#endpointsByNode = new Map(endpoints.map((endpoint) => [endpoint.node, endpoint]));
 		this.#client.retain(new Set(endpoints.map((endpoint) => endpoint.gateAddress)));
 		this.#splitChooser.retain(routing.routes.map(({route}) => route));
 		for (const [service, budget] of this.#budgets) {
@@ -157,12 +159,13 @@
 		}
 	}
 
-	/** Records the load that another node reported of its worker. */
-	onLoad(node: string, load: WorkerLoad): void {
-		for (const endpoints of this.#control.routing.endpoints.values()) {
-			const endpoint = endpoints.find((each) => each.node === node);
+	/** Records the loads that other nodes reported of their workers, by control address. */
+	onLoads(loads: ReadonlyMap<string, WorkerLoad>): void {
+		const now = performance.now();
+		for (const [node, load] of loads) {
+			const endpoint = this.#endpointsByNode.get(node);
 			if (endpoint) {
-				this.#chooser.onLoad(endpoint, load, performance.now());
+				this.#chooser.onLoad(endpoint, load, now);
 			}
 		}
 	}
--- a/packages/redwingmill-node/src/control/control-plane.ts
+++ b/packages/redwingmill-node/src/control/control-plane.ts
@@ -26,8 +26,8 @@
 /** Returns the crash reports for a node that knows of other crashes than this one. */
 export type CrashReportSource = () => readonly CrashReport[];
 
-/** Handles the load of another node's worker. */
-export type LoadHandler = (node: string, load: WorkerLoad) => void;
+/** Handles the loads of other nodes' workers, by control address. */
+export type LoadHandler = (loads: ReadonlyMap<string, WorkerLoad>) => void;
 
 /** Handles a node that has become unresponsive. */
 export type UnresponsiveNodeHandler = (node: string) => void;
--- a/packages/redwingmill-node/src/control/store-control-plane.ts
+++ b/packages/redwingmill-node/src/control/store-control-plane.ts
@@ -300,8 +300,8 @@
 				break;
 			}
 
-			case 'load-heard': {
-				this.#loadHandler?.(effect.node, effect.load);
+			case 'loads-heard': {
+				this.#loadHandler?.(effect.loads);
 				break;
 			}
 
--- a/packages/redwingmill-node/src/daemon.ts
+++ b/packages/redwingmill-node/src/daemon.ts
@@ -193,8 +193,8 @@
 		this.#control.registerUnresponsiveNodeHandler((node) => {
 			this.#entry.onNodeUnresponsive(node);
 		});
-		this.#control.registerLoadHandler((node, load) => {
-			this.#entry.onLoad(node, load);
+		this.#control.registerLoadHandler((loads) => {
+			this.#entry.onLoads(loads);
 		});
 		await this.#gateServer.listen(addresses.gate);
 		await this.#operators.listen(addresses.operators);
--- a/packages/redwingmill-protocol/src/datagram-codec.ts
+++ b/packages/redwingmill-protocol/src/datagram-codec.ts
@@ -1,5 +1,5 @@
 import {create, fromBinary, toBinary, type MessageInitShape} from '@bufbuild/protobuf';
-import {type Datagram, type WorkerLoad} from 'redwingmill-core';
+import {type Datagram, type NodeStatus, type WorkerLoad} from 'redwingmill-core';
 import {decodeCrashReport, encodeCrashReport} from './crash-report-codec.js';
 import {ProtocolError} from './errors.js';
 import * as wire from './generated/redwingmill/v1/datagram_pb.js';
@@ -7,6 +7,8 @@
 
 const hundredthsPerUnit = 100;
 const tenthsPerMs = 10;
+/** Stands for the load of a node that has none; the run time of a known load is above 0. */
+const unknownLoad = {};
 
 /** Encodes a datagram as protobuf bytes. */
 export function encodeDatagram(datagram: Datagram): Uint8Array {
@@ -41,6 +43,22 @@
 			};
 		}
 
+		case 'digest': {
+			return decodeDigest(body.value);
+		}
+
+		case 'statusRequest': {
+			return {type: 'status-request', dataCentreId: body.value.dataCentreId};
+		}
+
+		case 'recordRequest': {
+			return {type: 'record-request', ids: body.value.ids};
+		}
+
+		case 'recordList': {
+			return {type: 'records', records: body.value.records.map((record) => decodeRecord(record))};
+		}
+
 		case 'inquiry': {
 			return {type: 'inquiry'};
 		}
@@ -88,6 +106,23 @@
 			return {case: 'pulse', value};
 		}
 
+		case 'digest': {
+			return {case: 'digest', value: encodeDigest(datagram)};
+		}
+
+		case 'status-request': {
+			return {case: 'statusRequest', value: {dataCentreId: datagram.dataCentreId}};
+		}
+
+		case 'record-request': {
+			return {case: 'recordRequest', value: {ids: [...datagram.ids]}};
+		}
+
+		case 'records': {
+			const records = datagram.records.map((record) => encodeRecord(record));
+			return {case: 'recordList', value: {records}};
+		}
+
 		case 'inquiry': {
 			return {case: 'inquiry', value: {}};
 		}
@@ -102,6 +137,55 @@
 	}
 }
 
+type Digest = Extract<Datagram, {type: 'digest'}>;
+
+function encodeDigest({
+	incarnation,
+	version,
+	summaries,
+	statuses,
+	...fields
+}: Digest): MessageInitShape<typeof wire.DigestSchema> {
+	const hasLoads = statuses.some(({load}) => load !== undefined);
+	return {
+		...fields,
+		incarnation: BigInt(incarnation),
+		version: BigInt(version),
+		summaries: summaries.map((summary) => ({...summary, ageMs: Math.round(summary.ageMs)})),
+		ids: statuses.map(({id}) => id),
+		stamps: statuses.map(({stamp}) => stamp),
+		agesMs: statuses.map(({ageMs}) => Math.round(ageMs)),
+		loads: hasLoads ? statuses.map(({load}) => (load ? encodeLoad(load) : unknownLoad)) : [],
+	};
+}
+
+function decodeDigest(digest: wire.Digest): Digest {
+	const {incarnation, revision, version, isWatching, crashDigest, ids, loads} = digest;
+	if (digest.stamps.length !== ids.length || digest.agesMs.length !== ids.length) {
+		throw new ProtocolError('lists of a digest differ in length');
+	}
+
+	return {
+		type: 'digest',
+		incarnation: Number(incarnation),
+		revision,
+		version: Number(version),
+		isWatching,
+		crashDigest,
+		summaries: digest.summaries.map(({id, stampSum, ageMs}) => ({id, stampSum, ageMs})),
+		statuses: ids.map((id, index): NodeStatus => {
+			const load = loads.at(index);
+			const isKnown = load !== undefined && load.runTenthsMs > 0;
+			return {
+				id,
+				stamp: digest.stamps[index],
+				ageMs: digest.agesMs[index],
+				...(isKnown ? {load: decodeLoad(load)} : {}),
+			};
+		}),
+	};
+}
+
 function encodeLoad({
 	callsPerSlot,
 	waitMs,
--- a/packages/redwingmill-soak/src/soak-deployment.ts
+++ b/packages/redwingmill-soak/src/soak-deployment.ts
@@ -27,6 +27,8 @@
 	readonly addresses: NodeAddresses;
 	readonly advertised: {readonly control: string; readonly gate: string};
 	readonly storeAddress: string;
+	/** Capacity of the host's network link in Mbit/s; absent when unknown. */
+	readonly linkMbps?: number;
 };
 
 /** Configuration store to which operators write and from which nodes read. */
--- a/test/support/fake-directory-mesh.ts
+++ b/test/support/fake-directory-mesh.ts
@@ -75,6 +75,8 @@
 	lossShare = 0;
 	/** Receives the crash reports that reach a node. */
 	onCrashReport: ((node: DirectoryNode, report: ReceivedCrashReport) => void) | undefined;
+	/** Receives every datagram that is sent, whether it arrives or not. */
+	onSent: ((from: string, to: string, datagram: Datagram) => void) | undefined;
 	/** Returns the crash reports that a node sends to another one that lacks some of them. */
 	crashReportsOf: ((node: DirectoryNode) => readonly CrashReport[]) | undefined;
 	/** Number of attempts to write to or list the registry in the store. */
@@ -287,7 +289,7 @@
 				break;
 			}
 
-			case 'load-heard':
+			case 'loads-heard':
 			case 'node-silent':
 			case 'notify': {
 				break;
@@ -296,6 +298,7 @@
 	}
 
 	#send(node: DirectoryNode, to: string, datagram: Datagram): void {
+		this.onSent?.(node.address, to, datagram);
 		const isLost = this.#random.fraction() < this.lossShare;
 		if (!isLost && this.reachability.isLinked(node.address, to)) {
 			this.clock.after(hopLatencyMs, () => {
