Choice of an endpoint in one pass, without keys and sorting

With 76 workers of a service the choice composed a key for each endpoint several times, allocated a candidate for each and sorted them.

--- a/packages/redwingmill-core/src/call/endpoint-chooser.ts
+++ b/packages/redwingmill-core/src/call/endpoint-chooser.ts
@@ -39,6 +39,9 @@
 	readonly bytes?: number;
 };
 
+/** An endpoint and the milliseconds until it is expected to answer. */
+type Candidate = {readonly endpoint: Endpoint; readonly expectedMs: number};
+
 /** State of an endpoint, from this node's calls and the gate's reports. */
 type EndpointState = {
 	/** Time at which the endpoint was added, in monotonic milliseconds. */
@@ -82,6 +85,8 @@
 	readonly #options: ChoiceOptions;
 	readonly #random: Random;
 	#states = new Map<string, EndpointState>();
+	/** Spares composing the key for each endpoint at each choice. */
+	#statesByEndpoint = new WeakMap<Endpoint, EndpointState>();
 	/** Run times by group, scaled to a worker of the service's mean speed. */
 	readonly #runTimes = new GroupMeans(initialRunMs);
 	#roundRobinTurn = 0;
@@ -103,6 +108,7 @@
 		}
 
 		this.#states = states;
+		this.#statesByEndpoint = new WeakMap();
 	}
 
 	/** Returns an endpoint whose node isn't in `excluded`, preferring local ones; undefined if none. */
@@ -216,7 +222,9 @@
 		const meanRunMs = this.#meanRunMs(endpoints);
 		const groupRunMs = this.#runTimes.expected(group);
 		const baseFailureShare = this.#commonFailureShare(endpoints);
-		const candidates = endpoints.map((endpoint) => {
+		let earliest: Candidate | undefined;
+		let earliestLocal: Candidate | undefined;
+		for (const endpoint of endpoints) {
 			const state = this.#stateOf(endpoint);
 			const {completion, inFlight} = state;
 			const isLocal = this.#isLocal(endpoint);
@@ -226,12 +234,17 @@
 				(completion.load?.failureShare ?? baseFailureShare) - baseFailureShare;
 			const {slots} = endpoint;
 			const inputs = {slots, inFlight, isLocal, excessFailureShare, runMs, now};
-			return {endpoint, isLocal, expectedMs: expectedCompletionMs(completion, inputs)};
-		});
-		const byExpectedEnd = candidates.toSorted((a, b) => a.expectedMs - b.expectedMs);
+			const expectedMs = expectedCompletionMs(completion, inputs);
+			if (earliest === undefined || expectedMs < earliest.expectedMs) {
+				earliest = {endpoint, expectedMs};
+			}
+
+			if (isLocal && (earliestLocal === undefined || expectedMs < earliestLocal.expectedMs)) {
+				earliestLocal = {endpoint, expectedMs};
+			}
+		}
+
 		const leftMs = targetAt === undefined ? Number.POSITIVE_INFINITY : targetAt - now;
-		const earliestLocal = byExpectedEnd.find(({isLocal}) => isLocal);
-		const earliest = byExpectedEnd.at(0);
 		if (earliestLocal && earliestLocal.expectedMs <= leftMs * localTimeShare) {
 			return earliestLocal.endpoint;
 		}
@@ -249,21 +262,25 @@
 
 	/** Returns the failure share that all workers have in common; its cause lies elsewhere. */
 	#commonFailureShare(endpoints: readonly Endpoint[]): number {
-		const shares = endpoints.map(
-			(endpoint) => this.#stateOf(endpoint).completion.load?.failureShare ?? 0,
-		);
-		return Math.min(...shares);
+		let least = Number.POSITIVE_INFINITY;
+		for (const endpoint of endpoints) {
+			least = Math.min(least, this.#stateOf(endpoint).completion.load?.failureShare ?? 0);
+		}
+
+		return least;
 	}
 
 	/** Returns the mean run time over the endpoints whose load is known; undefined if none is. */
 	#meanRunMs(endpoints: readonly Endpoint[]): number | undefined {
-		const known = endpoints.flatMap((endpoint) => {
+		let sumMs = 0;
+		let count = 0;
+		for (const endpoint of endpoints) {
 			const {load} = this.#stateOf(endpoint).completion;
-			return load ? [load.runMs] : [];
-		});
-		return known.length === 0
-			? undefined
-			: known.reduce((sum, each) => sum + each, 0) / known.length;
+			sumMs += load?.runMs ?? 0;
+			count += load ? 1 : 0;
+		}
+
+		return count === 0 ? undefined : sumMs / count;
 	}
 
 	#chooseByPolicy(endpoints: readonly Endpoint[], now: number): Endpoint | undefined {
@@ -325,14 +342,15 @@
 	}
 
 	#stateOf(endpoint: Endpoint): EndpointState {
-		const key = keyOf(endpoint);
-		const known = this.#states.get(key);
-		if (known) {
-			return known;
+		const cached = this.#statesByEndpoint.get(endpoint);
+		if (cached) {
+			return cached;
 		}
 
-		const state = newState(Number.NEGATIVE_INFINITY);
+		const key = keyOf(endpoint);
+		const state = this.#states.get(key) ?? newState(Number.NEGATIVE_INFINITY);
 		this.#states.set(key, state);
+		this.#statesByEndpoint.set(endpoint, state);
 		return state;
 	}
 }
--- a/packages/redwingmill-core/src/directory/heartbeat-controller.ts
+++ b/packages/redwingmill-core/src/directory/heartbeat-controller.ts
@@ -68,6 +68,11 @@
 
 function removeLapsed(update: DirectoryUpdate, {now, limits}: DirectoryContext): void {
 	const {members} = update.pending;
+	if (members.alive.length > members.peers.size) {
+		// All peers are alive.
+		return;
+	}
+
 	const removed: string[] = [];
 	for (const [address, {lapsedAt}] of members.peers) {
 		if (lapsedAt !== undefined && now - lapsedAt > limits.removalTimeoutMs) {
--- a/packages/redwingmill-core/src/model/derive-routing.ts
+++ b/packages/redwingmill-core/src/model/derive-routing.ts
@@ -56,13 +56,21 @@
 	return endpoints;
 }
 
+const endpointsByRecord = new WeakMap<NodeRecord, Endpoint>();
+
+/** Returns the endpoint of a record, the same object each time; undefined if it takes no calls. */
 function endpointOf(record: NodeRecord): Endpoint | undefined {
 	const {worker} = record;
 	if (worker === undefined || !isRoutable(record)) {
 		return undefined;
 	}
 
-	return {
+	const known = endpointsByRecord.get(record);
+	if (known) {
+		return known;
+	}
+
+	const endpoint: Endpoint = {
 		node: record.address,
 		gateAddress: record.gateAddress,
 		dataCentre: record.dataCentre,
@@ -70,6 +78,8 @@
 		service: worker.service,
 		slots: worker.slots,
 	};
+	endpointsByRecord.set(record, endpoint);
+	return endpoint;
 }
 
 /**
