--- a/packages/redwingmill-core/src/directory/digest-controller.ts
+++ b/packages/redwingmill-core/src/directory/digest-controller.ts
@@ -140,7 +140,7 @@
 		!isSmallMesh(members, limits) &&
 		isWatcher(members, limits)
 	) {
-		const dueTimes = [now, now + Math.max(...limits.reannounceDelaysMs)];
+		const dueTimes = limits.spreadDelaysMs.map((delayMs) => now + delayMs);
 		const added = dueTimes.map((dueAt) => ({record, dueAt}));
 		update.set('digests', {unspread: [...digests.unspread, ...added]});
 	}
--- a/packages/redwingmill-core/src/directory/directory-limits.ts
+++ b/packages/redwingmill-core/src/directory/directory-limits.ts
@@ -26,6 +26,8 @@
 	readonly configurationRequestDelayMs: number;
 	/** Shortest time between two requests for a configuration to other nodes. */
 	readonly configurationRequestIntervalMs: number;
+	/** How long a starting node waits for a configuration of other nodes before it reads the store. */
+	readonly firstReadDelayMs: number;
 	/** Largest number of nodes in a mesh in which every node watches the store. */
 	readonly smallMeshNodes: number;
 	/** Number of nodes in each data centre that watch the store in a larger mesh. */
@@ -50,6 +52,8 @@
 	readonly inquiryTimeoutMs: number;
 	/** Largest number of silent nodes that are inquired at once. */
 	readonly inquiriesAtOnce: number;
+	/** Delays at which a watcher passes on a changed record of another data centre. */
+	readonly spreadDelaysMs: readonly number[];
 	/** Interval of looking for silent nodes, and of contacting one of those that have lapsed. */
 	readonly silenceCheckIntervalMs: number;
 	/** Interval of heartbeats from a larger mesh's watchers to their data centre and to each other. */
@@ -80,6 +84,7 @@
 	startupRegistryTimeoutMs: 2000,
 	configurationRequestDelayMs: 150,
 	configurationRequestIntervalMs: 600,
+	firstReadDelayMs: 800,
 	smallMeshNodes: 16,
 	watchersPerDataCentre: 2,
 	digestScalingNodes: 40,
@@ -92,6 +97,7 @@
 	inquiryAfterMs: 700,
 	inquiryTimeoutMs: 700,
 	inquiriesAtOnce: 16,
+	spreadDelaysMs: [0, 250, 700],
 	silenceCheckIntervalMs: 200,
 	watcherHeartbeatIntervalMs: 300,
 	watcherTimeoutMs: 1000,
--- a/packages/redwingmill-core/src/directory/directory-state.ts
+++ b/packages/redwingmill-core/src/directory/directory-state.ts
@@ -157,7 +157,7 @@
 			unspread: [],
 		},
 		registry: {writing: due, listing: due, hasBeenListed: false},
-		watch: {isOn: true, isStoreReachable: false},
+		watch: {isOn: false, isStoreReachable: false},
 		crashes: {
 			digest: 0,
 			sentAt: Number.NEGATIVE_INFINITY,
--- a/packages/redwingmill-core/src/directory/watch-controller.ts
+++ b/packages/redwingmill-core/src/directory/watch-controller.ts
@@ -1,4 +1,4 @@
-import {aliveIndexOf} from './alive-index.js';
+import {aliveIndexOf, rankWatchers} from './alive-index.js';
 import {
 	type DirectoryContext,
 	type DirectoryController,
@@ -6,6 +6,8 @@
 } from './directory-controller.js';
 import {type DirectoryEvent} from './directory-event.js';
 import {scaledByDataCentre} from './digest-intervals.js';
+import {type DirectoryState} from './directory-state.js';
+import {recordIndexOf} from './record-index.js';
 import {isSmallMesh} from './watchers.js';
 
 /**
@@ -16,10 +18,21 @@
  */
 export class WatchController implements DirectoryController {
 	handle(update: DirectoryUpdate, event: DirectoryEvent, context: DirectoryContext): void {
-		if (event.type === 'store-contact') {
-			update.set('watch', {isStoreReachable: event.isStoreReachable});
-		} else if (event.type === 'tick') {
-			updateWatch(update, context);
+		switch (event.type) {
+			case 'store-contact': {
+				update.set('watch', {isStoreReachable: event.isStoreReachable});
+				break;
+			}
+
+			case 'registry-listed':
+			case 'tick': {
+				updateWatch(update, context);
+				break;
+			}
+
+			default: {
+				break;
+			}
 		}
 	}
 }
@@ -36,9 +49,10 @@
 }
 
 function isWatchNeeded(update: DirectoryUpdate, {now, limits}: DirectoryContext): boolean {
-	const {members, adoption} = update.pending;
-	if (adoption.held === undefined || isSmallMesh(members, limits)) {
-		return true;
+	const {members, adoption, registry, serving} = update.pending;
+	const mayKnowMesh = registry.hasBeenListed || now - serving.since >= limits.firstReadDelayMs;
+	if (isSmallMesh(members, limits)) {
+		return mayKnowMesh;
 	}
 
 	// A version was announced but not delivered. The requests of this node may be getting lost.
@@ -47,12 +61,17 @@
 		return true;
 	}
 
-	const ranked = aliveIndexOf(members.alive).get(members.self.dataCentre)?.ranking ?? [];
+	const ranked = rankingOf(update.pending);
 	const ownRank = ranked.indexOf(members.self.address);
 	if (ownRank < limits.watchersPerDataCentre) {
 		return true;
 	}
 
+	// A node that has just started first hears from the others, which may hold the configuration.
+	if (adoption.held === undefined && now - serving.since < limits.firstReadDelayMs) {
+		return false;
+	}
+
 	const digestMs = scaledByDataCentre(limits.digestIntervalMs, members, limits);
 	const timeoutMs = Math.max(limits.watcherTimeoutMs, digestMs * limits.watcherTimeoutDigests);
 	// Only a watcher of higher rank lets a node stop, so two nodes never stop because of each other.
@@ -61,3 +80,17 @@
 		return now - watchReportedAt <= timeoutMs;
 	});
 }
+
+/**
+ * Returns the local data centre's nodes by priority for watching. A node without a configuration has
+ * heard from few others, and counts those that the registry lists too.
+ */
+function rankingOf({members, adoption}: DirectoryState): readonly string[] {
+	const {self, alive, records} = members;
+	if (adoption.held !== undefined) {
+		return aliveIndexOf(alive).get(self.dataCentre)?.ranking ?? [];
+	}
+
+	const listed = recordIndexOf(records).byDataCentre.get(self.dataCentre) ?? [];
+	return rankWatchers([self, ...listed.filter(({status}) => status === 'live')]);
+}
--- a/packages/redwingmill-node/src/control/store-control-plane.ts
+++ b/packages/redwingmill-node/src/control/store-control-plane.ts
@@ -142,7 +142,6 @@
 		this.#timer = setInterval(() => {
 			this.#dispatch({type: 'tick'});
 		}, tickIntervalMs);
-		this.#setWatch(true);
 		this.#dispatch({type: 'tick'});
 		if (this.#settings.seeds.length > 0) {
 			this.#dispatch({type: 'seeds-known', addresses: this.#settings.seeds});
@@ -351,7 +350,7 @@
 	}
 
 	async #readCrashes(): Promise<void> {
-		const result = await this.#ports.crashes.read();
+		const result = await this.#ports.crashes.readRecent();
 		const reports = result && reportsOfStored(result.stored, Date.now());
 		this.#dispatch({type: 'crashes-read', reports});
 	}
@@ -383,8 +382,19 @@
 		return new ConfigurationWatch(this.#ports.configuration, handlers, this.#random);
 	}
 
-	/** Requests another node's configuration, or the patch to it from version `since`. */
+	/**
+	 * Requests another node's configuration, or the patch to it from version `since`. A node without a
+	 * configuration reads the store first: its link is wider than those of the nodes, of which many may
+	 * start at once. The version read may be older than the one announced, to which a patch follows.
+	 */
 	async #requestConfiguration(gateAddress: string, since: number | undefined): Promise<void> {
+		if (since === undefined) {
+			const read = await this.#ports.configuration.readRecent();
+			if (read.type === 'found' && this.#applySource(read.source, 'store')) {
+				return;
+			}
+		}
+
 		const connect = {timeout: configurationRequestTimeoutMs};
 		const client = new Client(`http://${gateAddress}`, {connect});
 		const result = await exchange(
@@ -402,13 +412,16 @@
 		}
 	}
 
-	#applySource(source: unknown, origin: 'store' | 'node'): void {
+	/** Returns whether the source is a valid configuration. */
+	#applySource(source: unknown, origin: 'store' | 'node'): boolean {
 		const decoded = this.#ports.decode(source);
 		if (decoded.type === 'valid') {
 			this.#dispatch({type: 'configuration-read', document: decoded.document, origin});
-		} else {
-			this.#log.write(logEvents.configurationRefused, {origin, faults: decoded.faults});
+			return true;
 		}
+
+		this.#log.write(logEvents.configurationRefused, {origin, faults: decoded.faults});
+		return false;
 	}
 }
 
--- a/packages/redwingmill-node/src/control/store-ports.ts
+++ b/packages/redwingmill-node/src/control/store-ports.ts
@@ -13,6 +13,8 @@
 /** Operators' configuration in the store. Methods don't throw; failures are results. */
 export type ConfigurationSource = {
 	read: () => Promise<ConfigurationReadResult>;
+	/** Reads at a lower cost a state that may be some seconds old. */
+	readRecent: () => Promise<ConfigurationReadResult>;
 	/** Waits up to `waitMs` milliseconds for a change after `revision`. */
 	waitForChange: (
 		revision: number,
@@ -46,6 +48,8 @@
 export type CrashStore = {
 	/** Returns undefined if they can't be read. */
 	read: () => Promise<CrashesReadResult | undefined>;
+	/** Reads at a lower cost a state that may be some seconds old. */
+	readRecent: () => Promise<CrashesReadResult | undefined>;
 	/**
 	 * Replaces them, unless they have changed since `revision`. Returns true only if the store confirmed
 	 * the write.
--- a/packages/redwingmill-node/src/settings/settings.ts
+++ b/packages/redwingmill-node/src/settings/settings.ts
@@ -34,6 +34,8 @@
 	readonly platform: string;
 	/** Control addresses of nodes in the same data centre, from which to discover the mesh. */
 	readonly seeds: readonly string[];
+	/** Whether the whole mesh starts for the first time, so that the platform holds no record of it. */
+	readonly isFirstStart: boolean;
 	readonly calls: {
 		readonly bodyLimitBytes: number;
 		readonly answerLimitBytes: number;
@@ -109,6 +111,7 @@
 		},
 		caller: {type: 'string', pattern: '^.{1,253}$'},
 		platform: addressSchema,
+		isFirstStart: {type: 'boolean', default: false},
 		seeds: {type: 'array', items: addressSchema, maxItems: 32, default: []},
 		calls: {
 			type: 'object',
--- a/test/matrix/large-mesh.test.ts
+++ b/test/matrix/large-mesh.test.ts
@@ -72,6 +72,13 @@
 		expect(differences(startedMesh(), addressesOf())).to.deep.equal([]);
 	});
 
+	it('starts with few reads of the configuration in the store', () => {
+		const mesh = startedMesh();
+		// The first nodes find a registry of a small mesh, which all of its nodes watch.
+		expect(mesh.configurationReads).to.be.below(addressesOf().length / 2);
+		expect([...mesh.nodes.values()].every(({versions}) => versions.at(-1) === 1)).to.equal(true);
+	});
+
 	it('stays known to every node while datagrams are lost', () => {
 		const mesh = startedMesh();
 		mesh.lossShare = 0.05;
--- a/test/support/fake-directory-mesh.ts
+++ b/test/support/fake-directory-mesh.ts
@@ -138,7 +138,6 @@
 			this.dispatch(node, {type: 'seeds-known', addresses: seeds});
 		}
 
-		this.#readStore(node);
 		this.announceWorker(address, 'ready', service);
 		return node;
 	}
