Calls: ask a silent node, tell the truth about what was sent, finish uploads

A machine that was only silent had its work given up or started again: when heartbeats of a node stopped, attempts there ended without asking its gate; a call that can't be repeated was answered 'unknown' at once. Now the connections are closed and the gate is asked on a new one, within 400 ms; it answers an interim response at once when the worker is at it. A call that can't be repeated goes on asking until its deadline. A gate that refuses the connection has ended.

After an error of an open connection a call could be called not run, and be run again: EHOSTUNREACH, ENETUNREACH or ECONNREFUSED counted as a refused connection although the request had been written. What counts now is whether the exchange had started. Other errors before that are refusals too.

During a planned stop a request whose body was still arriving was cut off without an answer, at the entry and at the gate: the drain counted calls only from when they were whole. It counts requests from their head now.

Responses being received are limited to 48 MB for the process, so that a few workers that send without end can't use up its memory.

--- a/packages/redwingmill-core/src/call/entry-call.ts
+++ b/packages/redwingmill-core/src/call/entry-call.ts
@@ -29,6 +29,9 @@
 	| {readonly type: 'never-admitted'}
 	/** The gate may have evicted the outcome of the attempt. */
 	| {readonly type: 'forgotten'}
+	/** The gate's process refused the connection, so it has ended, and the attempt with it. */
+	| {readonly type: 'gone'}
+	/** The gate didn't answer. It may be cut off, and its worker may be running the attempt. */
 	| {readonly type: 'unreachable'};
 
 /** Next action of the entry node. */
@@ -39,7 +42,14 @@
 			/** Nodes whose workers crashed while running this call. */
 			readonly crashedNodes: readonly string[];
 	  }
-	| {readonly type: 'withdraw'; readonly endpoint: Endpoint}
+	| {
+			readonly type: 'withdraw';
+			readonly endpoint: Endpoint;
+			/** Delay before the gate is asked, in milliseconds. */
+			readonly delayMs: number;
+			/** Time after which the gate counts as unreachable, in milliseconds. */
+			readonly timeoutMs: number;
+	  }
 	| {readonly type: 'answer'; readonly answer: Answer<Payload>; readonly attempts: number};
 
 /** Options of a call at its entry node. */
@@ -68,6 +78,11 @@
 };
 
 const noEndpointRetryMs = 500;
+/** Time in which a gate that can be reached answers a withdrawal, although its host is busy. */
+const withdrawalTimeoutMs = 400;
+/** The same for a gate that is asked again: TCP repeats a lost connection request only after a second. */
+const repeatedWithdrawalTimeoutMs = 250;
+const withdrawalIntervalMs = 100;
 /** Maximum number of gates tried for one call; each costs a round trip. */
 const maximumGateAttempts = 4;
 /** Refusals for which the worker may have seen the call. */
@@ -152,7 +167,7 @@
 			case 'broken': {
 				this.#chooser.onFailure(endpoint, now);
 				if (this.#options.withdraws) {
-					return {type: 'withdraw', endpoint};
+					return this.#withdraw(0);
 				}
 
 				this.#chooser.onFinished(endpoint, undefined, now);
@@ -161,14 +176,12 @@
 		}
 	}
 
-	/** Returns the action after the attempt's node became unresponsive: its gate can't be asked. */
-	onNodeUnresponsive(now: number): EntryAction<Payload> {
-		this.#chooser.onFinished(this.#currentEndpoint(), undefined, now);
-		return this.#onUnknown('gate-silent', now);
-	}
-
 	/** Returns the action after the gate was asked to withdraw the attempt. */
 	onWithdraw(result: WithdrawResult<Payload>, now: number): EntryAction<Payload> {
+		if (result.type === 'unreachable' && this.#mayStillAnswer(now)) {
+			return this.#withdraw(withdrawalIntervalMs);
+		}
+
 		this.#chooser.onFinished(this.#currentEndpoint(), undefined, now);
 		switch (result.type) {
 			case 'answered': {
@@ -183,12 +196,34 @@
 				return this.#onUnknown('evicted', now);
 			}
 
-			case 'unreachable': {
+			case 'gone': {
 				return this.#onUnknown('gate-gone', now);
 			}
+
+			case 'unreachable': {
+				return this.#onUnknown('gate-silent', now);
+			}
 		}
 	}
 
+	/**
+	 * Whether to keep asking a gate that doesn't answer. A call that can't be repeated elsewhere has no
+	 * other way to its answer, which the gate still has when it is reached again.
+	 */
+	#mayStillAnswer(now: number): boolean {
+		return this.#isAskedAgain() && now + withdrawalIntervalMs < this.#options.deadlineAt;
+	}
+
+	#isAskedAgain(): boolean {
+		return !this.#options.isIdempotent || this.#options.pinned !== undefined;
+	}
+
+	#withdraw(delayMs: number): EntryAction<Payload> {
+		const endpoint = this.#currentEndpoint();
+		const timeoutMs = this.#isAskedAgain() ? repeatedWithdrawalTimeoutMs : withdrawalTimeoutMs;
+		return {type: 'withdraw', endpoint, delayMs, timeoutMs};
+	}
+
 	#onAnswer(answer: GateAnswer<Payload>, now: number): EntryAction<Payload> {
 		switch (answer.outcome.type) {
 			case 'ran': {
--- a/packages/redwingmill-node/src/call/entry-exchange.ts
+++ b/packages/redwingmill-node/src/call/entry-exchange.ts
@@ -63,21 +63,6 @@
 		}
 	}
 
-	/**
-	 * Handles a node that became unresponsive. An attempt at that node ends without a withdrawal, as its
-	 * gate cannot be asked either.
-	 */
-	onNodeUnresponsive(node: string): void {
-		const attempt = this.#attempt;
-		if (attempt?.endpoint.node !== node || this.#isFinished) {
-			return;
-		}
-
-		this.#attempt = undefined;
-		this.#exchange?.abort();
-		this.#performNext(this.#options.call.onNodeUnresponsive(performance.now()), 'silent');
-	}
-
 	#perform(action: EntryAction<Payload>): void {
 		switch (action.type) {
 			case 'attempt': {
@@ -86,7 +71,7 @@
 			}
 
 			case 'withdraw': {
-				this.#withdraw();
+				this.#withdraw(action);
 				break;
 			}
 
@@ -138,18 +123,32 @@
 		this.#perform(action);
 	}
 
-	#withdraw(): void {
+	/** Asks the gate what became of the attempt, after a delay and for a limited time. */
+	#withdraw({delayMs, timeoutMs}: Extract<EntryAction<Payload>, {type: 'withdraw'}>): void {
 		const attempt = this.#attempt;
 		if (attempt === undefined) {
 			return;
 		}
 
-		this.#exchange = this.#options.service.client.withdraw(attempt, (result) => {
-			if (this.#attempt !== attempt || this.#isFinished) {
-				return;
-			}
+		if (delayMs > 0) {
+			setTimeout(() => {
+				this.#ask(attempt, timeoutMs);
+			}, delayMs);
+		} else {
+			this.#ask(attempt, timeoutMs);
+		}
+	}
 
-			this.#performNext(this.#options.call.onWithdraw(result, performance.now()), result.type);
+	#ask(attempt: Attempt, timeoutMs: number): void {
+		if (this.#isFinished) {
+			return;
+		}
+
+		const {service, call} = this.#options;
+		this.#exchange = service.client.withdraw(attempt, timeoutMs, (result) => {
+			if (this.#attempt === attempt && !this.#isFinished) {
+				this.#performNext(call.onWithdraw(result, performance.now()), result.type);
+			}
 		});
 	}
 
--- a/packages/redwingmill-node/src/call/entry-server.ts
+++ b/packages/redwingmill-node/src/call/entry-server.ts
@@ -11,6 +11,7 @@
 import {type CallerProtocol} from './caller-protocol.js';
 import {type CallerCall, type EntryAnswer, type EntryService} from './entry-service.js';
 import {forwardedHeaders, headerNames, numberHeader, textHeader} from './headers.js';
+import {OpenRequests} from './open-requests.js';
 import {readConnectedRequest} from './read-request.js';
 
 /** Path at which callers request tickets; the `path` parameter selects the route. */
@@ -30,6 +31,8 @@
 const closingCheckIntervalMs = 20;
 /** Retry delay for calls refused during a stop, after which the node may have restarted. */
 const restartRetryMs = 500;
+/** Time for a caller to read the response to a malformed request. */
+const malformedLingerMs = 500;
 /** Added to the idle time-out that callers expect, for requests sent just before it passes. */
 const idleGraceMs = 1000;
 const defaultLimits: Omit<CallerLimits, 'bodyBytes'> = {
@@ -53,6 +56,7 @@
 	readonly #options: EntryServerOptions;
 	#bodyLimitBytes: number;
 	#headerLimitBytes = defaultHeaderBytes;
+	readonly #openRequests = new OpenRequests();
 	#isKeepAliveDisabled = false;
 	#isRefusing = false;
 
@@ -68,6 +72,7 @@
 				noDelay: true,
 			},
 			(request, response) => {
+				this.#openRequests.add(response);
 				this.#handle(request, response);
 			},
 		);
@@ -85,6 +90,11 @@
 		this.#server.keepAliveTimeout = idleTimeoutMs + idleGraceMs;
 	}
 
+	/** Number of requests that have arrived, at least in part, and whose response isn't sent yet. */
+	get openRequestCount(): number {
+		return this.#openRequests.count;
+	}
+
 	async listen(address: string): Promise<void> {
 		await listenOn(this.#server, address, 'callers');
 	}
@@ -278,6 +288,11 @@
 				? '431 Request Header Fields Too Large'
 				: '400 Bad Request';
 		socket.end(`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-length: 0\r\n\r\n`);
+		// A caller that goes on sending would otherwise keep the connection open for good. The delay lets it
+		// read the response, which a connection that is reset with unread bytes loses.
+		setTimeout(() => {
+			socket.destroy();
+		}, malformedLingerMs);
 	}
 }
 
--- a/packages/redwingmill-node/src/call/entry-service.ts
+++ b/packages/redwingmill-node/src/call/entry-service.ts
@@ -151,12 +151,12 @@
 		}
 	}
 
-	/** Handles a node that became unresponsive: retries or answers the calls that wait for it. */
+	/**
+	 * Handles a node that became unresponsive. Its connections are closed, after which the attempts that
+	 * wait there ask its gate on a new one: the node may only have been slow to report.
+	 */
 	onNodeUnresponsive(node: string): void {
 		this.#client.destroyConnections(node);
-		for (const exchange of this.#exchanges) {
-			exchange.onNodeUnresponsive(node);
-		}
 	}
 
 	/** Records the loads that other nodes reported of their workers, by control address. */
--- a/packages/redwingmill-node/src/call/exchange.ts
+++ b/packages/redwingmill-node/src/call/exchange.ts
@@ -40,9 +40,18 @@
 	 * enforces a deadline.
 	 */
 	readonly silenceTimeoutMs?: number;
+	/** Called for each interim response: the request has arrived and is being processed. */
+	readonly onInterimResponse?: () => void;
 };
 
+const firstFinalStatus = 200;
 const acceptAll: ResponseCheck = () => true;
+/**
+ * Limit for the responses that this process is receiving, all together. A few workers that send without
+ * end would otherwise use up its memory, each below the limit of a single response.
+ */
+const maximumBufferedBytes = 48 * 1024 * 1024;
+let bufferedBytes = 0;
 
 /** Sends a request and collects the complete response. `onResult` is called exactly once. */
 export function beginExchange(
@@ -105,6 +114,7 @@
 	readonly #limitBytes: number;
 	readonly #onResult: (result: ExchangeResult) => void;
 	readonly #isMatchingResponse: ResponseCheck;
+	readonly #onInterimResponse: (() => void) | undefined;
 	#controller: Dispatcher.DispatchController | undefined;
 	#chunks: Buffer[] = [];
 	#bytes = 0;
@@ -113,12 +123,13 @@
 	#isFinished = false;
 
 	constructor(
-		{answerLimitBytes, isMatchingResponse = acceptAll}: ExchangeLimits,
+		{answerLimitBytes, isMatchingResponse = acceptAll, onInterimResponse}: ExchangeLimits,
 		onResult: (result: ExchangeResult) => void,
 	) {
 		this.#limitBytes = answerLimitBytes;
 		this.#onResult = onResult;
 		this.#isMatchingResponse = isMatchingResponse;
+		this.#onInterimResponse = onInterimResponse;
 	}
 
 	abort(): void {
@@ -143,6 +154,11 @@
 		status: number,
 		headers: IncomingHttpHeaders,
 	): void {
+		if (status < firstFinalStatus) {
+			this.#onInterimResponse?.();
+			return;
+		}
+
 		if (!this.#isMatchingResponse(status, headers)) {
 			this.#finish({type: 'foreign'});
 			controller.abort(new AbortedExchangeError('The response belongs to another request'));
@@ -154,8 +170,13 @@
 	}
 
 	onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
+		if (this.#isFinished) {
+			return;
+		}
+
 		this.#bytes += chunk.length;
-		if (this.#bytes > this.#limitBytes) {
+		bufferedBytes += chunk.length;
+		if (this.#bytes > this.#limitBytes || bufferedBytes > maximumBufferedBytes) {
 			this.#finish({type: 'too-large'});
 			controller.abort(new AbortedExchangeError(`The response exceeds ${this.#limitBytes} bytes`));
 			return;
@@ -175,7 +196,9 @@
 	}
 
 	onResponseError(_controller: Dispatcher.DispatchController, error: Error): void {
-		const type = isConnectFailure(error) ? 'refused' : 'broken';
+		// Until the exchange has started there was no connection to send it on. An error of a connection
+		// says nothing about what was sent, not even an unreachable host.
+		const type = this.#controller === undefined ? 'refused' : 'broken';
 		this.#finish({type, reason: describeError(error)});
 	}
 
@@ -183,18 +206,9 @@
 		if (!this.#isFinished) {
 			this.#isFinished = true;
 			this.#chunks = [];
+			bufferedBytes -= this.#bytes;
+			this.#bytes = 0;
 			this.#onResult(result);
 		}
 	}
 }
-
-const connectFailureCodes = new Set([
-	'ECONNREFUSED',
-	'UND_ERR_CONNECT_TIMEOUT',
-	'EHOSTUNREACH',
-	'ENETUNREACH',
-]);
-
-function isConnectFailure(error: Error): boolean {
-	return connectFailureCodes.has((error as NodeJS.ErrnoException).code ?? '');
-}
--- a/packages/redwingmill-node/src/call/gate-client.ts
+++ b/packages/redwingmill-node/src/call/gate-client.ts
@@ -79,20 +79,40 @@
 		);
 	}
 
-	withdraw(attempt: Attempt, onResult: (result: WithdrawResult<Payload>) => void): Exchange {
+	/**
+	 * Asks a gate to withdraw an attempt, or for its answer.
+	 *
+	 * @param timeoutMs - time in which the gate has to be reached. The answer of an attempt that its
+	 *   worker is running may take longer.
+	 */
+	withdraw(
+		attempt: Attempt,
+		timeoutMs: number,
+		onResult: (result: WithdrawResult<Payload>) => void,
+	): Exchange {
 		const {endpoint} = attempt;
 		const headers = {
 			...attemptHeaders(attempt, endpoint.incarnation),
 			[headerNames.age]: String(Math.ceil(performance.now() - attempt.startedAt)),
 		};
-		return beginExchange(
+		const withdrawal = beginExchange(
 			this.#poolOf(endpoint.gateAddress, endpoint.node),
 			{method: 'POST', path: gatePaths.withdraw, headers, body: emptyBody},
-			{answerLimitBytes: this.#answerLimitBytes},
+			{
+				answerLimitBytes: this.#answerLimitBytes,
+				onInterimResponse() {
+					clearTimeout(timer);
+				},
+			},
 			(result) => {
+				clearTimeout(timer);
 				onResult(toWithdrawResult(result));
 			},
 		);
+		const timer = setTimeout(() => {
+			withdrawal.abort();
+		}, timeoutMs);
+		return withdrawal;
 	}
 
 	/** Notifies the gate that the caller no longer waits for the attempt. */
@@ -155,9 +175,14 @@
 	return {[headerNames.attempt]: formatAttempt(header)};
 }
 
+/** Returns the ticket number of a gate's answer; undefined if it is malformed. */
 function parseSequence(body: Buffer): number | undefined {
-	const {sequence} = JSON.parse(body.toString()) as {sequence?: number};
-	return sequence;
+	try {
+		const {sequence} = JSON.parse(body.toString()) as {sequence?: unknown};
+		return Number.isSafeInteger(sequence) ? (sequence as number) : undefined;
+	} catch {
+		return undefined;
+	}
 }
 
 function toAttemptResult(result: ExchangeResult): AttemptResult<Payload> {
@@ -184,7 +209,8 @@
 
 function toWithdrawResult(result: ExchangeResult): WithdrawResult<Payload> {
 	if (result.type !== 'complete') {
-		return {type: 'unreachable'};
+		const isGone = result.type === 'refused' && result.reason === 'ECONNREFUSED';
+		return {type: isGone ? 'gone' : 'unreachable'};
 	}
 
 	const answer = toAnswer(result);
--- a/packages/redwingmill-node/src/call/gate-server.ts
+++ b/packages/redwingmill-node/src/call/gate-server.ts
@@ -7,6 +7,7 @@
 import {parseAttempt, type AttemptHeader} from './attempt-header.js';
 import {type GateRequest, type GateService} from './gate-service.js';
 import {forwardedHeaders, headerNames, numberHeader, textHeader} from './headers.js';
+import {OpenRequests} from './open-requests.js';
 import {type Payload} from './payload.js';
 import {readConnectedRequest} from './read-request.js';
 
@@ -54,6 +55,7 @@
 	readonly #server: Server;
 	readonly #bodyLimitBytes: number;
 	readonly #node: GateNode;
+	readonly #openRequests = new OpenRequests();
 
 	constructor(service: GateService, bodyLimitBytes: number, node: GateNode) {
 		this.#service = service;
@@ -62,11 +64,17 @@
 		this.#server = createServer(
 			{keepAliveTimeout: keepAliveMs, maxHeaderSize: maximumHeaderBytes, noDelay: true},
 			(request, response) => {
+				this.#openRequests.add(response);
 				this.#handle(request, response);
 			},
 		);
 	}
 
+	/** Number of requests that have arrived, at least in part, and whose response isn't sent yet. */
+	get openRequestCount(): number {
+		return this.#openRequests.count;
+	}
+
 	async listen(address: string): Promise<void> {
 		await listenOn(this.#server, address, 'calls');
 	}
@@ -166,10 +174,26 @@
 		const result = this.#service.withdraw(attempt, ageMs, (answer) => {
 			this.#respond(response, answer);
 		});
-		if (result === 'never-admitted') {
-			this.#respond(response, {outcome: {type: 'not-run', reason: 'withdrawn'}});
-		} else if (result === 'forgotten') {
-			this.#respond(response, {outcome: {type: 'unknown', reason: 'evicted'}});
+		switch (result) {
+			case 'never-admitted': {
+				this.#respond(response, {outcome: {type: 'not-run', reason: 'withdrawn'}});
+				break;
+			}
+
+			case 'forgotten': {
+				this.#respond(response, {outcome: {type: 'unknown', reason: 'evicted'}});
+				break;
+			}
+
+			case 'open': {
+				// The answer may take as long as the worker runs the call.
+				response.writeProcessing();
+				break;
+			}
+
+			case 'done': {
+				break;
+			}
 		}
 	}
 
--- a/packages/redwingmill-node/src/daemon.ts
+++ b/packages/redwingmill-node/src/daemon.ts
@@ -226,9 +226,11 @@
 		this.#control.leave();
 		await delay(leavePropagationMs);
 		this.#gate.stop();
-		const usedMs = stopping.lingerMs + leavePropagationMs + closeReserveMs;
+		// After a linger the others have long learned of the departure.
+		const afterDrainMs = stopping.lingerMs > 0 ? 0 : closeDelayMs;
+		const usedMs = stopping.lingerMs + leavePropagationMs + afterDrainMs + closeReserveMs;
 		const isDrained = await this.#drain(Math.min(drainTimeoutMs, limitMs - usedMs));
-		await delay(stopping.lingerMs > 0 ? 0 : closeDelayMs);
+		await delay(afterDrainMs);
 		if (!isDrained) {
 			this.#log.write(logEvents.drainTimedOut, {inProgress: this.#entry.inProgressCount});
 		}
@@ -240,7 +242,7 @@
 
 	async #drain(timeoutMs: number): Promise<boolean> {
 		const deadlineAt = performance.now() + timeoutMs;
-		while (this.#entry.inProgressCount > 0 || !this.#gate.isIdle) {
+		while (this.#hasOpenCalls()) {
 			if (performance.now() >= deadlineAt) {
 				return false;
 			}
@@ -251,6 +253,16 @@
 		return true;
 	}
 
+	/** Whether calls are in progress, or requests are still being received or answered. */
+	#hasOpenCalls(): boolean {
+		return (
+			this.#entry.inProgressCount > 0 ||
+			!this.#gate.isIdle ||
+			this.#entryServer.openRequestCount > 0 ||
+			this.#gateServer.openRequestCount > 0
+		);
+	}
+
 	async #close(): Promise<void> {
 		clearInterval(this.#workerTimer);
 		clearInterval(this.#loadTimer);
--- a/test/matrix/call-matrix.test.ts
+++ b/test/matrix/call-matrix.test.ts
@@ -15,6 +15,8 @@
 const runMs = 5000;
 const gatePauseMs = 400;
 const workerRestartMs = 300;
+/** Shorter than the calls' time, longer than the time in which a reachable gate answers a withdrawal. */
+const cutOffMs = 700;
 /** Ordinal numbers of the visit to a step at which the fault is injected, one run for each. */
 const occurrences = [1, 2, 3, 4, 6, 9] as const;
 
@@ -189,6 +191,33 @@
 		expect(new Set(outcomes)).to.deep.equal(new Set(['ran']));
 	});
 
+	it('waits for the answer of a worker whose gate is cut off for a while, without running it again', () => {
+		const path = new FakeCallPath(seed);
+		let cutOff: FakeHost | undefined;
+		path.hook = (step, host) => {
+			if (step === 'answer head' && host && cutOff === undefined) {
+				cutOff = host;
+				path.breaksAnswer = true;
+				path.pauseGate(host);
+				path.clock.after(cutOffMs, () => {
+					path.resumeGate(host);
+				});
+			}
+		};
+
+		const calls = plannedCalls().filter(({isIdempotent, hasTicket}) => !isIdempotent && !hasTicket);
+		for (const call of calls) {
+			path.call(call);
+		}
+
+		path.clock.runUntil(runMs);
+		expect(cutOff).to.not.equal(undefined);
+		for (const {name} of calls) {
+			const runs = path.runs.get(name) ?? 0;
+			expect(path.results.get(name)?.outcome, name).to.equal(runs === 1 ? 'ran' : 'not-run');
+		}
+	});
+
 	it('never gives the outcome unknown after a single broken exchange', () => {
 		for (const name of ['connection reset', 'request arrives after the reset', 'answer lost']) {
 			const path = runCell('connect', faults[name], 2);
--- a/test/support/fake-call-path.ts
+++ b/test/support/fake-call-path.ts
@@ -69,7 +69,6 @@
 const serviceMs = 20;
 const hopLatencyMs = 1;
 const maximumSends = 3;
-const withdrawTimeoutMs = 500;
 
 /** Production entry calls and gates over a simulated network; counts the runs at the workers. */
 export class FakeCallPath {
@@ -224,10 +223,6 @@
 	}
 
 	/** @internal */
-	get withdrawTimeoutMs(): number {
-		return withdrawTimeoutMs;
-	}
-
 	#send(
 		plan: PlannedCall,
 		pinned: FakeHost | undefined,
@@ -411,7 +406,10 @@
 			}
 
 			case 'withdraw': {
-				this.#withdraw(this.#path.hostOf(action.endpoint));
+				const {endpoint, delayMs, timeoutMs} = action;
+				this.#path.clock.after(delayMs, () => {
+					this.#withdraw(this.#path.hostOf(endpoint), timeoutMs);
+				});
 				break;
 			}
 
@@ -500,22 +498,20 @@
 		});
 	}
 
-	#withdraw(host: FakeHost): void {
+	#withdraw(host: FakeHost, timeoutMs: number): void {
 		const path = this.#path;
 		const attempt = this.#attempt;
 		const ageMs = path.clock.now - this.#startedAt;
-		const onUnreachable = () => {
-			this.#onWithdrawn(attempt, {type: 'unreachable'});
-		};
-
-		if (!host.isGateUp || host.backlog) {
-			path.clock.after(path.withdrawTimeoutMs, onUnreachable);
+		if (host.backlog) {
+			path.clock.after(timeoutMs, () => {
+				this.#onWithdrawn(attempt, {type: 'unreachable'});
+			});
 			return;
 		}
 
 		path.clock.after(hopLatencyMs, () => {
 			if (!host.isGateUp) {
-				onUnreachable();
+				this.#onWithdrawn(attempt, {type: 'gone'});
 				return;
 			}
 
