Never take a late copy of a response that names no request for an answer

A worker sent a response twice; the copy came where the next response on the connection was due, without the id of its request, and went to the next caller. A worker that has named the request in a response of a class does so in all of them.

--- a/packages/redwingmill-node/src/call/gate-service.ts
+++ b/packages/redwingmill-node/src/call/gate-service.ts
@@ -1,3 +1,4 @@
+import {type IncomingHttpHeaders} from 'node:http';
 import {type Pool} from 'undici';
 import {
 	Gate,
@@ -20,7 +21,7 @@
 import {isAlive} from './is-alive.js';
 import {type CallRequest, type Payload} from './payload.js';
 import {createWorkerPool} from './worker-pool.js';
-import {type WorkerProtocol} from './worker-protocol.js';
+import {type WorkerProtocol, type WorkerResponseClass} from './worker-protocol.js';
 
 /** A call submitted to the gate, with the caller's request. */
 export type GateRequest = Omit<GateCall, 'fingerprint'> & {
@@ -95,6 +96,8 @@
 	#waitingTimer: NodeJS.Timeout | undefined;
 	#pool: Pool | undefined;
 	#worker: Worker | undefined;
+	/** Classes of the current worker's responses that name the call that they answer. */
+	readonly #identifiedClasses = new Set<WorkerResponseClass>();
 
 	constructor(options: GateServiceOptions) {
 		this.#options = options;
@@ -128,6 +131,7 @@
 		this.#worker = worker;
 		if (isReplaced) {
 			void this.#pool?.close();
+			this.#identifiedClasses.clear();
 			this.#pool = createWorkerPool(worker.address, this.#options.workerConnections);
 		}
 
@@ -321,7 +325,7 @@
 			{
 				answerLimitBytes,
 				isMatchingResponse: (status, headers) =>
-					protocol.classify(status, headers, request.headers) !== 'foreign',
+					this.#isMatching(protocol.classify(status, headers, request.headers), headers),
 			},
 			(result) => {
 				disarm();
@@ -332,6 +336,23 @@
 		this.#exchanges.set(key, exchange);
 	}
 
+	/**
+	 * Whether a response may belong to the call that waits for one. A worker that has named the call in a
+	 * response of one class does so in all of them; one that doesn't is a late copy of an earlier one.
+	 */
+	#isMatching(responseClass: WorkerResponseClass, headers: IncomingHttpHeaders): boolean {
+		if (responseClass === 'foreign') {
+			return false;
+		}
+
+		if (this.#options.protocol.isIdentified?.(headers)) {
+			this.#identifiedClasses.add(responseClass);
+			return true;
+		}
+
+		return !this.#identifiedClasses.has(responseClass);
+	}
+
 	#workerRequest(
 		{request, deadlineAt, caller}: GateRequest,
 		instance: string | undefined,
--- a/packages/redwingmill-node/src/call/worker-protocol.ts
+++ b/packages/redwingmill-node/src/call/worker-protocol.ts
@@ -32,6 +32,8 @@
 		headers: IncomingHttpHeaders,
 		request: OutgoingHttpHeaders,
 	) => WorkerResponseClass;
+	/** Whether a response names the call that it answers; absent when workers never do. */
+	readonly isIdentified?: (headers: IncomingHttpHeaders) => boolean;
 };
 
 /** Default worker protocol, which uses redwingmill's own headers. */
