After a restart: no worker that had left, no older configuration; survive errors

Faults that operators of similar systems met, looked for here:

A process that restarted took a late announcement of a worker that had left for the worker's state, and sent calls to it again. Nodes that know of the departure from the process before tell it to the new one. A departure now also names the start of the worker ('born'): one of an earlier start of the same instance drained the later one, and one that came before any announcement barred the instance for good.

One unexpected error ended the process.

--- a/packages/redwingmill-core/src/__tests__/unit/worker-lease.test.ts
+++ b/packages/redwingmill-core/src/__tests__/unit/worker-lease.test.ts
@@ -45,6 +45,23 @@
 		expect(lease.renew(workerWith(), 1, {startedAt: 100, sequence: 2}).type).to.equal('outdated');
 	});
 
+	it('keeps a worker whose departure an earlier start of the same instance announced', () => {
+		const lease = new WorkerLease(leaseMs);
+		lease.renew(workerWith({startedAt: 900}), 0, {startedAt: 900, sequence: 0});
+		expect(lease.leave('one', 100)).to.equal(undefined);
+		const next = lease.renew(workerWith({startedAt: 900}), 1, {startedAt: 900, sequence: 1});
+		expect(next.type).to.equal('unchanged');
+		expect(lease.leave('one', 900)?.state).to.equal('draining');
+	});
+
+	it('accepts a later start of an instance whose departure it heard of first', () => {
+		const lease = new WorkerLease(leaseMs);
+		expect(lease.leave('one', 100)).to.equal(undefined);
+		expect(lease.renew(workerWith(), 1, {startedAt: 100, sequence: 2}).type).to.equal('outdated');
+		const restarted = lease.renew(workerWith({startedAt: 101}), 2, {startedAt: 101, sequence: 0});
+		expect(restarted.type).to.equal('changed');
+	});
+
 	it('expires without announcements and is restored by the next one', () => {
 		const lease = new WorkerLease(leaseMs);
 		lease.renew(workerWith(), 0, {startedAt: 100, sequence: 1});
--- a/packages/redwingmill-core/src/call/worker-lease.ts
+++ b/packages/redwingmill-core/src/call/worker-lease.ts
@@ -51,10 +51,17 @@
 	/**
 	 * Drains the worker instance: it gets no new calls, whatever it announces later. Returns the changed
 	 * worker; undefined unless the instance is the current one and was ready.
+	 *
+	 * @param startedAt - start of the instance that leaves. A later start of the same instance isn't
+	 *   concerned. Without it, the current start leaves, or any if the instance isn't the current one.
 	 */
-	leave(instance: string): Worker | undefined {
-		const isCurrent = this.#worker?.instance === instance;
-		this.#departed.set(instance, isCurrent ? this.#order?.startedAt : undefined);
+	leave(instance: string, startedAt?: number): Worker | undefined {
+		const isKnown = this.#worker?.instance === instance;
+		const currentStartedAt = isKnown ? this.#order?.startedAt : undefined;
+		const isCurrent =
+			isKnown &&
+			(startedAt === undefined || currentStartedAt === undefined || currentStartedAt <= startedAt);
+		this.#departed.set(instance, this.#lastDepartedStart(instance, startedAt ?? currentStartedAt));
 		for (const oldest of this.#departed.keys()) {
 			if (this.#departed.size <= maximumDeparted) {
 				break;
@@ -91,6 +98,14 @@
 		return hasExpired ? this.revoke() : undefined;
 	}
 
+	/** Returns the later of this start of an instance and one that left before; undefined if unknown. */
+	#lastDepartedStart(instance: string, startedAt: number | undefined): number | undefined {
+		const previous = this.#departed.get(instance);
+		return startedAt === undefined || previous === undefined
+			? startedAt
+			: Math.max(previous, startedAt);
+	}
+
 	#isOutdated({instance}: Worker, order: AnnouncementOrder | undefined): boolean {
 		const departedStartedAt = instance === undefined ? undefined : this.#departed.get(instance);
 		const hasDeparted = instance !== undefined && this.#departed.has(instance);
--- a/packages/redwingmill-core/src/directory/digest-controller.ts
+++ b/packages/redwingmill-core/src/directory/digest-controller.ts
@@ -116,6 +116,7 @@
 		}
 
 		case 'pulse':
+		case 'departure':
 		case 'inquiry':
 		case 'outdated':
 		case 'suspicion': {
--- a/packages/redwingmill-core/src/directory/directory-event.ts
+++ b/packages/redwingmill-core/src/directory/directory-event.ts
@@ -59,6 +59,8 @@
 	| {readonly type: 'loads-heard'; readonly loads: ReadonlyMap<string, WorkerLoad>}
 	/** A node stopped responding, so requests sent to it will most likely stay unanswered. */
 	| {readonly type: 'node-silent'; readonly node: string}
+	/** This node's worker announced its departure before this process started. */
+	| {readonly type: 'worker-departed'; readonly instance: string; readonly startedAt?: number}
 	| {readonly type: 'read-crashes'}
 	/** Adds these reports to the crashes in the store. */
 	| {readonly type: 'save-crashes'; readonly reports: readonly SuspicionReport[]}
--- a/packages/redwingmill-core/src/directory/peers-controller.ts
+++ b/packages/redwingmill-core/src/directory/peers-controller.ts
@@ -96,6 +96,12 @@
 			break;
 		}
 
+		case 'departure': {
+			const {instance, startedAt} = datagram;
+			update.emit({type: 'worker-departed', instance, startedAt});
+			break;
+		}
+
 		case 'digest':
 		case 'status-request':
 		case 'record-request':
@@ -120,6 +126,10 @@
 		return;
 	}
 
+	if (known && known.incarnation < incarnation) {
+		tellDeparture(update, known);
+	}
+
 	mergeRecords(update, [record], now);
 	markAlive(update, [[address, {at: now}]], now);
 	if (wantsReply) {
@@ -127,6 +137,17 @@
 	}
 }
 
+/**
+ * Tells a node that has restarted that its worker is leaving. It would take a late announcement for the
+ * worker's state, and would send calls to it again.
+ */
+function tellDeparture(update: DirectoryUpdate, {address, worker}: NodeRecord): void {
+	if (worker?.state === 'draining' && worker.instance !== undefined) {
+		const {instance, startedAt} = worker;
+		update.emit({type: 'send', to: address, datagram: {type: 'departure', instance, startedAt}});
+	}
+}
+
 function handleHeartbeat(
 	update: DirectoryUpdate,
 	from: string,
--- a/packages/redwingmill-core/src/directory/serving-state-controller.ts
+++ b/packages/redwingmill-core/src/directory/serving-state-controller.ts
@@ -37,7 +37,8 @@
 
 /**
  * A node serves once it holds a configuration and has had the chance to find other nodes: it listed
- * the registry, reached a node or waited long enough.
+ * the registry, reached a node or waited long enough. Until then it also waits for a newer version
+ * that others announce, because its process may have had that in force before it restarted.
  */
 function nextState(state: DirectoryState, {now, limits}: DirectoryContext): DirectoryServingState {
 	const {serving, adoption, registry, members} = state;
@@ -47,5 +48,7 @@
 
 	const hasPeers = registry.hasBeenListed || members.reachable.length > 1;
 	const hasWaited = now - serving.since >= limits.startupRegistryTimeoutMs;
-	return adoption.held !== undefined && (hasPeers || hasWaited) ? 'serving' : 'starting';
+	const isBehind = adoption.newer !== undefined && !hasWaited;
+	const mayServe = adoption.held !== undefined && (hasPeers || hasWaited) && !isBehind;
+	return mayServe ? 'serving' : 'starting';
 }
--- a/packages/redwingmill-core/src/model/datagram.ts
+++ b/packages/redwingmill-core/src/model/datagram.ts
@@ -50,5 +50,10 @@
 	| {readonly type: 'inquiry'}
 	/** The receiver announced an incarnation lower than `incarnation`, which the sender holds for it. */
 	| {readonly type: 'outdated'; readonly incarnation: number}
+	/**
+	 * The receiver has restarted, and its worker announced its departure to the process before. Instance
+	 * and start are those of the worker's announcements.
+	 */
+	| {readonly type: 'departure'; readonly instance: string; readonly startedAt?: number}
 	/** Crashes of workers on a request, or the success of one that was suspected of them. */
 	| {readonly type: 'suspicion'; readonly report: CrashReport};
--- a/packages/redwingmill-node/src/control/control-plane.ts
+++ b/packages/redwingmill-node/src/control/control-plane.ts
@@ -29,6 +29,9 @@
 /** Handles the loads of other nodes' workers, by control address. */
 export type LoadHandler = (loads: ReadonlyMap<string, WorkerLoad>) => void;
 
+/** Handles the departure of this node's worker that another node knows of. */
+export type DepartureHandler = (instance: string, startedAt: number | undefined) => void;
+
 /** Handles a node that has become unresponsive. */
 export type UnresponsiveNodeHandler = (node: string) => void;
 
@@ -75,6 +78,7 @@
 	registerRoutingListener: (listener: (routing: RoutingTable) => void) => Teardown;
 	registerCrashReportHandler: (handler: CrashReportHandler) => Teardown;
 	registerCrashReportSource: (source: CrashReportSource) => Teardown;
+	registerDepartureHandler: (handler: DepartureHandler) => Teardown;
 	registerLoadHandler: (handler: LoadHandler) => Teardown;
 	registerUnresponsiveNodeHandler: (handler: UnresponsiveNodeHandler) => Teardown;
 };
--- a/packages/redwingmill-node/src/control/relay-control-plane.ts
+++ b/packages/redwingmill-node/src/control/relay-control-plane.ts
@@ -203,6 +203,11 @@
 		};
 	}
 
+	/** The handler is never called: links don't carry what a node knows of another's former process. */
+	registerDepartureHandler(): Teardown {
+		return () => undefined;
+	}
+
 	/** The handler is never called: loads arrive with the answers to calls only. */
 	registerLoadHandler(): Teardown {
 		return () => undefined;
--- a/packages/redwingmill-node/src/control/store-control-plane.ts
+++ b/packages/redwingmill-node/src/control/store-control-plane.ts
@@ -33,6 +33,7 @@
 	type ControlPlaneOptions,
 	type CrashReportHandler,
 	type CrashReportSource,
+	type DepartureHandler,
 	type LoadHandler,
 	type UnresponsiveNodeHandler,
 } from './control-plane.js';
@@ -65,6 +66,7 @@
 	readonly #documentListeners = new Set<(document: ConfigurationDocument) => void>();
 	#crashReportHandler: CrashReportHandler | undefined;
 	#crashReportSource: CrashReportSource | undefined;
+	#departureHandler: DepartureHandler | undefined;
 	#loadHandler: LoadHandler | undefined;
 	#unresponsiveNodeHandler: UnresponsiveNodeHandler | undefined;
 	/** Stops the watch of the store; undefined while this node relies on other nodes' watches. */
@@ -239,6 +241,13 @@
 		};
 	}
 
+	registerDepartureHandler(handler: DepartureHandler): Teardown {
+		this.#departureHandler = handler;
+		return () => {
+			this.#departureHandler = undefined;
+		};
+	}
+
 	registerLoadHandler(handler: LoadHandler): Teardown {
 		this.#loadHandler = handler;
 		return () => {
@@ -304,6 +313,11 @@
 				break;
 			}
 
+			case 'worker-departed': {
+				this.#departureHandler?.(effect.instance, effect.startedAt);
+				break;
+			}
+
 			case 'node-silent': {
 				this.#unresponsiveNodeHandler?.(effect.node);
 				break;
--- a/packages/redwingmill-node/src/daemon.ts
+++ b/packages/redwingmill-node/src/daemon.ts
@@ -163,9 +163,13 @@
 		}
 	}
 
-	/** Stops dispatching calls to a worker instance that is leaving. */
-	announceDeparture(instance: string): void {
-		this.#updateWorker(this.#lease.leave(instance));
+	/**
+	 * Stops dispatching calls to a worker instance that is leaving.
+	 *
+	 * @param startedAt - start of the instance in Unix milliseconds, if it is known.
+	 */
+	announceDeparture(instance: string, startedAt?: number): void {
+		this.#updateWorker(this.#lease.leave(instance, startedAt));
 	}
 
 	/** Applies those changed settings that can change without a restart. */
@@ -193,6 +197,9 @@
 		this.#control.registerUnresponsiveNodeHandler((node) => {
 			this.#entry.onNodeUnresponsive(node);
 		});
+		this.#control.registerDepartureHandler((instance, startedAt) => {
+			this.announceDeparture(instance, startedAt);
+		});
 		this.#control.registerLoadHandler((loads) => {
 			this.#entry.onLoads(loads);
 		});
--- a/packages/redwingmill-node/src/index.ts
+++ b/packages/redwingmill-node/src/index.ts
@@ -32,4 +32,5 @@
 export {describeError, exchange, type ExchangeResult} from './call/exchange.js';
 export {readRequestBody} from './call/read-request.js';
 export {listenOn} from './listen.js';
+export {registerErrorGuard, type ErrorSource} from './observe/error-guard.js';
 export {Log} from './observe/log.js';
--- a/packages/redwingmill-node/src/main.ts
+++ b/packages/redwingmill-node/src/main.ts
@@ -4,6 +4,8 @@
 import {RelayControlPlane} from './control/relay-control-plane.js';
 import {Daemon} from './daemon.js';
 import {ListenError, SettingsError} from './errors.js';
+import {registerErrorGuard} from './observe/error-guard.js';
+import {Log} from './observe/log.js';
 import {readSettings} from './settings/read-settings.js';
 
 /** Exit codes of `redwingmilld`. */
@@ -44,10 +46,15 @@
 		return;
 	}
 
+	const log = new Log(settings);
 	const daemon = new Daemon(settings, {
+		log,
 		createControlPlane: (options) => new RelayControlPlane(options),
 	});
 	await daemon.start();
+	registerErrorGuard(process, log, () => {
+		process.exit(exitCodes.failed);
+	});
 	const signal = await new Promise<NodeJS.Signals>((resolve) => {
 		process.once('SIGTERM', resolve);
 		process.once('SIGINT', resolve);
--- a/packages/redwingmill-node/src/observe/log-event.ts
+++ b/packages/redwingmill-node/src/observe/log-event.ts
@@ -93,6 +93,12 @@
 	settingsRefused: {number: 105, level: 'error', message: 'changed settings refused'},
 	malformedDatagram: {number: 315, level: 'debug', message: 'malformed datagram dropped'},
 	malformedRequest: {number: 502, level: 'debug', message: 'malformed request rejected'},
+	unexpectedError: {number: 106, level: 'error', message: 'unexpected error'},
+	unexpectedErrorBurst: {
+		number: 107,
+		level: 'error',
+		message: 'too many unexpected errors, the process ends',
+	},
 } as const;
 
 export type LogEvent = (typeof logEvents)[keyof typeof logEvents];
--- a/packages/redwingmill-protocol/src/__tests__/unit/datagram-codec.test.ts
+++ b/packages/redwingmill-protocol/src/__tests__/unit/datagram-codec.test.ts
@@ -32,6 +32,49 @@
 		crashDigest: 3_735_928_559,
 		load: {callsPerSlot: 1.25, waitMs: 30, runMs: 64.5, failureShare: 0.25},
 	},
+	{
+		type: 'digest',
+		incarnation: 1_775_726_659_321_288,
+		revision: 3,
+		version: 42,
+		isWatching: true,
+		crashDigest: 7,
+		summaries: [{id: 4_294_967_295, stampSum: 12, ageMs: 340}],
+		statuses: [
+			{
+				id: 1,
+				stamp: 4_000_000_000,
+				ageMs: 0,
+				load: {callsPerSlot: 0.5, waitMs: 10, runMs: 60, failureShare: 0},
+			},
+			{id: 2, stamp: 3, ageMs: 120},
+		],
+	},
+	{type: 'status-request', dataCentreId: 4_294_967_295},
+	{type: 'record-request', ids: [1, 4_294_967_295]},
+	{
+		type: 'records',
+		records: [
+			{
+				address: '10.0.0.1:7300',
+				dataCentre: 'dc-a',
+				incarnation: 7,
+				revision: 1,
+				status: 'left',
+				gateAddress: '10.0.0.1:8662',
+				worker: {
+					service: 'coding',
+					address: '10.0.0.1:8660',
+					slots: 6,
+					state: 'draining',
+					instance: 'i-1',
+					startedAt: 1_775_726_659_321,
+				},
+			},
+		],
+	},
+	{type: 'departure', instance: 'i-1', startedAt: 1_775_726_659_321},
+	{type: 'departure', instance: 'i-1'},
 	{type: 'inquiry'},
 	{type: 'outdated', incarnation: 1_775_726_659_321_288},
 	{
@@ -57,6 +100,18 @@
 		expect(encodeDatagram(datagrams[1]).length).to.be.below(40);
 	});
 
+	it('encodes the statuses of forty nodes with their loads in less than a packet', () => {
+		const load = {callsPerSlot: 1.25, waitMs: 300, runMs: 64.5, failureShare: 0.25};
+		const statuses = Array.from({length: 40}, (_, index) => ({
+			id: 4_000_000_000 + index,
+			stamp: 3_000_000_000 + index,
+			ageMs: 500,
+			load,
+		}));
+		const digest = datagrams.find(({type}) => type === 'digest')!;
+		expect(encodeDatagram({...digest, statuses} as Datagram).length).to.be.below(1400);
+	});
+
 	it('rejects truncated, malformed and empty datagrams', () => {
 		const bytes = encodeDatagram(datagrams[0]);
 		for (const malformed of [bytes.slice(0, 9), new Uint8Array([1, 2, 3]), new Uint8Array()]) {
--- a/packages/redwingmill-protocol/src/datagram-codec.ts
+++ b/packages/redwingmill-protocol/src/datagram-codec.ts
@@ -59,6 +59,15 @@
 			return {type: 'records', records: body.value.records.map((record) => decodeRecord(record))};
 		}
 
+		case 'departure': {
+			const {instance, startedAt} = body.value;
+			return {
+				type: 'departure',
+				instance,
+				...(startedAt === 0n ? {} : {startedAt: Number(startedAt)}),
+			};
+		}
+
 		case 'inquiry': {
 			return {type: 'inquiry'};
 		}
@@ -123,6 +132,11 @@
 			return {case: 'recordList', value: {records}};
 		}
 
+		case 'departure': {
+			const {instance, startedAt = 0} = datagram;
+			return {case: 'departure', value: {instance, startedAt: BigInt(startedAt)}};
+		}
+
 		case 'inquiry': {
 			return {case: 'inquiry', value: {}};
 		}
--- a/packages/redwingmill-protocol/src/record-codec.ts
+++ b/packages/redwingmill-protocol/src/record-codec.ts
@@ -13,7 +13,11 @@
 		revision: record.revision,
 		status: memberStatuses.indexOf(record.status) + 1,
 		gateAddress: record.gateAddress,
-		worker: worker && {...worker, state: workerStates.indexOf(worker.state) + 1},
+		worker: worker && {
+			...worker,
+			state: workerStates.indexOf(worker.state) + 1,
+			startedAt: BigInt(worker.startedAt ?? 0),
+		},
 		linkMbps: record.linkMbps,
 	};
 }
@@ -37,6 +41,7 @@
 			slots: worker.slots,
 			state: decodeEnum(workerStates, worker.state),
 			...(worker.instance === '' ? {} : {instance: worker.instance}),
+			...(worker.startedAt === 0n ? {} : {startedAt: Number(worker.startedAt)}),
 		},
 		...(fields.linkMbps === 0 ? {} : {linkMbps: fields.linkMbps}),
 	};
--- a/test/matrix/directory.test.ts
+++ b/test/matrix/directory.test.ts
@@ -104,6 +104,46 @@
 		expect(mesh.endpointsOf('a/1')).to.include('a/1');
 	});
 
+	it('tell a node that restarts that its worker had announced its departure', () => {
+		const mesh = startedMesh();
+		mesh.announceWorker('a/1', 'draining');
+		mesh.run(10);
+		mesh.kill('a/1');
+		const departures: string[] = [];
+		mesh.onDeparture = ({address}, instance) => {
+			departures.push(`${address} ${instance}`);
+		};
+		mesh.run(500);
+		mesh.start('a/1');
+		mesh.run(boundMs);
+		expect(new Set(departures)).to.deep.equal(new Set(['a/1 a/1']));
+		departures.length = 0;
+		mesh.kill('b/1');
+		mesh.run(500);
+		mesh.start('b/1');
+		mesh.run(boundMs);
+		expect(departures).to.deep.equal([]);
+	});
+
+	it('do not serve with an older version than the others announce when they restart', () => {
+		const mesh = startedMesh();
+		mesh.writeConfiguration(documentOf(2));
+		mesh.run(boundMs);
+		mesh.kill('a/1');
+		// A read of the store may return a state that is some seconds old.
+		mesh.storedState = documentOf(1);
+		const node = mesh.start('a/1');
+		const servedVersions = new Set<number | undefined>();
+		for (let step = 0; step < 3000; step++) {
+			mesh.run(1);
+			if (node.directory.blackboard.serving.state === 'serving') {
+				servedVersions.add(node.versions.at(-1));
+			}
+		}
+
+		expect([...servedVersions]).to.deep.equal([2]);
+	});
+
 	it('do not know how many nodes share the retry budget before they have listed the registry', () => {
 		const mesh = startedMesh();
 		const countAt = (address: string) =>
--- a/test/support/fake-directory-mesh.ts
+++ b/test/support/fake-directory-mesh.ts
@@ -75,6 +75,8 @@
 	lossShare = 0;
 	/** Receives the crash reports that reach a node. */
 	onCrashReport: ((node: DirectoryNode, report: ReceivedCrashReport) => void) | undefined;
+	/** Receives the departures of its worker that a node learns of from others. */
+	onDeparture: ((node: DirectoryNode, instance: string) => void) | undefined;
 	/** Receives every datagram that is sent, whether it arrives or not. */
 	onSent: ((from: string, to: string, datagram: Datagram) => void) | undefined;
 	/** Returns the crash reports that a node sends to another one that lacks some of them. */
@@ -89,7 +91,8 @@
 	reachability: Reachability = fullReachability;
 	readonly #random: Random;
 	readonly #registry = new Map<string, NodeRecord>();
-	#storedDocument: ConfigurationDocument | undefined;
+	/** Configuration in the store; tests replace it to have reads return an older state. */
+	storedState: ConfigurationDocument | undefined;
 	#storedCrashes: readonly StoredCrashes[] = [];
 
 	constructor(seed: number) {
@@ -153,7 +156,7 @@
 
 	/** Stores a configuration as an operator does and notifies the watching nodes. */
 	writeConfiguration(document: ConfigurationDocument): void {
-		this.#storedDocument = document;
+		this.storedState = document;
 		for (const node of this.nodes.values()) {
 			if (
 				node.directory.blackboard.watch.isOn &&
@@ -288,6 +291,11 @@
 				break;
 			}
 
+			case 'worker-departed': {
+				this.onDeparture?.(node, effect.instance);
+				break;
+			}
+
 			case 'loads-heard':
 			case 'node-silent':
 			case 'notify': {
@@ -329,10 +337,10 @@
 		this.configurationReads += 1;
 		this.clock.after(storeLatencyMs, () => {
 			this.dispatch(node, {type: 'store-contact', isStoreReachable: isReached});
-			if (isReached && this.#storedDocument) {
+			if (isReached && this.storedState) {
 				this.dispatch(node, {
 					type: 'configuration-read',
-					document: this.#storedDocument,
+					document: this.storedState,
 					origin: 'store',
 				});
 			}
