Soak: the store returns from an older copy

Up to two of them in each plan, drawn from a generator of their own so that the other faults of a seed stay as they were. No host counts as disrupted by it.

--- a/packages/redwingmill-soak/src/__tests__/unit/fault-plan.test.ts
+++ b/packages/redwingmill-soak/src/__tests__/unit/fault-plan.test.ts
@@ -35,6 +35,7 @@
 					}
 
 					case 'change':
+					case 'store-return':
 					case 'power-loss': {
 						kinds.add(fault.type);
 						break;
@@ -44,7 +45,7 @@
 		}
 
 		// Five behaviours of four streams, four of datagrams, four process faults, five worker faults,
-		// `change` and `power-loss`.
-		expect(kinds.size).to.equal(5 * 4 + 4 + 4 + 5 + 2);
+		// `change`, `store-return` and `power-loss`.
+		expect(kinds.size).to.equal(5 * 4 + 4 + 4 + 5 + 3);
 	});
 });
--- a/packages/redwingmill-soak/src/fault-plan.ts
+++ b/packages/redwingmill-soak/src/fault-plan.ts
@@ -25,6 +25,10 @@
 /** Up to this delay calls still succeed before their deadline; beyond it attempts time out. */
 const maximumDelayMs = 400;
 const startGapSpreadMs = 1200;
+const maximumStoreReturns = 2;
+const storeAwaySpreadMs = 600;
+/** The other faults of a seed stay as they are, so that seeds that once failed can be run again. */
+const storeReturnSeedOffset = 1_000_003;
 /** Kinds of faults, one per series; a kind's probability is its share of the entries. */
 const weightedSeriesKinds = [
 	'link',
@@ -51,9 +55,20 @@
 		faults.push(...planSeries(random, scope));
 	}
 
+	faults.push(...planStoreReturns(new Random(seed + storeReturnSeedOffset), scope));
 	return faults.toSorted((a, b) => a.atMs - b.atMs);
 }
 
+/** Draws the returns of the store from older copies, from a generator of their own. */
+function planStoreReturns(random: Random, {durationMs}: PlanScope): readonly PlannedFault[] {
+	const count = random.below(maximumStoreReturns + 1);
+	return Array.from({length: count}, () => ({
+		atMs: random.below(Math.max(1, durationMs - minimumFaultMs - storeAwaySpreadMs)),
+		forMs: minimumFaultMs + random.below(storeAwaySpreadMs),
+		fault: {type: 'store-return' as const},
+	}));
+}
+
 /** Draws a series of faults of one kind that all affect one host or each affect a random host. */
 function planSeries(random: Random, {hosts, durationMs}: PlanScope): readonly PlannedFault[] {
 	const kind = pick(random, weightedSeriesKinds);
--- a/packages/redwingmill-soak/src/soak-deployment.ts
+++ b/packages/redwingmill-soak/src/soak-deployment.ts
@@ -36,6 +36,8 @@
 	/** Starts the store. Returns the address at which it listens. */
 	readonly listen: () => Promise<string>;
 	readonly write: (version: number, routes: readonly SoakRoute[]) => void;
+	/** Serves nobody for a time, then returns from a copy of an age, both in milliseconds. */
+	readonly returnFromCopy: (awayMs: number, ageMs: number) => Promise<void>;
 	readonly close: () => Promise<void>;
 };
 
--- a/packages/redwingmill-soak/src/soak-fault.ts
+++ b/packages/redwingmill-soak/src/soak-fault.ts
@@ -49,8 +49,13 @@
 	| {readonly type: 'worker'; readonly host: number; readonly fault: WorkerFault}
 	/** Kills the process of every node. */
 	| {readonly type: 'power-loss'}
+	/** The store is away, and returns from the copy that it had {@link storeCopyAgeMs} before. */
+	| {readonly type: 'store-return'}
 	| {readonly type: 'change'};
 
+/** Age of the copy from which the store returns, in milliseconds. */
+export const storeCopyAgeMs = 2000;
+
 /** A fault with its duration and its start, in milliseconds since the start of the fault phase. */
 export type PlannedFault = {
 	readonly atMs: number;
--- a/packages/redwingmill-soak/src/soak.ts
+++ b/packages/redwingmill-soak/src/soak.ts
@@ -8,7 +8,7 @@
 import {crashingPathOf, InvariantChecker, type InvariantViolation} from './invariant-checker.js';
 import {SoakCaller, type CallTarget} from './soak-caller.js';
 import {type SoakDeployment, type SoakRoute, type SoakStore} from './soak-deployment.js';
-import {type PlannedFault, type SoakFault} from './soak-fault.js';
+import {storeCopyAgeMs, type PlannedFault, type SoakFault} from './soak-fault.js';
 import {SoakHost} from './soak-host.js';
 
 /** Seed, size and duration of a soak. */
@@ -204,6 +204,11 @@
 	/** Writes a version that has the stable routes and one route that no other version has. */
 	#writeNextVersion(): void {
 		this.#version += 1;
+		this.#writeVersion();
+	}
+
+	/** Writes the newest version. */
+	#writeVersion(): void {
 		this.#store.write(this.#version, [...stableRoutes, versionRoute(this.#version)]);
 	}
 
@@ -254,6 +259,14 @@
 				break;
 			}
 
+			case 'store-return': {
+				// No host is disrupted by it: calls go on all the while.
+				await this.#store.returnFromCopy(forMs, storeCopyAgeMs);
+				// The operators write again what the store has lost.
+				this.#writeVersion();
+				break;
+			}
+
 			case 'change': {
 				this.#writeNextVersion();
 				break;
