One node of each data centre watches the store, and tells the others' watchers at once

Ten nodes watched it; each poll of 4 s and each change costs a call of each.

One of the two watchers of a data centre watches now; the second takes over when it hears nothing of it for a second, and both send digests as before. A node that takes a version from the store tells the watchers of the other data centres at once, so that one that is cut off from the store isn't behind.

--- a/packages/redwingmill-core/src/directory/adoption-controller.ts
+++ b/packages/redwingmill-core/src/directory/adoption-controller.ts
@@ -5,7 +5,7 @@
 	type DirectoryUpdate,
 } from './directory-controller.js';
 import {type DirectoryEvent} from './directory-event.js';
-import {isWatching, notifyLocalPeers} from './member-actions.js';
+import {isWatching, notifyOfVersion} from './member-actions.js';
 
 /**
  * Adopts configuration versions as a whole and in increasing order. Nodes that watch the store
@@ -16,7 +16,7 @@
 	handle(update: DirectoryUpdate, event: DirectoryEvent, context: DirectoryContext): void {
 		switch (event.type) {
 			case 'configuration-read': {
-				adopt(update, event.document, event.origin, context.now);
+				adopt(update, event.document, event.origin, context);
 				break;
 			}
 
@@ -50,7 +50,7 @@
 	update: DirectoryUpdate,
 	document: ConfigurationDocument,
 	origin: 'store' | 'node',
-	now: number,
+	context: DirectoryContext,
 ): void {
 	const {held, newer} = update.pending.adoption;
 	const previous = held?.version ?? 0;
@@ -59,11 +59,11 @@
 	}
 
 	const isStillBehind = newer !== undefined && newer.version > document.version;
-	const stillNewer = isStillBehind ? {...newer, behindSince: now} : undefined;
+	const stillNewer = isStillBehind ? {...newer, behindSince: context.now} : undefined;
 	update.set('adoption', {held: document, newer: stillNewer});
 	const {version} = document;
 	update.emit({type: 'notify', notice: {type: 'configuration-adopted', version, previous, origin}});
-	notifyLocalPeers(update, now);
+	notifyOfVersion(update, context);
 }
 
 function recordNewerVersion(
--- a/packages/redwingmill-core/src/directory/digest-controller.ts
+++ b/packages/redwingmill-core/src/directory/digest-controller.ts
@@ -95,7 +95,7 @@
 			const records = alive.filter(
 				({dataCentre}) => digestIdOf(dataCentre) === datagram.dataCentreId,
 			);
-			sendStatuses(update, [from], records, context.now);
+			sendStatuses(update, {receivers: [from], records}, context.now);
 			break;
 		}
 
@@ -291,7 +291,7 @@
 	const receivers = aliveLocalPeers(members);
 	sendRecords(update, receivers, current);
 	const alive = current.filter((record) => members.alive.includes(record));
-	sendStatuses(update, receivers, alive, now);
+	sendStatuses(update, {receivers, records: alive}, now);
 }
 
 function sendLocalDigest(
@@ -313,7 +313,7 @@
 		now - digests.relayedSentAt >= scaledByMesh(limits.relayedStatusIntervalMs, members, limits);
 	const records = isRelayDue ? members.alive : (index.get(dataCentre)?.records ?? []);
 	update.set('digests', {localSentAt: now, ...(isRelayDue ? {relayedSentAt: now} : {})});
-	sendStatuses(update, aliveLocalPeers(members), records, now, summaries);
+	sendStatuses(update, {receivers: aliveLocalPeers(members), records, summaries}, now);
 }
 
 /** Sends the state of the local data centre to the watchers of the others. */
@@ -332,16 +332,22 @@
 		now - digests.statusSentAt >= scaledByDataCentre(limits.statusIntervalMs, members, limits);
 	update.set('digests', {summarySentAt: now, ...(areStatusesDue ? {statusSentAt: now} : {})});
 	const receivers = remoteWatchers(members, limits);
-	sendStatuses(update, receivers, areStatusesDue ? records : [], now, [{id, stampSum, ageMs: 0}]);
+	const summaries = [{id, stampSum, ageMs: 0}];
+	sendStatuses(update, {receivers, records: areStatusesDue ? records : [], summaries}, now);
 }
 
-/** Sends digests with the statuses of these nodes; the summaries go with the first one. */
+/** Nodes whose statuses are sent, to whom, and the summaries that go with the first datagram. */
+type StatusReport = {
+	readonly receivers: readonly string[];
+	readonly records: readonly NodeRecord[];
+	readonly summaries?: readonly DataCentreSummary[];
+};
+
+/** Sends the statuses of nodes in as many digests as they need, at least in one. */
 function sendStatuses(
 	update: DirectoryUpdate,
-	receivers: readonly string[],
-	records: readonly NodeRecord[],
+	{receivers, records, summaries = []}: StatusReport,
 	now: number,
-	summaries: readonly DataCentreSummary[] = [],
 ): void {
 	const statuses = records.map((record) => statusOf(update.pending, record, now));
 	for (let start = 0; start < Math.max(1, statuses.length); start += statusesPerDatagram) {
--- a/packages/redwingmill-core/src/directory/directory-limits.ts
+++ b/packages/redwingmill-core/src/directory/directory-limits.ts
@@ -33,7 +33,12 @@
 	readonly firstReadDelayMs: number;
 	/** Largest number of nodes in a mesh in which every node watches the store. */
 	readonly smallMeshNodes: number;
-	/** Number of nodes in each data centre that watch the store in a larger mesh. */
+	/**
+	 * Number of nodes in each data centre that watch the store in a larger mesh. The others of them learn
+	 * of a change at the same time, so one is enough.
+	 */
+	readonly storeWatchersPerDataCentre: number;
+	/** Number of nodes in each data centre that send digests in a larger mesh. */
 	readonly watchersPerDataCentre: number;
 	/** Nodes of a data centre above which the intervals of digests grow in proportion to their number. */
 	readonly digestScalingNodes: number;
@@ -91,6 +96,7 @@
 	configurationRequestIntervalMs: 600,
 	firstReadDelayMs: 800,
 	smallMeshNodes: 16,
+	storeWatchersPerDataCentre: 1,
 	watchersPerDataCentre: 2,
 	digestScalingNodes: 40,
 	relayedScalingNodes: 200,
--- a/packages/redwingmill-core/src/directory/member-actions.ts
+++ b/packages/redwingmill-core/src/directory/member-actions.ts
@@ -214,16 +214,18 @@
 }
 
 /**
- * Sends a heartbeat with the version held to the nodes of the local data centre if this node watches
- * the store, because they may rely on this node for new versions.
+ * Sends a heartbeat with the version held to the nodes that may rely on this one for new versions: if it
+ * watches the store, those of the local data centre and the watchers of the others.
  */
-export function notifyLocalPeers(update: DirectoryUpdate, now: number): void {
+export function notifyOfVersion(
+	update: DirectoryUpdate,
+	{now, limits}: Pick<DirectoryContext, 'now' | 'limits'>,
+): void {
 	const {members, watch} = update.pending;
-	if (!isWatching(watch)) {
-		return;
+	if (isWatching(watch)) {
+		const receivers = [...localPeers(members), ...remoteWatchers(members, limits)];
+		sendToPeers(update, receivers, heartbeatOf(update.pending), now);
 	}
-
-	sendToPeers(update, localPeers(members), heartbeatOf(update.pending), now);
 }
 
 /** Changes this node's record; announces it at once and again later, because datagrams get lost. */
--- a/packages/redwingmill-core/src/directory/watch-controller.ts
+++ b/packages/redwingmill-core/src/directory/watch-controller.ts
@@ -63,7 +63,7 @@
 
 	const ranked = rankingOf(update.pending);
 	const ownRank = ranked.indexOf(members.self.address);
-	if (ownRank < limits.watchersPerDataCentre) {
+	if (ownRank < limits.storeWatchersPerDataCentre) {
 		return true;
 	}
 
