Loads of digests keep their age

A digest brought loads of up to a second, for other data centres of some seconds, and they were taken for new: they replaced the newer load that came with an answer, and the calls sent meanwhile weren't counted any more, so that each digest sent the next calls to the same emptiest worker. A load has the time of its gate's report now; an older one is ignored, and calls sent after it still count. Found by reading; the two tests failed to compile or hold before (onSent had no time, onLoad took any report).

--- a/packages/redwingmill-core/src/__tests__/unit/endpoint-chooser.test.ts
+++ b/packages/redwingmill-core/src/__tests__/unit/endpoint-chooser.test.ts
@@ -36,8 +36,8 @@
 	it('chooses the less loaded of two endpoints', () => {
 		const chooser = chooserWith();
 		const [busy, idle] = endpointsOf(2);
-		chooser.onSent(busy);
-		chooser.onSent(busy);
+		chooser.onSent(busy, 0);
+		chooser.onSent(busy, 0);
 		expect(shares(chooser, [busy, idle], 0).get(idle.node)).to.equal(1000);
 	});
 
@@ -51,7 +51,7 @@
 		);
 		for (const endpoint of local) {
 			for (let call = 0; call < 6; call++) {
-				chooser.onSent(endpoint);
+				chooser.onSent(endpoint, 0);
 			}
 		}
 
--- a/packages/redwingmill-core/src/__tests__/unit/expected-completion.test.ts
+++ b/packages/redwingmill-core/src/__tests__/unit/expected-completion.test.ts
@@ -48,6 +48,28 @@
 		expect(chooser.choose(both, refused, 0, {...profile, bytes: 10_000})).to.equal(remote);
 	});
 
+	it('ignores a load that was reported before the one that it knows', () => {
+		const chooser = chooserIn('dc-a');
+		chooser.onLoad(local, {...idle, waitMs: 300}, 100);
+		chooser.onLoad(remote, idle, 100);
+		// A digest brings an older report than the answer to a call has.
+		chooser.onLoad(local, idle, 60);
+		expect(chooser.choose(both, none, 100, {group: '/', targetAt: 350})).to.equal(remote);
+	});
+
+	it('counts the calls that it sent after a load was reported, although the report came later', () => {
+		const chooser = chooserIn('dc-c');
+		chooser.onLoad(local, {...idle, callsPerSlot: 1}, 0);
+		chooser.onLoad(remote, {...idle, callsPerSlot: 1}, 0);
+		for (let call = 0; call < 6; call++) {
+			chooser.onSent(local, 100);
+		}
+
+		chooser.onLoad(local, {...idle, callsPerSlot: 1}, 50);
+		chooser.onLoad(remote, {...idle, callsPerSlot: 1}, 50);
+		expect(chooser.choose(both, none, 110, {group: '/'})).to.equal(remote);
+	});
+
 	it('does not send all calls to the endpoint whose last report showed the lowest load', () => {
 		const chooser = chooserIn('dc-c');
 		chooser.onLoad(local, {...idle, callsPerSlot: 1}, 0);
@@ -55,7 +77,7 @@
 		const chosen = new Map<string, number>();
 		for (let call = 0; call < 40; call++) {
 			const endpoint = chooser.choose(both, none, 0, {group: '/'})!;
-			chooser.onSent(endpoint);
+			chooser.onSent(endpoint, 0);
 			chosen.set(endpoint.node, (chosen.get(endpoint.node) ?? 0) + 1);
 		}
 
--- a/packages/redwingmill-core/src/call/endpoint-chooser.ts
+++ b/packages/redwingmill-core/src/call/endpoint-chooser.ts
@@ -53,6 +53,8 @@
 	/** Running and waiting calls per slot, as the gate last reported. */
 	reportedCallsPerSlot: number;
 	loadAt: number;
+	/** Time at which this node last sent an attempt there. */
+	sentAt: number;
 	/** Consecutive failures. */
 	failures: number;
 	/** Consecutive ejections; each doubles the duration of the next. */
@@ -139,18 +141,29 @@
 	}
 
 	/** Records that an attempt was sent to the endpoint. */
-	onSent(endpoint: Endpoint): void {
+	onSent(endpoint: Endpoint, now: number): void {
 		const state = this.#stateOf(endpoint);
+		state.sentAt = now;
 		state.inFlight += 1;
 		state.completion = {...state.completion, sentSinceReport: state.completion.sentSinceReport + 1};
 	}
 
-	/** Applies the load that an endpoint's gate reported, with an answer or separately. */
-	onLoad(endpoint: Endpoint, load: WorkerLoad, now: number): void {
+	/**
+	 * Applies the load that an endpoint's gate reported, with an answer or separately. A report that is
+	 * older than one already known is ignored, and calls sent after it are still counted.
+	 *
+	 * @param reportedAt - monotonic milliseconds at which the gate reported it.
+	 */
+	onLoad(endpoint: Endpoint, load: WorkerLoad, reportedAt: number): void {
 		const state = this.#stateOf(endpoint);
+		if (reportedAt < state.completion.loadAt) {
+			return;
+		}
+
+		const sentSinceReport = state.sentAt > reportedAt ? state.completion.sentSinceReport : 0;
 		state.reportedCallsPerSlot = load.callsPerSlot;
-		state.loadAt = now;
-		state.completion = {...state.completion, load, loadAt: now, sentSinceReport: 0};
+		state.loadAt = reportedAt;
+		state.completion = {...state.completion, load, loadAt: reportedAt, sentSinceReport};
 	}
 
 	/**
@@ -389,6 +402,7 @@
 		relativeRunTime: 1,
 		reportedCallsPerSlot: 0,
 		loadAt: 0,
+		sentAt: Number.NEGATIVE_INFINITY,
 		failures: 0,
 		ejections: 0,
 		ejectedUntil: 0,
--- a/packages/redwingmill-core/src/call/entry-call.ts
+++ b/packages/redwingmill-core/src/call/entry-call.ts
@@ -324,7 +324,7 @@
 		this.#endpoint = endpoint;
 		this.#attempts += 1;
 		this.#triedNodes.add(endpoint.node);
-		this.#chooser.onSent(endpoint);
+		this.#chooser.onSent(endpoint, now);
 		return {
 			type: 'attempt',
 			endpoint,
--- a/packages/redwingmill-core/src/directory/digest-controller.ts
+++ b/packages/redwingmill-core/src/directory/digest-controller.ts
@@ -5,6 +5,7 @@
 	stampOf,
 	type DataCentreSummary,
 	type NodeStatus,
+	type ReportedLoad,
 } from '../model/node-status.js';
 import {aliveIndexOf} from './alive-index.js';
 import {
@@ -178,7 +179,7 @@
 	const {addressesById} = recordIndexOf(members.records);
 	const ownId = digestIdOf(members.self.address);
 	const signs: Array<readonly [string, SignOfLife]> = [];
-	const loads = new Map<string, NonNullable<NodeStatus['load']>>();
+	const loads = new Map<string, ReportedLoad>();
 	const unknownIds: number[] = [];
 	for (const {id, stamp, ageMs, load} of statuses) {
 		const address = addressesById.get(id);
@@ -190,7 +191,8 @@
 		} else if (record === undefined || stampOf(record) !== stamp) {
 			unknownIds.push(id);
 		} else {
-			signs.push([record.address, {at: now - ageMs, load}]);
+			const reported = load && {load: load.load, at: now - load.ageMs};
+			signs.push([record.address, {at: now - ageMs, load: reported}]);
 			if (load) {
 				loads.set(record.address, load);
 			}
@@ -392,12 +394,18 @@
 	const id = digestIdOf(record.address);
 	const stamp = stampOf(record);
 	if (record === members.self) {
-		return {id, stamp, ageMs: 0, load: members.load};
+		const {load} = members;
+		return {id, stamp, ageMs: 0, ...(load ? {load: {load, ageMs: 0}} : {})};
 	}
 
 	const {receivedAt = now, load} = members.peers.get(record.address) ?? {};
 	const confirmedAt = digests.confirmedAt.get(record.dataCentre) ?? receivedAt;
-	return {id, stamp, ageMs: Math.max(0, now - Math.max(receivedAt, confirmedAt)), load};
+	return {
+		id,
+		stamp,
+		ageMs: Math.max(0, now - Math.max(receivedAt, confirmedAt)),
+		...(load ? {load: {load: load.load, ageMs: Math.max(0, now - load.at)}} : {}),
+	};
 }
 
 function aliveLocalPeers({self, alive}: MembersSection): readonly string[] {
--- a/packages/redwingmill-core/src/directory/directory-event.ts
+++ b/packages/redwingmill-core/src/directory/directory-event.ts
@@ -3,6 +3,7 @@
 import {type ConfigurationDocument} from '../model/configuration-document.js';
 import {type Datagram} from '../model/datagram.js';
 import {type NodeRecord, type Worker} from '../model/node-record.js';
+import {type ReportedLoad} from '../model/node-status.js';
 
 /** Events that the directory handles. Plain data. */
 export type DirectoryEvent =
@@ -61,7 +62,7 @@
 			readonly since?: number;
 	  }
 	/** Loads of other nodes' workers, by control address. */
-	| {readonly type: 'loads-heard'; readonly loads: ReadonlyMap<string, WorkerLoad>}
+	| {readonly type: 'loads-heard'; readonly loads: ReadonlyMap<string, ReportedLoad>}
 	/** A node stopped responding, so requests sent to it will most likely stay unanswered. */
 	| {readonly type: 'node-silent'; readonly node: string}
 	/** This node's worker announced its departure before this process started. */
--- a/packages/redwingmill-core/src/directory/directory-state.ts
+++ b/packages/redwingmill-core/src/directory/directory-state.ts
@@ -36,8 +36,8 @@
 	readonly watchReportedAt?: number;
 	/** Since when the node counts as unreachable; absent while it is reachable. */
 	readonly lapsedAt?: number;
-	/** Load of the node's worker as last reported; absent when it wasn't. */
-	readonly load?: WorkerLoad;
+	/** Load of the node's worker as last reported, and when its gate did; absent when it didn't. */
+	readonly load?: {readonly load: WorkerLoad; readonly at: number};
 };
 
 /** This node, and the other nodes by control address. */
--- a/packages/redwingmill-core/src/directory/member-actions.ts
+++ b/packages/redwingmill-core/src/directory/member-actions.ts
@@ -1,4 +1,3 @@
-import {type WorkerLoad} from '../call/worker-load.js';
 import {type Datagram} from '../model/datagram.js';
 import {isRoutable, supersedes, type NodeRecord} from '../model/node-record.js';
 import {aliveIndexOf} from './alive-index.js';
@@ -29,7 +28,7 @@
 	readonly at: number;
 	/** Whether the node itself reported that it watches the store and reaches it. */
 	readonly isWatching?: boolean;
-	readonly load?: WorkerLoad;
+	readonly load?: Peer['load'];
 };
 
 /** Records signs of life of other nodes. Nodes that had lapsed are routed to again. */
--- a/packages/redwingmill-core/src/directory/peers-controller.ts
+++ b/packages/redwingmill-core/src/directory/peers-controller.ts
@@ -161,9 +161,9 @@
 		return;
 	}
 
-	markAlive(update, [[from, {at: now, isWatching, load}]], now);
+	markAlive(update, [[from, {at: now, isWatching, load: load && {load, at: now}}]], now);
 	if (load) {
-		update.emit({type: 'loads-heard', loads: new Map([[from, load]])});
+		update.emit({type: 'loads-heard', loads: new Map([[from, {load, ageMs: 0}]])});
 	}
 }
 
--- a/packages/redwingmill-core/src/index.ts
+++ b/packages/redwingmill-core/src/index.ts
@@ -30,6 +30,7 @@
 	stampSumOf,
 	type DataCentreSummary,
 	type NodeStatus,
+	type ReportedLoad,
 } from './model/node-status.js';
 export {applyMergePatch, mergePatchOf, type Json} from './model/merge-patch.js';
 export * from './model/platform-object.js';
--- a/packages/redwingmill-core/src/model/node-status.ts
+++ b/packages/redwingmill-core/src/model/node-status.ts
@@ -11,7 +11,14 @@
 	/** Milliseconds since the node was last known to be alive. */
 	readonly ageMs: number;
 	/** Load of the node's worker; absent when it isn't known. */
-	readonly load?: WorkerLoad;
+	readonly load?: ReportedLoad;
+};
+
+/** Load of a worker, and how old the report of it is. */
+export type ReportedLoad = {
+	readonly load: WorkerLoad;
+	/** Milliseconds since the worker's gate reported it. */
+	readonly ageMs: number;
 };
 
 /** The nodes of a data centre that are alive, in a few bytes. */
--- a/packages/redwingmill-node/src/call/entry-service.ts
+++ b/packages/redwingmill-node/src/call/entry-service.ts
@@ -12,9 +12,9 @@
 	type AttemptResult,
 	type Endpoint,
 	type NotRunReason,
+	type ReportedLoad,
 	type RoutingTable,
 	type Ticket,
-	type WorkerLoad,
 } from 'redwingmill-core';
 import {digestOf, type Random} from 'redwingmill-shared';
 import {anyMethod, type Route} from 'redwingmill-text';
@@ -160,12 +160,12 @@
 	}
 
 	/** Records the loads that other nodes reported of their workers, by control address. */
-	onLoads(loads: ReadonlyMap<string, WorkerLoad>): void {
+	onLoads(loads: ReadonlyMap<string, ReportedLoad>): void {
 		const now = performance.now();
-		for (const [node, load] of loads) {
+		for (const [node, {load, ageMs}] of loads) {
 			const endpoint = this.#endpointsByNode.get(node);
 			if (endpoint) {
-				this.#chooser.onLoad(endpoint, load, now);
+				this.#chooser.onLoad(endpoint, load, now - ageMs);
 			}
 		}
 	}
--- a/packages/redwingmill-node/src/control/control-plane.ts
+++ b/packages/redwingmill-node/src/control/control-plane.ts
@@ -1,6 +1,7 @@
 import {
 	type CrashReport,
 	type NodeRecord,
+	type ReportedLoad,
 	type RoutingTable,
 	type SuspicionReport,
 	type Worker,
@@ -27,7 +28,7 @@
 export type CrashReportSource = () => readonly CrashReport[];
 
 /** Handles the loads of other nodes' workers, by control address. */
-export type LoadHandler = (loads: ReadonlyMap<string, WorkerLoad>) => void;
+export type LoadHandler = (loads: ReadonlyMap<string, ReportedLoad>) => void;
 
 /** Handles the departure of this node's worker that another node knows of. */
 export type DepartureHandler = (instance: string, startedAt: number | undefined) => void;
--- a/packages/redwingmill-protocol/src/__tests__/unit/datagram-codec.test.ts
+++ b/packages/redwingmill-protocol/src/__tests__/unit/datagram-codec.test.ts
@@ -48,7 +48,7 @@
 				id: 1,
 				stamp: 4_000_000_000,
 				ageMs: 0,
-				load: {callsPerSlot: 0.5, waitMs: 10, runMs: 60, failureShare: 0},
+				load: {load: {callsPerSlot: 0.5, waitMs: 10, runMs: 60, failureShare: 0}, ageMs: 300},
 			},
 			{id: 2, stamp: 3, ageMs: 120},
 		],
@@ -109,7 +109,7 @@
 			id: 4_000_000_000 + index,
 			stamp: 3_000_000_000 + index,
 			ageMs: 500,
-			load,
+			load: {load, ageMs: 800},
 		}));
 		const digest = datagrams.find(({type}) => type === 'digest')!;
 		expect(encodeDatagram({...digest, statuses} as Datagram).length).to.be.below(1400);
--- a/packages/redwingmill-protocol/src/datagram-codec.ts
+++ b/packages/redwingmill-protocol/src/datagram-codec.ts
@@ -1,5 +1,5 @@
 import {create, fromBinary, toBinary, type MessageInitShape} from '@bufbuild/protobuf';
-import {type Datagram, type NodeStatus, type WorkerLoad} from 'redwingmill-core';
+import {type Datagram, type NodeStatus, type ReportedLoad, type WorkerLoad} from 'redwingmill-core';
 import {decodeCrashReport, encodeCrashReport} from './crash-report-codec.js';
 import {ProtocolError} from './errors.js';
 import * as wire from './generated/redwingmill/v1/datagram_pb.js';
@@ -169,10 +169,16 @@
 		ids: statuses.map(({id}) => id),
 		stamps: statuses.map(({stamp}) => stamp),
 		agesMs: statuses.map(({ageMs}) => Math.round(ageMs)),
-		loads: hasLoads ? statuses.map(({load}) => (load ? encodeLoad(load) : unknownLoad)) : [],
+		loads: hasLoads
+			? statuses.map(({load}) => (load ? encodeReportedLoad(load) : unknownLoad))
+			: [],
 	};
 }
 
+function encodeReportedLoad({load, ageMs}: ReportedLoad): MessageInitShape<typeof wire.LoadSchema> {
+	return {...encodeLoad(load), ageMs: Math.round(ageMs)};
+}
+
 function decodeDigest(digest: wire.Digest): Digest {
 	const {incarnation, revision, version, isWatching, crashDigest, storeEra, ids, loads} = digest;
 	if (digest.stamps.length !== ids.length || digest.agesMs.length !== ids.length) {
@@ -195,7 +201,7 @@
 				id,
 				stamp: digest.stamps[index],
 				ageMs: digest.agesMs[index],
-				...(isKnown ? {load: decodeLoad(load)} : {}),
+				...(isKnown ? {load: {load: decodeLoad(load), ageMs: load.ageMs}} : {}),
 			};
 		}),
 	};
