--- a/packages/redwingmill-core/src/directory/crash-store-controller.ts
+++ b/packages/redwingmill-core/src/directory/crash-store-controller.ts
@@ -19,6 +19,7 @@
  */
 export class CrashStoreController implements DirectoryController {
 	handle(update: DirectoryUpdate, event: DirectoryEvent, context: DirectoryContext): void {
+		saveLostReports(update, context);
 		switch (event.type) {
 			case 'tick': {
 				startDueRequests(update, context.now);
@@ -46,8 +47,6 @@
 				break;
 			}
 		}
-
-		saveLostReports(update, context);
 	}
 }
 
--- a/packages/redwingmill-core/src/directory/member-actions.ts
+++ b/packages/redwingmill-core/src/directory/member-actions.ts
@@ -44,16 +44,11 @@
 		const peer = members.peers.get(address) ?? newPeer(now);
 		if (at >= peer.receivedAt) {
 			const watchReportedAt = isWatching === true ? at : peer.watchReportedAt;
-			const {load: previousLoad, ...contact} = peer;
+			const isNewer = load !== undefined && load.at >= (peer.load?.at ?? 0);
+			const newestLoad = isNewer ? load : peer.load;
 			changed.push([
 				address,
-				{
-					...contact,
-					receivedAt: at,
-					watchReportedAt,
-					lapsedAt: undefined,
-					load: load ?? previousLoad,
-				},
+				{...peer, receivedAt: at, watchReportedAt, lapsedAt: undefined, load: newestLoad},
 			]);
 			if (peer.lapsedAt !== undefined) {
 				hasReturned = true;
@@ -77,17 +72,20 @@
 	now: number,
 ): void {
 	const {members} = update.pending;
+	const newer = records.filter(
+		(record) =>
+			record.address !== members.self.address &&
+			supersedes(record, members.records.get(record.address)),
+	);
+	if (newer.length === 0) {
+		return;
+	}
+
 	const merged = new Map(members.records);
 	const added: Array<readonly [string, Peer]> = [];
-	let hasChanged = false;
-	for (const record of records) {
+	for (const record of newer) {
 		const {address, incarnation, status} = record;
-		const known = merged.get(address);
-		if (address === members.self.address || !supersedes(record, known)) {
-			continue;
-		}
-
-		hasChanged = true;
+		const known = members.records.get(address);
 		merged.set(address, record);
 		if (!members.peers.has(address)) {
 			added.push([address, newPeer(now)]);
@@ -100,9 +98,7 @@
 		}
 	}
 
-	if (hasChanged) {
-		setMembers(update, {...members, records: merged, peers: members.peers.withAll(added)});
-	}
+	setMembers(update, {...members, records: merged, peers: members.peers.withAll(added)});
 }
 
 /** Returns the datagram that announces this node's record. */
@@ -214,17 +210,19 @@
 
 /**
  * Sends a heartbeat with the version held to the nodes that may rely on this one for new versions: if it
- * watches the store, those of the local data centre and the watchers of the others.
+ * watches the store, those of the local data centre, and in a large mesh the watchers of the others.
  */
 export function notifyOfVersion(
 	update: DirectoryUpdate,
 	{now, limits}: Pick<DirectoryContext, 'now' | 'limits'>,
 ): void {
 	const {members, watch} = update.pending;
-	if (isWatching(watch)) {
-		const receivers = [...localPeers(members), ...remoteWatchers(members, limits)];
-		sendToPeers(update, receivers, heartbeatOf(update.pending), now);
+	if (!isWatching(watch)) {
+		return;
 	}
+
+	const remote = isSmallMesh(members, limits) ? [] : remoteWatchers(members, limits);
+	sendToPeers(update, [...localPeers(members), ...remote], heartbeatOf(update.pending), now);
 }
 
 /** Changes this node's record; announces it at once and again later, because datagrams get lost. */
