--- a/packages/redwingmill-core/src/directory/create-directory.ts
+++ b/packages/redwingmill-core/src/directory/create-directory.ts
@@ -6,6 +6,7 @@
 import {type DirectoryLimits} from './directory-limits.js';
 import {type DirectoryState} from './directory-state.js';
 import {DigestController} from './digest-controller.js';
+import {DigestSendingController} from './digest-sending-controller.js';
 import {EndpointsController} from './endpoints-controller.js';
 import {HeartbeatController} from './heartbeat-controller.js';
 import {LivenessController} from './liveness-controller.js';
@@ -26,12 +27,13 @@
 	peers: 3,
 	heartbeat: 4,
 	digest: 5,
-	liveness: 6,
-	registry: 7,
-	watch: 8,
-	endpoints: 9,
-	crashReport: 10,
-	crashStore: 11,
+	digestSending: 6,
+	liveness: 7,
+	registry: 8,
+	watch: 9,
+	endpoints: 10,
+	crashReport: 11,
+	crashStore: 12,
 } as const;
 
 /** Creates an engine with all controllers of the directory. */
@@ -44,6 +46,7 @@
 	directory.registerController(new PeersController(), priorities.peers);
 	directory.registerController(new HeartbeatController(), priorities.heartbeat);
 	directory.registerController(new DigestController(), priorities.digest);
+	directory.registerController(new DigestSendingController(), priorities.digestSending);
 	directory.registerController(new LivenessController(), priorities.liveness);
 	directory.registerController(new AdoptionController(), priorities.adoption);
 	directory.registerController(new RegistryController(), priorities.registry);
--- a/packages/redwingmill-node/src/control/datagram-socket.ts
+++ b/packages/redwingmill-node/src/control/datagram-socket.ts
@@ -18,6 +18,7 @@
 	readonly #socket: Socket;
 	readonly #handlers: DatagramHandlers;
 	#bytes = 0;
+	#lastSent: {readonly datagram: Datagram; readonly bytes: Uint8Array} | undefined;
 	#isClosed = false;
 
 	constructor(handlers: DatagramHandlers) {
@@ -52,7 +53,7 @@
 		}
 
 		const {host, port} = splitAddress(to);
-		const bytes = encodeDatagram(datagram);
+		const bytes = this.#encode(datagram);
 		this.#bytes += bytes.length + ipUdpHeaderBytes;
 		this.#socket.send(bytes, port, host, () => undefined);
 	}
@@ -62,6 +63,15 @@
 		this.#socket.close();
 	}
 
+	/** Encodes a datagram once that is sent to many nodes one after the other. */
+	#encode(datagram: Datagram): Uint8Array {
+		if (this.#lastSent?.datagram !== datagram) {
+			this.#lastSent = {datagram, bytes: encodeDatagram(datagram)};
+		}
+
+		return this.#lastSent.bytes;
+	}
+
 	#receive(bytes: Uint8Array, from: string): void {
 		this.#bytes += bytes.length + ipUdpHeaderBytes;
 		let datagram: Datagram;
