A worker that resets new connections isn't gone

Found by reading: since an error before an exchange has started counts as not sent, a reset of a new connection, with which a worker turns away what exceeds its connections, made the gate take the worker for gone until its next announcement, up to 1.5 s. Only errors of a connection that nobody accepts do so; after others the worker has refused the call.

--- a/packages/redwingmill-node/src/__tests__/unit/gate-service.test.ts
+++ b/packages/redwingmill-node/src/__tests__/unit/gate-service.test.ts
@@ -1,6 +1,6 @@
 import {once} from 'node:events';
 import {createServer, type Server, type ServerResponse} from 'node:http';
-import {type AddressInfo} from 'node:net';
+import {type AddressInfo, type Socket} from 'node:net';
 import {expect} from 'chai';
 import {defaultGateLimits, type Answer, type CrashNotice} from 'redwingmill-core';
 import {GateService} from '../../call/gate-service.js';
@@ -40,6 +40,8 @@
 /** A gate in front of a worker, and what became of crashes there. */
 class GateWithWorker {
 	readonly notices: CrashNotice[] = [];
+	/** Number of times that the worker counted as gone. */
+	goneCount = 0;
 	readonly service: GateService;
 	#calls = 0;
 
@@ -54,7 +56,9 @@
 			onCrashNotice: (notice) => {
 				this.notices.push(notice);
 			},
-			onWorkerGone: () => undefined,
+			onWorkerGone: () => {
+				this.goneCount += 1;
+			},
 		});
 		this.service.setWorker({service: 'coding', address, slots: 4, state: 'ready'});
 	}
@@ -134,3 +138,32 @@
 		expect(notice).to.deep.equal(expected);
 	});
 });
+
+describe('a worker that resets new connections', () => {
+	it('stays in use, and is asked again by the next call', async () => {
+		let isResetting = true;
+		const worker = createServer((_request, response) => {
+			response.end('done');
+		});
+		worker.on('connection', (socket: Socket) => {
+			if (isResetting) {
+				socket.resetAndDestroy();
+			}
+		});
+		worker.listen(0, host);
+		await once(worker, 'listening');
+		const gate = new GateWithWorker(`${host}:${(worker.address() as AddressInfo).port}`);
+		for (let count = 0; count < 8; count++) {
+			const {outcome} = await gate.call('/one', longMs);
+			expect(outcome.type).to.not.equal('ran');
+		}
+
+		isResetting = false;
+		const answer = await gate.call('/two', longMs);
+		expect(gate.goneCount).to.equal(0);
+		expect(answer.outcome.type).to.equal('ran');
+		await gate.service.close();
+		worker.closeAllConnections();
+		worker.close();
+	});
+});
--- a/packages/redwingmill-node/src/call/gate-service.ts
+++ b/packages/redwingmill-node/src/call/gate-service.ts
@@ -81,6 +81,13 @@
 const evictionIntervalMs = 1000;
 const waitingCheckIntervalMs = 20;
 const firstServerErrorStatus = 500;
+/** Errors that no worker at the address causes, only its absence. */
+const connectFailureCodes: ReadonlySet<string> = new Set([
+	'ECONNREFUSED',
+	'UND_ERR_CONNECT_TIMEOUT',
+	'EHOSTUNREACH',
+	'ENETUNREACH',
+]);
 /** Status with which a worker ends a call at its deadline. */
 const gatewayTimeoutStatus = 504;
 
@@ -405,7 +412,8 @@
 			}
 
 			case 'refused': {
-				return {type: 'unreachable'};
+				// A worker with too many connections resets new ones, and is no less there.
+				return {type: connectFailureCodes.has(result.reason) ? 'unreachable' : 'shed'};
 			}
 
 			case 'foreign':
