Soak: a soak that is ended ends its nodes

Seen: two soaks were ended by a signal, and eleven of their nodes went on until they were ended by id.

--- a/packages/redwingmill-soak/src/__tests__/unit/node-process.test.ts
+++ b/packages/redwingmill-soak/src/__tests__/unit/node-process.test.ts
@@ -1,6 +1,8 @@
-import {existsSync, mkdtempSync, readFileSync, writeFileSync} from 'node:fs';
+import {spawnSync} from 'node:child_process';
+import {existsSync, mkdtempSync, readdirSync, readFileSync, writeFileSync} from 'node:fs';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
+import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import {expect} from 'chai';
 import {NodeProcess} from '../../node-process.js';
@@ -84,4 +86,42 @@
 
 		expect(exits).to.deep.equal(['exit code 3, signal null']);
 	});
+
+	it('ends when the process that started it exits', async () => {
+		const folder = mkdtempSync(path.join(tmpdir(), 'redwingmill-process-'));
+		const module = new URL('../../node-process.js', import.meta.url).href;
+		const program = path.join(folder, 'program.cjs');
+		const starter = path.join(folder, 'starter.mjs');
+		writeFileSync(program, 'setInterval(() => undefined, 1000);');
+		writeFileSync(
+			starter,
+			`import {NodeProcess} from ${JSON.stringify(module)};
+			const options = {program: ${JSON.stringify(program)}, environment: {}, onUnexpectedExit() {}};
+			await new NodeProcess({...options, logFile: '/dev/null'}).start();
+			process.exit();`,
+		);
+		const {status} = spawnSync(process.execPath, [starter]);
+		expect(status).to.equal(0);
+		// The kernel ends it a moment after the signal.
+		while (commandsOfAll().some((command) => command.includes(program))) {
+			await delay(10);
+		}
+	});
 });
+
+/** Returns the command lines of all processes. */
+function commandsOfAll(): string[] {
+	return readdirSync('/proc')
+		.filter((name) => /^\d+$/v.test(name))
+		.map((name) => commandOf(name));
+}
+
+/** Returns the command line of a process; empty when it has ended. */
+function commandOf(pid: string): string {
+	try {
+		return readFileSync(`/proc/${pid}/cmdline`, 'utf8');
+	} catch {
+		// The process has ended since the list was read.
+		return '';
+	}
+}
--- a/packages/redwingmill-soak/src/node-process.ts
+++ b/packages/redwingmill-soak/src/node-process.ts
@@ -14,6 +14,14 @@
 };
 
 const hexadecimal = 16;
+/** Processes to end with this one, which would otherwise go on without it. */
+const runningChildren = new Set<ChildProcess>();
+
+process.on('exit', () => {
+	for (const child of runningChildren) {
+		child.kill('SIGKILL');
+	}
+});
 
 /** A node's process across restarts. Signals are sent only to processes started here. */
 export class NodeProcess {
@@ -52,7 +60,9 @@
 		});
 		closeSync(log);
 		this.#child = child;
+		runningChildren.add(child);
 		child.once('exit', (code, signal) => {
+			runningChildren.delete(child);
 			this.#child = undefined;
 			if (!this.#isTerminating) {
 				onUnexpectedExit(`exit code ${code}, signal ${signal}`);
