Records sent to many nodes are encoded once too; exports that nobody uses go

sendRecords made a datagram for each receiver, so the encoding that shares was done again for each. The core's index exported the scale of heartbeats, for a crowd that runs real directories now, and the hashes of digests. No decision changes.

--- a/packages/redwingmill-core/src/directory/digest-datagrams.ts
+++ b/packages/redwingmill-core/src/directory/digest-datagrams.ts
@@ -45,8 +45,9 @@
 ): void {
 	for (let start = 0; start < records.length; start += recordsPerDatagram) {
 		const part = records.slice(start, start + recordsPerDatagram);
+		const datagram = {type: 'records', records: part} as const;
 		for (const to of receivers) {
-			update.emit({type: 'send', to, datagram: {type: 'records', records: part}});
+			update.emit({type: 'send', to, datagram});
 		}
 	}
 }
--- a/packages/redwingmill-core/src/index.ts
+++ b/packages/redwingmill-core/src/index.ts
@@ -24,14 +24,7 @@
 	type Worker,
 	type WorkerState,
 } from './model/node-record.js';
-export {
-	digestIdOf,
-	stampOf,
-	stampSumOf,
-	type DataCentreSummary,
-	type NodeStatus,
-	type ReportedLoad,
-} from './model/node-status.js';
+export {type DataCentreSummary, type NodeStatus, type ReportedLoad} from './model/node-status.js';
 export {applyMergePatch, mergePatchOf, type Json} from './model/merge-patch.js';
 export * from './model/platform-object.js';
 export {type Roster, type Section, type SectionDigest} from './model/roster.js';
@@ -84,11 +77,6 @@
 	type DirectoryEvent,
 	type DirectoryNotice,
 } from './directory/directory-event.js';
-export {
-	heartbeatIntervals,
-	type HeartbeatIntervals,
-	type NodeCounts,
-} from './directory/heartbeat-intervals.js';
 export {defaultDirectoryLimits, type DirectoryLimits} from './directory/directory-limits.js';
 export {type CallerLimits, type ConfigurationDocument} from './model/configuration-document.js';
 export {type Datagram} from './model/datagram.js';
