Log and count how long a version was known before it came into force

To tell a watch that is silent from a version that is refused or read from an older state: event 205 has behindMs, a gauge shows for how long a newer version has been known, and refused versions are counted.

--- a/packages/redwingmill-core/src/directory/adoption-controller.ts
+++ b/packages/redwingmill-core/src/directory/adoption-controller.ts
@@ -62,7 +62,11 @@
 	const stillNewer = isStillBehind ? {...newer, behindSince: context.now} : undefined;
 	update.set('adoption', {held: document, newer: stillNewer});
 	const {version} = document;
-	update.emit({type: 'notify', notice: {type: 'configuration-adopted', version, previous, origin}});
+	const behindMs = newer === undefined ? 0 : context.now - newer.behindSince;
+	update.emit({
+		type: 'notify',
+		notice: {type: 'configuration-adopted', version, previous, origin, behindMs},
+	});
 	notifyOfVersion(update, context);
 }
 
--- a/packages/redwingmill-core/src/directory/directory-event.ts
+++ b/packages/redwingmill-core/src/directory/directory-event.ts
@@ -83,6 +83,8 @@
 			readonly version: number;
 			readonly previous: number;
 			readonly origin: 'store' | 'node';
+			/** Time since another node first announced a version newer than the one held; 0 if none did. */
+			readonly behindMs: number;
 	  }
 	| {readonly type: 'node-joined'; readonly peer: string; readonly incarnation: number}
 	| {readonly type: 'node-lapsed'; readonly peer: string; readonly silentMs: number}
--- a/packages/redwingmill-core/src/directory/directory-state.ts
+++ b/packages/redwingmill-core/src/directory/directory-state.ts
@@ -189,6 +189,11 @@
 	};
 }
 
+/** Returns for how long this node has known of a version newer than the one it holds; 0 if of none. */
+export function configurationBehindMs({adoption}: DirectoryState, now: number): number {
+	return adoption.newer === undefined ? 0 : Math.max(0, now - adoption.newer.behindSince);
+}
+
 /**
  * Returns the number of nodes, including this one; undefined until the registry has been listed, since
  * a node that has just started may know only a few of them.
--- a/packages/redwingmill-core/src/index.ts
+++ b/packages/redwingmill-core/src/index.ts
@@ -67,6 +67,7 @@
 export {WorkerLease, type AnnouncementOrder, type Renewal} from './call/worker-lease.js';
 export {createDirectory, type Directory} from './directory/create-directory.js';
 export {
+	configurationBehindMs,
 	initialDirectoryState,
 	knownNodeCount,
 	type DirectoryServingState,
--- a/packages/redwingmill-node/src/__tests__/unit/metrics-page.test.ts
+++ b/packages/redwingmill-node/src/__tests__/unit/metrics-page.test.ts
@@ -5,6 +5,7 @@
 function createMetrics(): Metrics {
 	return new Metrics(() => ({
 		versionInForce: 7,
+		configurationBehindSeconds: 1.5,
 		controlBytes: 100,
 		endpoints: 3,
 		gateRunning: 1,
@@ -33,6 +34,7 @@
 			'redwingmill_retries_total{reason="refused"} 1',
 			'redwingmill_control_events_total{event="link-overflow"} 1',
 			'redwingmill_version_in_force 7',
+			'redwingmill_configuration_behind_seconds 1.5',
 			'redwingmill_is_serving 1',
 		]);
 	});
--- a/packages/redwingmill-node/src/control/control-plane.ts
+++ b/packages/redwingmill-node/src/control/control-plane.ts
@@ -51,6 +51,8 @@
 	readonly nodeCount: number | undefined;
 	/** Bytes of control traffic sent and received since the start. */
 	readonly controlBytes: number;
+	/** For how long this node has known of a version newer than the one in force here; 0 if of none. */
+	readonly configurationBehindMs: number;
 	/** Whether this node is the relay of its data centre. */
 	readonly isRelay: boolean;
 	/** Returns the configuration in force for another node, or a patch to it from version `since`. */
--- a/packages/redwingmill-node/src/control/relay-control-plane.ts
+++ b/packages/redwingmill-node/src/control/relay-control-plane.ts
@@ -116,6 +116,11 @@
 		return count === 0 ? undefined : count;
 	}
 
+	/** Versions come into force on all nodes together here, so none is known before. */
+	get configurationBehindMs(): number {
+		return 0;
+	}
+
 	get isRelay(): boolean {
 		return this.blackboard.links.uplink.type === 'relay';
 	}
--- a/packages/redwingmill-node/src/control/store-control-plane.ts
+++ b/packages/redwingmill-node/src/control/store-control-plane.ts
@@ -1,5 +1,6 @@
 import {Client} from 'undici';
 import {
+	configurationBehindMs,
 	createDirectory,
 	defaultDirectoryLimits,
 	initialDirectoryState,
@@ -123,6 +124,10 @@
 		return this.#socket.bytes;
 	}
 
+	get configurationBehindMs(): number {
+		return configurationBehindMs(this.#state, performance.now());
+	}
+
 	get isRelay(): boolean {
 		return false;
 	}
@@ -455,6 +460,7 @@
 		}
 
 		this.#log.write(logEvents.configurationRefused, {origin, faults: decoded.faults});
+		this.#metrics.countControlEvent('configuration-refused');
 		return false;
 	}
 }
--- a/packages/redwingmill-node/src/daemon.ts
+++ b/packages/redwingmill-node/src/daemon.ts
@@ -294,6 +294,7 @@
 		const counts = [...routing.endpoints.values()].map((endpoints) => endpoints.length);
 		return {
 			versionInForce: routing.version,
+			configurationBehindSeconds: this.#control.configurationBehindMs / 1000,
 			controlBytes,
 			endpoints: counts.reduce((sum, count) => sum + count, 0),
 			gateRunning: this.#gate.runningCount,
--- a/packages/redwingmill-node/src/observe/metrics-page.ts
+++ b/packages/redwingmill-node/src/observe/metrics-page.ts
@@ -114,6 +114,11 @@
 				'Number of the configuration version in force.',
 				(values) => values.versionInForce,
 			],
+			[
+				'configuration_behind_seconds',
+				'Time for which a version newer than the one in force is known; 0 if none is.',
+				(values) => values.configurationBehindSeconds,
+			],
 			[
 				'control_bytes',
 				'Bytes of control traffic, sent and received.',
--- a/packages/redwingmill-node/src/observe/metrics.ts
+++ b/packages/redwingmill-node/src/observe/metrics.ts
@@ -3,6 +3,7 @@
 /** Values of the gauges, read when the metrics are scraped. */
 export type GaugeValues = {
 	readonly versionInForce: number;
+	readonly configurationBehindSeconds: number;
 	readonly controlBytes: number;
 	readonly endpoints: number;
 	readonly gateRunning: number;
@@ -79,7 +80,13 @@
 	}
 
 	countControlEvent(
-		event: ControlCounter | 'platform-retry' | 'link-overflow' | 'configuration-unanswered',
+		event:
+			| ControlCounter
+			| 'platform-retry'
+			| 'link-overflow'
+			| 'configuration-unanswered'
+			| 'configuration-refused'
+			| 'watch-renewed',
 	): void {
 		increment(this.#controlEvents, event);
 	}
