Notice silent connections to the store before versions are late

Callers got 404 for routes of a version that the store had confirmed more than 2 s before.

Cause: each change ends the long polls of all nodes, so all begin the next one, of 4 s, at the same moment. When these connections go silent, every node waits 4.7 s, and none is left to tell the others.

- The first polls after a change end one after the other, at most a second apart over the mesh; nodes that know few others poll more often.
- A poll that is behind what other nodes have is abandoned after 0.4 s, at most every 2 s, and so is one of an earlier era of the store, whoever reports the new one.
- After a silence the client opens new connections: those that were idle may be silent as well.

--- a/packages/redwingmill-core/src/directory/directory-event.ts
+++ b/packages/redwingmill-core/src/directory/directory-event.ts
@@ -54,6 +54,8 @@
 	| {readonly type: 'list-registry'; readonly isFirst: boolean}
 	/** Starts or stops watching the configuration in the store. */
 	| {readonly type: 'set-watch'; readonly isOn: boolean}
+	/** Abandons the poll in progress, if there is one, and reads the configuration on another connection. */
+	| {readonly type: 'renew-watch'}
 	| {
 			readonly type: 'ask-configuration';
 			readonly node: string;
@@ -76,6 +78,12 @@
 	| {readonly type: 'suspect'; readonly report: CrashReport; readonly node: string}
 	| {readonly type: 'notify'; readonly notice: DirectoryNotice};
 
+/**
+ * Why a poll of the store was abandoned. `overtaken`: another node has a version that it should have
+ * delivered. `era-changed`: the store returned from an older copy, in which the poll means nothing.
+ */
+export type WatchRenewalReason = 'overtaken' | 'era-changed';
+
 /** Notices for operators; each becomes a numbered log event. */
 export type DirectoryNotice =
 	| {
@@ -95,6 +103,7 @@
 	| {readonly type: 'identity-renewed'; readonly incarnation: number}
 	| {readonly type: 'directory-state'; readonly from: string; readonly to: string}
 	| {readonly type: 'watch-changed'; readonly isOn: boolean}
+	| {readonly type: 'watch-renewed'; readonly reason: WatchRenewalReason}
 	/** The store returned from an older copy. */
 	| {readonly type: 'store-era-changed'; readonly era: number; readonly previous: number}
 	| {readonly type: 'paused'; readonly durationMs: number};
--- a/packages/redwingmill-core/src/directory/directory-limits.ts
+++ b/packages/redwingmill-core/src/directory/directory-limits.ts
@@ -29,6 +29,14 @@
 	readonly configurationRequestDelayMs: number;
 	/** Shortest time between two requests for a configuration to other nodes. */
 	readonly configurationRequestIntervalMs: number;
+	/** Longest duration of a poll of the store for changes of the configuration. */
+	readonly longPollMs: number;
+	/** Longest time between the ends of two polls of the mesh, unless a watching node fails. */
+	readonly longPollGapMs: number;
+	/** Time for which a poll may be behind another node's version before it is abandoned. */
+	readonly pollOvertakenMs: number;
+	/** Shortest time between two polls that are abandoned for that. */
+	readonly pollRenewalIntervalMs: number;
 	/** How long a starting node waits for a configuration of other nodes before it reads the store. */
 	readonly firstReadDelayMs: number;
 	/** Largest number of nodes in a mesh in which every node watches the store. */
@@ -94,6 +102,10 @@
 	startupRegistryTimeoutMs: 2000,
 	configurationRequestDelayMs: 150,
 	configurationRequestIntervalMs: 600,
+	longPollMs: 4000,
+	longPollGapMs: 1000,
+	pollOvertakenMs: 400,
+	pollRenewalIntervalMs: 2000,
 	firstReadDelayMs: 800,
 	smallMeshNodes: 16,
 	storeWatchersPerDataCentre: 1,
--- a/packages/redwingmill-core/src/directory/directory-state.ts
+++ b/packages/redwingmill-core/src/directory/directory-state.ts
@@ -110,6 +110,10 @@
 	readonly isOn: boolean;
 	/** Whether the watch reaches the store. */
 	readonly isStoreReachable: boolean;
+	/** When a version came from another node that the watch hasn't delivered yet; absent if none did. */
+	readonly overtakenAt?: number;
+	/** When a poll was last abandoned. */
+	readonly renewedAt: number;
 };
 
 /** Crashes of workers on requests that this node knows of. */
@@ -174,7 +178,7 @@
 		},
 		registry: {writing: due, listing: due, hasBeenListed: false},
 		store: {era: 0},
-		watch: {isOn: false, isStoreReachable: false},
+		watch: {isOn: false, isStoreReachable: false, renewedAt: Number.NEGATIVE_INFINITY},
 		crashes: {
 			digest: 0,
 			sentAt: Number.NEGATIVE_INFINITY,
--- a/packages/redwingmill-core/src/directory/watch-controller.ts
+++ b/packages/redwingmill-core/src/directory/watch-controller.ts
@@ -4,9 +4,10 @@
 	type DirectoryController,
 	type DirectoryUpdate,
 } from './directory-controller.js';
-import {type DirectoryEvent} from './directory-event.js';
+import {type DirectoryEvent, type WatchRenewalReason} from './directory-event.js';
 import {scaledByDataCentre} from './digest-intervals.js';
 import {type DirectoryState} from './directory-state.js';
+import {isWatching} from './member-actions.js';
 import {recordIndexOf} from './record-index.js';
 import {isSmallMesh} from './watchers.js';
 
@@ -24,9 +25,15 @@
 				break;
 			}
 
+			case 'configuration-read': {
+				recordOrigin(update, event.origin, context.now);
+				break;
+			}
+
 			case 'registry-listed':
 			case 'tick': {
 				updateWatch(update, context);
+				renewOvertakenPoll(update, context);
 				break;
 			}
 
@@ -34,9 +41,48 @@
 				break;
 			}
 		}
+
+		renewPollOfEarlierEra(update, context.now);
 	}
 }
 
+function recordOrigin(update: DirectoryUpdate, origin: 'store' | 'node', now: number): void {
+	const {adoption, watch} = update.pending;
+	if (origin === 'store') {
+		update.set('watch', {overtakenAt: undefined});
+	} else if (watch.isOn && adoption.held !== update.current.adoption.held) {
+		update.set('watch', {overtakenAt: watch.overtakenAt ?? now});
+	}
+}
+
+/** Abandons a poll that hasn't delivered what other nodes know: its connection may be dead. */
+function renewOvertakenPoll(update: DirectoryUpdate, {now, limits}: DirectoryContext): void {
+	const {watch, adoption} = update.pending;
+	const behindSince = Math.min(
+		watch.overtakenAt ?? Number.POSITIVE_INFINITY,
+		adoption.newer?.heardAt ?? Number.POSITIVE_INFINITY,
+	);
+	const isOvertaken = now - behindSince >= limits.pollOvertakenMs;
+	const isDue = now - watch.renewedAt >= limits.pollRenewalIntervalMs;
+	if (isWatching(watch) && isOvertaken && isDue) {
+		renewPoll(update, 'overtaken', now);
+	}
+}
+
+/** Abandons a poll once the store has returned from an older copy, whoever reported that. */
+function renewPollOfEarlierEra(update: DirectoryUpdate, now: number): void {
+	const {store, watch} = update.pending;
+	const previousEra = update.current.store.era;
+	if (watch.isOn && previousEra > 0 && store.era > previousEra) {
+		renewPoll(update, 'era-changed', now);
+	}
+}
+
+function renewPoll(update: DirectoryUpdate, reason: WatchRenewalReason, now: number): void {
+	update.set('watch', {overtakenAt: undefined, renewedAt: now});
+	update.emit({type: 'renew-watch'}, {type: 'notify', notice: {type: 'watch-renewed', reason}});
+}
+
 function updateWatch(update: DirectoryUpdate, context: DirectoryContext): void {
 	const {watch} = update.pending;
 	const isOn = isWatchNeeded(update, context);
@@ -44,7 +90,7 @@
 		return;
 	}
 
-	update.set('watch', {isOn, isStoreReachable: false});
+	update.set('watch', {isOn, isStoreReachable: false, overtakenAt: undefined});
 	update.emit({type: 'set-watch', isOn}, {type: 'notify', notice: {type: 'watch-changed', isOn}});
 }
 
--- a/packages/redwingmill-core/src/index.ts
+++ b/packages/redwingmill-core/src/index.ts
@@ -79,6 +79,7 @@
 	type DirectoryNotice,
 } from './directory/directory-event.js';
 export {defaultDirectoryLimits, type DirectoryLimits} from './directory/directory-limits.js';
+export {longPollMs} from './directory/poll-schedule.js';
 export {type CallerLimits, type ConfigurationDocument} from './model/configuration-document.js';
 export {type Datagram} from './model/datagram.js';
 export {deriveRouting} from './model/derive-routing.js';
--- a/packages/redwingmill-node/src/control/configuration-watch.ts
+++ b/packages/redwingmill-node/src/control/configuration-watch.ts
@@ -11,10 +11,13 @@
 	readonly onSource: (source: unknown) => void;
 	/** Called when the store becomes reachable or unreachable. */
 	readonly onReachabilityChange: (isReachable: boolean, reason: string) => void;
+	/**
+	 * Returns the duration of the next long poll in milliseconds. `isFirst`: the previous request found a
+	 * configuration.
+	 */
+	readonly longPollMs: (isFirst: boolean) => number;
 };
 
-/** Duration of one long poll, which bounds the time until a dead connection is noticed. */
-const longPollTimeoutMs = 4000;
 /** Pause after a change, so that changes in quick succession arrive in one answer. */
 const pauseAfterChangeMs = 150;
 const retryBackoff: Backoff = {baseMs: 100, ceilingMs: 800};
@@ -25,6 +28,8 @@
 	readonly #handlers: ConfigurationWatchHandlers;
 	readonly #random: Random;
 	readonly #stopped = new AbortController();
+	/** Aborts the poll in progress; absent between two polls. */
+	#poll: AbortController | undefined;
 	#isReachable = false;
 	#failures = 0;
 
@@ -39,26 +44,46 @@
 		void this.#run();
 		return () => {
 			this.#stopped.abort();
+			this.#poll?.abort();
 		};
 	}
 
+	/** Abandons the poll in progress, if there is one, and reads the configuration again. */
+	renew(): void {
+		this.#poll?.abort();
+	}
+
 	async #run(): Promise<void> {
 		let position: StorePosition | undefined;
+		let isFirst = true;
 		while (!this.#stopped.signal.aborted) {
-			const {signal} = this.#stopped;
-			const result =
+			const result: ConfigurationReadResult =
 				position === undefined
 					? await this.#source.read()
-					: await this.#source.waitForChange(position, longPollTimeoutMs, signal);
-			if (signal.aborted) {
+					: await this.#waitForChange(position, isFirst);
+			if (this.#stopped.signal.aborted) {
 				return;
 			}
 
+			isFirst = result.type !== 'unchanged';
 			position = this.#handleResult(result);
 			await this.#delayNextRead(result);
 		}
 	}
 
+	/** Polls the store. A poll that is abandoned counts as expired, unless it found a change. */
+	async #waitForChange(
+		position: StorePosition,
+		isFirst: boolean,
+	): Promise<ConfigurationReadResult> {
+		const poll = new AbortController();
+		this.#poll = poll;
+		const waitMs = this.#handlers.longPollMs(isFirst);
+		const result = await this.#source.waitForChange(position, waitMs, poll.signal);
+		this.#poll = undefined;
+		return poll.signal.aborted && result.type !== 'found' ? {type: 'expired'} : result;
+	}
+
 	/** Returns the position to wait from; undefined if the configuration has to be read again. */
 	#handleResult(result: ConfigurationReadResult): StorePosition | undefined {
 		switch (result.type) {
--- a/packages/redwingmill-node/src/control/store-control-plane.ts
+++ b/packages/redwingmill-node/src/control/store-control-plane.ts
@@ -5,6 +5,7 @@
 	defaultDirectoryLimits,
 	initialDirectoryState,
 	knownNodeCount,
+	longPollMs,
 	mergeStoredCrashes,
 	reportsOfStored,
 	type SuspicionReport,
@@ -70,7 +71,8 @@
 	#departureHandler: DepartureHandler | undefined;
 	#loadHandler: LoadHandler | undefined;
 	#unresponsiveNodeHandler: UnresponsiveNodeHandler | undefined;
-	/** Stops the watch of the store; undefined while this node relies on other nodes' watches. */
+	/** Undefined while this node relies on other nodes' watches. */
+	#watch: ConfigurationWatch | undefined;
 	#stopWatch: Teardown | undefined;
 	#stopEraListener: Teardown | undefined;
 	#timer: NodeJS.Timeout | undefined;
@@ -314,6 +316,12 @@
 				break;
 			}
 
+			case 'renew-watch': {
+				this.#watch?.renew();
+				this.#metrics.countControlEvent('watch-renewed');
+				break;
+			}
+
 			case 'ask-configuration': {
 				void this.#requestConfiguration(effect.gateAddress, effect.since);
 				break;
@@ -405,7 +413,8 @@
 
 	#setWatch(isOn: boolean): void {
 		this.#stopWatch?.();
-		this.#stopWatch = isOn ? this.#createWatch().start() : undefined;
+		this.#watch = isOn ? this.#createWatch() : undefined;
+		this.#stopWatch = this.#watch?.start();
 	}
 
 	#createWatch(): ConfigurationWatch {
@@ -417,6 +426,7 @@
 				this.#log.write(isReachable ? logEvents.storeRegained : logEvents.storeLost, {reason});
 				this.#dispatch({type: 'store-contact', isStoreReachable: isReachable});
 			},
+			longPollMs: (isFirst: boolean) => longPollMs(this.#state, defaultDirectoryLimits, isFirst),
 		};
 		return new ConfigurationWatch(this.#ports.configuration, handlers, this.#random);
 	}
--- a/packages/redwingmill-node/src/observe/directory-log.ts
+++ b/packages/redwingmill-node/src/observe/directory-log.ts
@@ -13,6 +13,7 @@
 	'identity-renewed': logEvents.identityRenewed,
 	'directory-state': logEvents.servingChanged,
 	'watch-changed': logEvents.watchChanged,
+	'watch-renewed': logEvents.watchRenewed,
 	'store-era-changed': logEvents.storeEraChanged,
 	paused: logEvents.pauseDetected,
 };
--- a/packages/redwingmill-node/src/observe/log-event.ts
+++ b/packages/redwingmill-node/src/observe/log-event.ts
@@ -80,6 +80,11 @@
 		level: 'info',
 		message: 'watch of the configuration store started or stopped',
 	},
+	watchRenewed: {
+		number: 408,
+		level: 'info',
+		message: 'poll of the configuration store abandoned',
+	},
 	workerUnreachable: {
 		number: 504,
 		level: 'warn',
--- a/test/support/fake-directory-mesh.ts
+++ b/test/support/fake-directory-mesh.ts
@@ -2,6 +2,7 @@
 	createDirectory,
 	defaultDirectoryLimits,
 	initialDirectoryState,
+	longPollMs,
 	mergeStoredCrashes,
 	reportsOfStored,
 	type StoredCrashes,
@@ -26,6 +27,8 @@
 	readonly versions: number[];
 	isUp: boolean;
 	isPaused: boolean;
+	/** Long poll in progress, or the read before it; absent while the node doesn't watch the store. */
+	poll?: {isSilenced: boolean; readonly waitsForChange: boolean};
 };
 
 /** Crash report as the directory passes it to its node. */
@@ -33,6 +36,11 @@
 
 const hopLatencyMs = 1;
 const storeLatencyMs = 4;
+/** Time beyond its own duration after which a node gives up a poll that isn't answered. */
+const pollGraceMs = 700;
+/** Time after which a node gives up a read that isn't answered. */
+const readTimeoutMs = 1500;
+const retryMs = 400;
 const tickMs = 100;
 const slots = 6;
 
@@ -163,19 +171,26 @@
 		this.dispatch(this.#node(address), {type: 'worker-changed', worker});
 	}
 
-	/** Stores a configuration as an operator does and notifies the watching nodes. */
+	/** Stores a configuration as an operator does and answers the polls of the watching nodes. */
 	writeConfiguration(document: ConfigurationDocument): void {
 		this.storedState = document;
 		for (const node of this.nodes.values()) {
-			if (
-				node.directory.blackboard.watch.isOn &&
-				this.reachability.receivesWatchEvents(node.address)
-			) {
+			const isAnswered = node.poll?.waitsForChange === true && !node.poll.isSilenced;
+			if (isAnswered && this.reachability.receivesWatchEvents(node.address)) {
 				this.#readStore(node);
 			}
 		}
 	}
 
+	/** Answers nothing any more on the connections that nodes have to the store now. */
+	silenceConnections(): void {
+		for (const {poll} of this.nodes.values()) {
+			if (poll) {
+				poll.isSilenced = true;
+			}
+		}
+	}
+
 	/** Returns a copy of the store, from which {@link returnFrom} restores it. */
 	takeCopy(): StoreCopy {
 		return {
@@ -185,14 +200,22 @@
 		};
 	}
 
-	/** Brings the store back from an older copy. The nodes that watch it notice it at once. */
-	returnFrom({registry, document, crashes}: StoreCopy): void {
+	/**
+	 * Brings the store back from an older copy. The nodes that watch it notice it at once, unless it leaves
+	 * their polls waiting for changes that the new history doesn't have.
+	 */
+	returnFrom(
+		{registry, document, crashes}: StoreCopy,
+		{leavesPolls = false}: {leavesPolls?: boolean} = {},
+	): void {
 		this.storeEra += 1;
 		this.#registry = new Map(registry);
 		this.storedState = document;
 		this.#storedCrashes = crashes;
 		for (const node of this.nodes.values()) {
-			if (node.directory.blackboard.watch.isOn) {
+			if (leavesPolls && node.poll) {
+				node.poll.isSilenced = true;
+			} else if (node.directory.blackboard.watch.isOn) {
 				this.#readStore(node);
 			}
 		}
@@ -313,6 +336,7 @@
 			}
 
 			case 'set-watch': {
+				node.poll = undefined;
 				if (effect.isOn) {
 					this.#readStore(node);
 				}
@@ -320,6 +344,14 @@
 				break;
 			}
 
+			case 'renew-watch': {
+				if (node.poll?.waitsForChange) {
+					this.#readStore(node);
+				}
+
+				break;
+			}
+
 			case 'ask-configuration': {
 				this.clock.after(2 * hopLatencyMs, () => {
 					const holder = this.#node(effect.node);
@@ -378,10 +410,17 @@
 		});
 	}
 
+	/** Reads the configuration for a node that watches the store, and begins its next poll. */
 	#readStore(node: DirectoryNode): void {
 		const isReached = this.reachability.canReachStore(node.address);
+		const read = {isSilenced: false, waitsForChange: false};
+		node.poll = read;
 		this.configurationReads += 1;
 		this.clock.after(storeLatencyMs, () => {
+			if (read.isSilenced || node.poll !== read) {
+				return;
+			}
+
 			this.dispatch(node, {type: 'store-contact', isStoreReachable: isReached});
 			if (isReached) {
 				this.dispatch(node, {type: 'store-era', era: this.storeEra});
@@ -394,6 +433,58 @@
 					origin: 'store',
 				});
 			}
+
+			if (isReached) {
+				this.#poll(node, true);
+			} else {
+				this.#retryRead(node, read, retryMs);
+			}
+		});
+		this.clock.after(readTimeoutMs, () => {
+			if (read.isSilenced) {
+				this.#retryRead(node, read, retryMs);
+			}
+		});
+	}
+
+	#poll(node: DirectoryNode, isFirst: boolean): void {
+		if (!node.isUp || !node.directory.blackboard.watch.isOn) {
+			return;
+		}
+
+		const poll = {isSilenced: false, waitsForChange: true};
+		node.poll = poll;
+		const waitMs = longPollMs(node.directory.blackboard, defaultDirectoryLimits, isFirst);
+		this.clock.after(waitMs, () => {
+			if (node.poll !== poll || poll.isSilenced) {
+				return;
+			}
+
+			if (this.reachability.canReachStore(node.address)) {
+				this.dispatch(node, {type: 'store-era', era: this.storeEra});
+				this.#poll(node, false);
+			} else {
+				this.#retryRead(node, poll, pollGraceMs);
+			}
+		});
+		this.clock.after(waitMs + pollGraceMs, () => {
+			if (poll.isSilenced) {
+				this.#retryRead(node, poll, retryMs);
+			}
+		});
+	}
+
+	/** Reads the configuration again after a request that failed, unless another one has replaced it. */
+	#retryRead(node: DirectoryNode, request: DirectoryNode['poll'], delayMs: number): void {
+		if (node.poll !== request) {
+			return;
+		}
+
+		this.dispatch(node, {type: 'store-contact', isStoreReachable: false});
+		this.clock.after(delayMs, () => {
+			if (node.poll === request && node.isUp && node.directory.blackboard.watch.isOn) {
+				this.#readStore(node);
+			}
 		});
 	}
 
