Answer 503, not 404, on routes that a newer version may have

A node that has heard of a newer version and doesn't hold it yet can't tell that a route is missing. Callers took its 404 for final.

--- a/packages/redwingmill-core/src/call/outcome.ts
+++ b/packages/redwingmill-core/src/call/outcome.ts
@@ -1,6 +1,7 @@
 /** Reasons why a call wasn't run; also values of the metrics' `reason` label. */
 export const notRunReasons = [
 	'no-route',
+	'configuration-behind',
 	'route-inactive',
 	'not-serving',
 	'no-endpoint',
@@ -48,6 +49,7 @@
 
 /** Reasons that may no longer hold later, so that the answer carries a `Retry-After`. */
 const transientReasons: ReadonlySet<NotRunReason> = new Set<NotRunReason>([
+	'configuration-behind',
 	'route-inactive',
 	'not-serving',
 	'no-endpoint',
--- a/packages/redwingmill-node/src/call/entry-service.ts
+++ b/packages/redwingmill-node/src/call/entry-service.ts
@@ -63,6 +63,8 @@
 	| {readonly type: 'refused'; readonly reason: NotRunReason; readonly retryAfterMs?: number};
 
 const routeRetryMs = 1000;
+/** Long enough to fetch the newer version from another node. */
+const behindRetryMs = 300;
 const notServingRetryMs = 1000;
 /** Time after the deadline within which the gate's own answer may still arrive. */
 const deadlineGraceMs = 20;
@@ -176,14 +178,17 @@
 	 * @param host - host that the call names, in lower case and without a port.
 	 */
 	findRoute(method: string, path: string, host?: string): RouteLookup {
-		const {isServing, routing} = this.#control;
+		const {isServing, routing, configurationBehindMs} = this.#control;
 		if (!isServing) {
 			return {type: 'refused', reason: 'not-serving', retryAfterMs: notServingRetryMs};
 		}
 
 		const found = matchRoute(routing.routes, method, path, host);
 		if (found === undefined) {
-			return {type: 'refused', reason: 'no-route'};
+			// A newer version, known but not held here, may have the route.
+			return configurationBehindMs > 0
+				? {type: 'refused', reason: 'configuration-behind', retryAfterMs: behindRetryMs}
+				: {type: 'refused', reason: 'no-route'};
 		}
 
 		return found.type === 'active'
