A planned stop answers what it accepted behind other requests, and ends then

Callers that sent requests behind one another lost all answers but the first at a planned stop: it got 'connection: close', and the server threw away the answers that waited behind it, of calls that had run.

The requests of a connection are now known together: the last one accepted closes it, what arrives behind that answer is not run, and all of them are abandoned with their connection.

--- a/packages/redwingmill-node/src/call/entry-server.ts
+++ b/packages/redwingmill-node/src/call/entry-server.ts
@@ -11,7 +11,7 @@
 import {type CallerProtocol} from './caller-protocol.js';
 import {type CallerCall, type EntryAnswer, type EntryService} from './entry-service.js';
 import {forwardedHeaders, headerNames, numberHeader, textHeader} from './headers.js';
-import {OpenRequests} from './open-requests.js';
+import {OpenRequests, type OpenRequest} from './open-requests.js';
 import {readConnectedRequest} from './read-request.js';
 
 /** Path at which callers request tickets; the `path` parameter selects the route. */
@@ -49,6 +49,13 @@
 	readonly log: Log;
 };
 
+/** A request that has arrived, and the response to it. */
+type Arrival = {
+	readonly request: IncomingMessage;
+	readonly response: ServerResponse;
+	readonly open: OpenRequest;
+};
+
 /** HTTP server through which callers use the mesh. */
 export class EntryServer {
 	readonly #service: EntryService;
@@ -72,8 +79,13 @@
 				noDelay: true,
 			},
 			(request, response) => {
-				this.#openRequests.add(response);
-				this.#handle(request, response);
+				const open = this.#openRequests.add(request, response);
+				if (open) {
+					this.#handle({request, response, open});
+				} else {
+					// The caller counts a request behind the response that closes the connection as not read.
+					request.resume();
+				}
 			},
 		);
 		this.applyLimits({...defaultLimits, bodyBytes: options.bodyLimitBytes});
@@ -99,7 +111,7 @@
 		await listenOn(this.#server, address, 'callers');
 	}
 
-	/** Closes each connection after its next answer. */
+	/** Closes each connection once all requests that have arrived on it are answered. */
 	disableKeepAlive(): void {
 		this.#isKeepAliveDisabled = true;
 	}
@@ -134,7 +146,8 @@
 		});
 	}
 
-	#handle(request: IncomingMessage, response: ServerResponse): void {
+	#handle(arrival: Arrival): void {
+		const {request, response} = arrival;
 		const startedAt = performance.now();
 		const path = request.url ?? '/';
 		const isTicket = path.startsWith(`${ticketPath}?`);
@@ -142,14 +155,15 @@
 		const lookup = this.#service.findRoute(request.method ?? 'GET', target, hostOf(request));
 		if (headerBytesOf(request) > this.#headerLimitBytes) {
 			request.resume();
-			response.writeHead(headerTooLargeStatus, {connection: 'close'}).end();
+			const headers = arrival.open.closeConnection() ? {connection: 'close'} : {};
+			response.writeHead(headerTooLargeStatus, headers).end();
 		} else if (this.#isRefusing) {
-			this.#refuseDuringStop(request, response, startedAt);
+			this.#refuseDuringStop(arrival, startedAt);
 		} else if (lookup.type === 'refused') {
 			const outcome = refusalOf(request, lookup.reason);
 			request.resume();
 			this.#respond(
-				response,
+				arrival,
 				{outcome, retryAfterMs: lookup.retryAfterMs, isRetried: false},
 				startedAt,
 			);
@@ -157,15 +171,16 @@
 			request.resume();
 			this.#sendTicket(response, lookup.route);
 		} else {
-			this.#forward(request, response, lookup.route, startedAt);
+			this.#forward(arrival, lookup.route, startedAt);
 		}
 	}
 
 	/** Refuses a call during a stop and asks the caller to retry after {@link restartRetryMs}. */
-	#refuseDuringStop(request: IncomingMessage, response: ServerResponse, startedAt: number): void {
+	#refuseDuringStop(arrival: Arrival, startedAt: number): void {
+		const {request} = arrival;
 		const outcome = refusalOf(request, 'not-serving');
 		request.resume();
-		this.#respond(response, {outcome, retryAfterMs: restartRetryMs, isRetried: false}, startedAt);
+		this.#respond(arrival, {outcome, retryAfterMs: restartRetryMs, isRetried: false}, startedAt);
 	}
 
 	#sendTicket(response: ServerResponse, route: Route): void {
@@ -180,12 +195,8 @@
 		});
 	}
 
-	#forward(
-		request: IncomingMessage,
-		response: ServerResponse,
-		route: Route,
-		startedAt: number,
-	): void {
+	#forward(arrival: Arrival, route: Route, startedAt: number): void {
+		const {request, response} = arrival;
 		const requestedMs = numberHeader(request.headers, this.#options.protocol.deadlineHeader);
 		const waitMs = Math.min(route.deadlineMs, requestedMs ?? route.deadlineMs);
 		const requestKey = `${request.method ?? 'GET'} ${hostOf(request) ?? ''}${request.url ?? '/'}`;
@@ -202,14 +213,16 @@
 		readConnectedRequest(request, this.#bodyLimitBytes, (result) => {
 			switch (result.type) {
 				case 'complete': {
-					this.#begin(request, response, result.body, {route, ...details});
+					this.#begin(arrival, result.body, {route, ...details});
 					break;
 				}
 
 				case 'too-large': {
 					const outcome = refusalOf(request, 'body-too-large');
+					// The rest of the body is never read, so nothing can follow on this connection.
+					arrival.open.closeConnection();
 					response.setHeader('connection', 'close');
-					this.#respond(response, {outcome, isRetried: false}, startedAt);
+					this.#respond(arrival, {outcome, isRetried: false}, startedAt);
 					break;
 				}
 
@@ -222,13 +235,12 @@
 	}
 
 	#begin(
-		request: IncomingMessage,
-		response: ServerResponse,
+		arrival: Arrival,
 		body: Buffer | undefined,
 		call: Omit<CallerCall, 'request' | 'requestId'>,
 	): void {
+		const {request, open} = arrival;
 		const {protocol} = this.#options;
-		let isAnswered = false;
 		const handle = this.#service.begin(
 			{
 				...call,
@@ -241,18 +253,15 @@
 				},
 			},
 			(answer) => {
-				isAnswered = true;
-				this.#respond(response, answer, call.startedAt);
+				this.#respond(arrival, answer, call.startedAt);
 			},
 		);
-		response.once('close', () => {
-			if (!isAnswered) {
-				handle.cancel();
-			}
+		open.onAbandoned(() => {
+			handle.cancel();
 		});
 	}
 
-	#respond(response: ServerResponse, answer: EntryAnswer, startedAt: number): void {
+	#respond({response, open}: Arrival, answer: EntryAnswer, startedAt: number): void {
 		const {outcome, payload, isRetried} = answer;
 		const {metrics, protocol} = this.#options;
 		metrics.countCall(outcome, (performance.now() - startedAt) / 1000);
@@ -265,7 +274,7 @@
 			...payload?.headers,
 			...protocol.headersOf({outcome, isRetried, retryAfterMs}),
 			'content-length': payload?.body.length ?? 0,
-			...(this.#isKeepAliveDisabled ? {connection: 'close'} : {}),
+			...(this.#isKeepAliveDisabled && open.closeConnection() ? {connection: 'close'} : {}),
 		};
 		response.writeHead(payload?.status ?? protocol.statusOf(outcome), headers);
 		response.end(payload?.body);
--- a/packages/redwingmill-node/src/call/gate-server.ts
+++ b/packages/redwingmill-node/src/call/gate-server.ts
@@ -64,7 +64,7 @@
 		this.#server = createServer(
 			{keepAliveTimeout: keepAliveMs, maxHeaderSize: maximumHeaderBytes, noDelay: true},
 			(request, response) => {
-				this.#openRequests.add(response);
+				this.#openRequests.add(request, response);
 				this.#handle(request, response);
 			},
 		);
--- a/packages/redwingmill-node/src/daemon.ts
+++ b/packages/redwingmill-node/src/daemon.ts
@@ -42,6 +42,16 @@
 	readonly isDrained: boolean;
 };
 
+/** Calls and requests that are open at a node. */
+export type OpenCalls = {
+	/** Calls that the entry hasn't answered yet. */
+	readonly inProgress: number;
+	/** Requests of callers whose answer hasn't been sent yet. */
+	readonly entryRequests: number;
+	/** Requests of other nodes whose answer hasn't been sent yet. */
+	readonly gateRequests: number;
+};
+
 /** Control plane of a daemon, and dependencies that replace the defaults. */
 export type DaemonOptions = {
 	readonly callerProtocol?: CallerProtocol;
@@ -143,6 +153,15 @@
 		return this.#control.isReady;
 	}
 
+	/** What a graceful shutdown would wait for now. */
+	get openCalls(): OpenCalls {
+		return {
+			inProgress: this.#entry.inProgressCount,
+			entryRequests: this.#entryServer.openRequestCount,
+			gateRequests: this.#gateServer.openRequestCount,
+		};
+	}
+
 	/** Handles a worker's announcement. Without an order, the one received last is the newest. */
 	announce(worker: Worker, order?: AnnouncementOrder): void {
 		const renewal = this.#lease.renew(worker, performance.now(), order);
--- a/packages/redwingmill-node/src/index.ts
+++ b/packages/redwingmill-node/src/index.ts
@@ -1,4 +1,4 @@
-export {Daemon, type DaemonOptions, type StopResult} from './daemon.js';
+export {Daemon, type DaemonOptions, type OpenCalls, type StopResult} from './daemon.js';
 export {ListenError, SettingsError} from './errors.js';
 export {headerNames} from './call/headers.js';
 export {ticketPath} from './call/entry-server.js';
