Log how long each phase of a planned stop took, and what was still open

A stop that waited for its limit was told from a normal one only by the absence of time in the log. Event 102 has the time of each phase, 101 and 103 what is open by kind, and a gauge the time since a stop began.

--- a/packages/redwingmill-node/src/__tests__/unit/metrics-page.test.ts
+++ b/packages/redwingmill-node/src/__tests__/unit/metrics-page.test.ts
@@ -6,6 +6,7 @@
 	return new Metrics(() => ({
 		versionInForce: 7,
 		configurationBehindSeconds: 1.5,
+		stoppingSeconds: 0.5,
 		controlBytes: 100,
 		endpoints: 3,
 		gateRunning: 1,
@@ -35,6 +36,7 @@
 			'redwingmill_control_events_total{event="link-overflow"} 1',
 			'redwingmill_version_in_force 7',
 			'redwingmill_configuration_behind_seconds 1.5',
+			'redwingmill_stopping_seconds 0.5',
 			'redwingmill_is_serving 1',
 		]);
 	});
--- a/packages/redwingmill-node/src/daemon.ts
+++ b/packages/redwingmill-node/src/daemon.ts
@@ -40,6 +40,17 @@
 export type StopResult = {
 	/** Whether all calls finished before the drain timed out. */
 	readonly isDrained: boolean;
+	readonly phases: StopPhases;
+};
+
+/** Durations of the phases of a graceful shutdown, in milliseconds. */
+export type StopPhases = {
+	/** Calls are still accepted, while callers and nodes learn of the shutdown. */
+	readonly lingerMs: number;
+	/** New calls are refused, until those in progress are answered. */
+	readonly drainMs: number;
+	/** Ports and connections are closed. */
+	readonly closeMs: number;
 };
 
 /** Calls and requests that are open at a node. */
@@ -74,6 +85,8 @@
 	readonly #lease: WorkerLease;
 	#loadTimer: NodeJS.Timeout | undefined;
 	#workerTimer: NodeJS.Timeout | undefined;
+	/** Monotonic milliseconds; undefined while the node isn't stopping. */
+	#stoppingSince: number | undefined;
 
 	constructor(settings: Settings, options: DaemonOptions) {
 		const {calls} = settings;
@@ -242,7 +255,9 @@
 	 * progress finish or the drain times out, and closes all ports.
 	 */
 	async stop(): Promise<StopResult> {
-		this.#log.write(logEvents.nodeStopping);
+		this.#log.write(logEvents.nodeStopping, this.openCalls);
+		const startedAt = performance.now();
+		this.#stoppingSince = startedAt;
 		this.#control.requestStop();
 		this.#entryServer.disableKeepAlive();
 		const {stopping, drainTimeoutMs} = this.#settings;
@@ -252,18 +267,25 @@
 		this.#control.leave();
 		await delay(leavePropagationMs);
 		this.#gate.stop();
+		const lingeredAt = performance.now();
 		// After a linger the others have long learned of the departure.
 		const afterDrainMs = stopping.lingerMs > 0 ? 0 : closeDelayMs;
 		const usedMs = stopping.lingerMs + leavePropagationMs + afterDrainMs + closeReserveMs;
 		const isDrained = await this.#drain(Math.min(drainTimeoutMs, limitMs - usedMs));
-		await delay(afterDrainMs);
+		const drainedAt = performance.now();
 		if (!isDrained) {
-			this.#log.write(logEvents.drainTimedOut, {inProgress: this.#entry.inProgressCount});
+			this.#log.write(logEvents.drainTimedOut, this.openCalls);
 		}
 
+		await delay(afterDrainMs);
 		await this.#close();
-		this.#log.write(logEvents.nodeStopped);
-		return {isDrained};
+		const phases = {
+			lingerMs: Math.round(lingeredAt - startedAt),
+			drainMs: Math.round(drainedAt - lingeredAt),
+			closeMs: Math.round(performance.now() - drainedAt),
+		};
+		this.#log.write(logEvents.nodeStopped, {isDrained, ...phases});
+		return {isDrained, phases};
 	}
 
 	async #drain(timeoutMs: number): Promise<boolean> {
@@ -313,6 +335,8 @@
 		const counts = [...routing.endpoints.values()].map((endpoints) => endpoints.length);
 		return {
 			versionInForce: routing.version,
+			stoppingSeconds:
+				this.#stoppingSince === undefined ? 0 : (performance.now() - this.#stoppingSince) / 1000,
 			configurationBehindSeconds: this.#control.configurationBehindMs / 1000,
 			controlBytes,
 			endpoints: counts.reduce((sum, count) => sum + count, 0),
--- a/packages/redwingmill-node/src/index.ts
+++ b/packages/redwingmill-node/src/index.ts
@@ -1,4 +1,10 @@
-export {Daemon, type DaemonOptions, type OpenCalls, type StopResult} from './daemon.js';
+export {
+	Daemon,
+	type DaemonOptions,
+	type OpenCalls,
+	type StopPhases,
+	type StopResult,
+} from './daemon.js';
 export {ListenError, SettingsError} from './errors.js';
 export {headerNames} from './call/headers.js';
 export {ticketPath} from './call/entry-server.js';
--- a/packages/redwingmill-node/src/observe/metrics-page.ts
+++ b/packages/redwingmill-node/src/observe/metrics-page.ts
@@ -119,6 +119,11 @@
 				'Time for which a version newer than the one in force is known; 0 if none is.',
 				(values) => values.configurationBehindSeconds,
 			],
+			[
+				'stopping_seconds',
+				'Time since a graceful shutdown began; 0 if none has.',
+				(values) => values.stoppingSeconds,
+			],
 			[
 				'control_bytes',
 				'Bytes of control traffic, sent and received.',
--- a/packages/redwingmill-node/src/observe/metrics.ts
+++ b/packages/redwingmill-node/src/observe/metrics.ts
@@ -4,6 +4,7 @@
 export type GaugeValues = {
 	readonly versionInForce: number;
 	readonly configurationBehindSeconds: number;
+	readonly stoppingSeconds: number;
 	readonly controlBytes: number;
 	readonly endpoints: number;
 	readonly gateRunning: number;
