Soak: connections that go silent for good, and a bound on idle stops

Up to twice in a run all open connections between nodes, to workers and to the store go silent, with a change of the configuration; in the phase without faults those to the store do before each change. A stop with nothing at work has to end within its linger and half a second.

--- a/packages/redwingmill-soak/src/__tests__/unit/fault-plan.test.ts
+++ b/packages/redwingmill-soak/src/__tests__/unit/fault-plan.test.ts
@@ -36,6 +36,7 @@
 
 					case 'change':
 					case 'store-return':
+					case 'silent-connections':
 					case 'power-loss': {
 						kinds.add(fault.type);
 						break;
@@ -45,7 +46,7 @@
 		}
 
 		// Five behaviours of four streams, four of datagrams, four process faults, five worker faults,
-		// `change`, `store-return` and `power-loss`.
-		expect(kinds.size).to.equal(5 * 4 + 4 + 4 + 5 + 3);
+		// `change`, `store-return`, `silent-connections` and `power-loss`.
+		expect(kinds.size).to.equal(5 * 4 + 4 + 4 + 5 + 4);
 	});
 });
--- a/packages/redwingmill-soak/src/__tests__/unit/stream-fault-proxy.test.ts
+++ b/packages/redwingmill-soak/src/__tests__/unit/stream-fault-proxy.test.ts
@@ -96,4 +96,22 @@
 		await closeOf(other);
 		expect(other.bytesRead).to.equal(0);
 	});
+
+	it('silences the connections that are open for good, and passes new ones', async () => {
+		const before = connectTo(proxy.address);
+		await echo(before, 'before');
+		proxy.silenceOpenConnections();
+		let received = '';
+		before.on('data', (bytes) => {
+			received += String(bytes);
+		});
+		before.write('lost');
+		proxy.setBehaviour({type: 'pass'});
+		const after = connectTo(proxy.address);
+		await echo(after, 'after');
+		await delay(silenceMs);
+		expect(received).to.equal('');
+		before.destroy();
+		after.destroy();
+	});
 });
--- a/packages/redwingmill-soak/src/fault-plan.ts
+++ b/packages/redwingmill-soak/src/fault-plan.ts
@@ -29,6 +29,8 @@
 const storeAwaySpreadMs = 600;
 /** The other faults of a seed stay as they are, so that seeds that once failed can be run again. */
 const storeReturnSeedOffset = 1_000_003;
+const maximumSilences = 2;
+const silenceSeedOffset = 2_000_003;
 /** Kinds of faults, one per series; a kind's probability is its share of the entries. */
 const weightedSeriesKinds = [
 	'link',
@@ -55,10 +57,22 @@
 		faults.push(...planSeries(random, scope));
 	}
 
-	faults.push(...planStoreReturns(new Random(seed + storeReturnSeedOffset), scope));
+	faults.push(
+		...planStoreReturns(new Random(seed + storeReturnSeedOffset), scope),
+		...planSilences(new Random(seed + silenceSeedOffset), scope),
+	);
 	return faults.toSorted((a, b) => a.atMs - b.atMs);
 }
 
+/** Draws silences of connections, each with a change at the same time, from a generator of their own. */
+function planSilences(random: Random, {durationMs}: PlanScope): readonly PlannedFault[] {
+	const count = random.below(maximumSilences + 1);
+	return Array.from({length: count}, () => random.below(durationMs)).flatMap((atMs) => [
+		{atMs, forMs: 0, fault: {type: 'silent-connections' as const}},
+		{atMs, forMs: 0, fault: {type: 'change' as const}},
+	]);
+}
+
 /** Draws the returns of the store from older copies, from a generator of their own. */
 function planStoreReturns(random: Random, {durationMs}: PlanScope): readonly PlannedFault[] {
 	const count = random.below(maximumStoreReturns + 1);
--- a/packages/redwingmill-soak/src/soak-deployment.ts
+++ b/packages/redwingmill-soak/src/soak-deployment.ts
@@ -70,6 +70,8 @@
 export type SoakDeployment = {
 	/** Path of the node's script. */
 	readonly program: string;
+	/** Time for which a node that is being stopped still accepts calls, in milliseconds. */
+	readonly lingerMs: number;
 	/** Returns the environment of a node's process that reads the settings file. */
 	readonly environmentOf: (settingsFile: string) => Record<string, string>;
 	/** Returns the text of a node's settings file. */
--- a/packages/redwingmill-soak/src/soak-fault.ts
+++ b/packages/redwingmill-soak/src/soak-fault.ts
@@ -51,6 +51,8 @@
 	| {readonly type: 'power-loss'}
 	/** The store is away, and returns from the copy that it had {@link storeCopyAgeMs} before. */
 	| {readonly type: 'store-return'}
+	/** All connections that are open between nodes, to workers and to the store go silent for good. */
+	| {readonly type: 'silent-connections'}
 	| {readonly type: 'change'};
 
 /** Age of the copy from which the store returns, in milliseconds. */
--- a/packages/redwingmill-soak/src/soak-host.ts
+++ b/packages/redwingmill-soak/src/soak-host.ts
@@ -148,6 +148,13 @@
 		}
 	}
 
+	/** Has the host's open connections for these purposes go silent for good. */
+	silenceConnections(purposes: ReadonlyArray<keyof StreamProxies>): void {
+		for (const purpose of purposes) {
+			this.#streamProxies[purpose].silenceOpenConnections();
+		}
+	}
+
 	/**
 	 * Injects a fault into the worker for a time, after which a worker serves on this host again. Does
 	 * nothing while another worker fault lasts.
--- a/packages/redwingmill-soak/src/soak.ts
+++ b/packages/redwingmill-soak/src/soak.ts
@@ -41,8 +41,12 @@
 const recoveryLimitMs = 15_000;
 /** Required limit for a change to be in force, plus an allowance for a busy machine. */
 const changeLimitMs = 2500 + 2500;
-/** Limit for a planned stop, plus an allowance for a busy machine. */
-const stopLimitMs = 6000 + 2000;
+/** For a busy machine. */
+const stopAllowanceMs = 2000;
+/** Limit for a planned stop. */
+const stopLimitMs = 6000;
+/** Limit for a planned stop with nothing at work, beyond the time for which it still accepts calls. */
+const idleStopLimitMs = 500;
 /** Nodes restarted in the fault-free phase: only some, as each restart takes seconds. */
 const plannedRestartCount = 2;
 const stableRoutes: readonly SoakRoute[] = [
@@ -119,6 +123,10 @@
 		}
 
 		await Promise.all(calls);
+		await this.#stopWithinLimit(
+			this.#hosts[0],
+			this.#deployment.lingerMs + idleStopLimitMs + stopAllowanceMs,
+		);
 	}
 
 	async #start(): Promise<void> {
@@ -267,6 +275,19 @@
 				break;
 			}
 
+			case 'silent-connections': {
+				const endDisruptions = this.#hosts.map((host) => host.beginDisruption());
+				for (const host of this.#hosts) {
+					host.silenceConnections(['gate', 'worker', 'store']);
+				}
+
+				for (const endDisruption of endDisruptions) {
+					endDisruption();
+				}
+
+				break;
+			}
+
 			case 'change': {
 				this.#writeNextVersion();
 				break;
@@ -310,9 +331,9 @@
 		endDisruption();
 	}
 
-	async #stopWithinLimit(host: SoakHost): Promise<void> {
+	async #stopWithinLimit(host: SoakHost, limitMs = stopLimitMs + stopAllowanceMs): Promise<void> {
 		const tookMs = await host.process.stop();
-		if (tookMs > stopLimitMs) {
+		if (tookMs > limitMs) {
 			this.#checker.report(
 				'stopped-late',
 				`node of ${host.service} took ${Math.round(tookMs)} ms to stop`,
@@ -377,6 +398,10 @@
 		for (const host of this.#hosts.slice(0, plannedRestartCount)) {
 			await this.#stopWithinLimit(host);
 			await host.process.start();
+			for (const each of this.#hosts) {
+				each.silenceConnections(['store']);
+			}
+
 			this.#writeNextVersion();
 			const unserved = await this.#waitForService(changeLimitMs);
 			if (unserved.length > 0) {
--- a/packages/redwingmill-soak/src/stream-fault-proxy.ts
+++ b/packages/redwingmill-soak/src/stream-fault-proxy.ts
@@ -5,7 +5,12 @@
 
 type Direction = 'to-listener' | 'to-caller';
 
-type ConnectionPair = {readonly caller: Socket; readonly listener: Socket};
+type ConnectionPair = {
+	readonly caller: Socket;
+	readonly listener: Socket;
+	/** Whether the connection carries nothing any more, whatever the behaviour. */
+	isSilenced: boolean;
+};
 
 const loopbackAddress = '127.0.0.1';
 
@@ -50,6 +55,14 @@
 		}
 	}
 
+	/** Holds back all bytes of the connections that are open now, for good. New ones work. */
+	silenceOpenConnections(): void {
+		for (const pair of this.#pairs) {
+			pair.isSilenced = true;
+			this.#applyBehaviour(pair);
+		}
+	}
+
 	close(): void {
 		this.#server.close();
 		for (const pair of this.#pairs) {
@@ -73,7 +86,7 @@
 			noDelay: true,
 		});
 		caller.setNoDelay(true);
-		const pair = {caller, listener};
+		const pair = {caller, listener, isSilenced: false};
 		this.#pairs.add(pair);
 		this.#forward(pair, 'to-listener');
 		this.#forward(pair, 'to-caller');
@@ -110,8 +123,8 @@
 		return this.#behaviour.type === 'delay' ? this.#behaviour.delayMs : 0;
 	}
 
-	#applyBehaviour({caller, listener}: ConnectionPair): void {
-		const {type} = this.#behaviour;
+	#applyBehaviour({caller, listener, isSilenced}: ConnectionPair): void {
+		const type = isSilenced ? 'silence' : this.#behaviour.type;
 		setFlow(caller, type !== 'silence' && type !== 'deaf');
 		setFlow(listener, type !== 'silence' && type !== 'mute');
 	}
