--- a/packages/redwingmill-bench/src/experiments/node-cost.ts
+++ b/packages/redwingmill-bench/src/experiments/node-cost.ts
@@ -1,20 +1,14 @@
-import {spawn, type ChildProcess} from 'node:child_process';
-import {once} from 'node:events';
-import {mkdtempSync, writeFileSync} from 'node:fs';
-import {Agent, get, request as send, type RequestOptions} from 'node:http';
+import {spawn} from 'node:child_process';
+import {mkdtempSync} from 'node:fs';
+import {Agent, request as send, type RequestOptions} from 'node:http';
 import {tmpdir} from 'node:os';
 import path from 'node:path';
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import {fileURLToPath} from 'node:url';
-import {
-	type NodeAddresses,
-	type SoakDeployment,
-	type SoakRoute,
-	type SoakStore,
-	type SoakWorker,
-} from 'redwingmill-soak';
+import {type SoakDeployment, type SoakRoute, type SoakStore} from 'redwingmill-soak';
 import {quantilesOf} from '../load/quantiles.js';
+import {startMeasuredNode, statusOf, waitUntil, type MeasuredNode} from '../mesh/measured-node.js';
 import {PeerCrowd} from '../mesh/peer-crowd.js';
 import {processorSecondsOf} from '../mesh/processor-seconds.js';
 
@@ -58,9 +52,6 @@
 const changeIntervalMs = 250;
 /** Time after which a node has discovered the others and its start-up work is over. */
 const settleMs = 4000;
-const pollIntervalMs = 20;
-const startTimeoutMs = 20_000;
-const announcementIntervalMs = 1500;
 const callersAtOnce = 4;
 /** Begin and length of each measured series of calls, in calls. */
 const callSeries = [
@@ -96,14 +87,6 @@
 	}
 }
 
-/** A node's process, the addresses it listens on and the worker beside it. */
-type NodeUnderTest = {
-	readonly child: ChildProcess;
-	readonly pid: number;
-	readonly addresses: NodeAddresses;
-	readonly close: () => Promise<void>;
-};
-
 class CostBench {
 	readonly #deployment: SoakDeployment;
 	readonly #options: NodeCostOptions;
@@ -219,47 +202,24 @@
 		return costs;
 	}
 
-	async #startNode(service: string, profileName?: string): Promise<NodeUnderTest> {
+	async #startNode(service: string, profileName?: string): Promise<MeasuredNode> {
 		const {flags, program, profileFolder} = this.#options;
-		const addresses = await this.#deployment.allocateAddresses();
 		this.#nodeCount += 1;
-		const settings = path.join(this.#folder, `node-${this.#nodeCount}.jsonc`);
-		const {control, gate} = addresses;
-		writeFileSync(
-			settings,
-			this.#deployment.settingsOf({
-				dataCentre: dataCentres[0],
-				service,
-				addresses,
-				advertised: {control, gate},
-				storeAddress: this.#storeAddress,
-				linkMbps: ownLinkMbps,
-			}),
-		);
-		const profileFlags =
-			profileFolder === undefined || profileName === undefined
-				? []
-				: ['--cpu-prof', `--cpu-prof-dir=${path.join(profileFolder, profileName)}`];
-		const child = spawn(process.execPath, [...flags, ...profileFlags, program], {
-			env: {...process.env, ...this.#deployment.environmentOf(settings)},
-			stdio: 'ignore',
-		});
-		const worker = this.#deployment.createWorker(service, (run, reply) => {
-			setTimeout(() => {
-				reply.send(`answer to ${run.id}`);
-			}, runMs);
+		return startMeasuredNode({
+			deployment: this.#deployment,
+			program,
+			flags,
+			profileFolder:
+				profileFolder === undefined || profileName === undefined
+					? undefined
+					: path.join(profileFolder, profileName),
+			settingsFile: path.join(this.#folder, `node-${this.#nodeCount}.jsonc`),
+			dataCentre: dataCentres[0],
+			service,
+			storeAddress: this.#storeAddress,
+			linkMbps: ownLinkMbps,
+			runMs,
 		});
-		const stopAnnouncing = await announceRepeatedly(worker, addresses.announcements);
-		await waitUntil(async () => (await statusOf(addresses.ready)) === 200);
-		const close = async () => {
-			stopAnnouncing();
-			const exited = once(child, 'exit');
-			child.kill(profileFlags.length > 0 ? 'SIGTERM' : 'SIGKILL');
-			await exited;
-			await worker.stop();
-		};
-
-		return {child, pid: child.pid ?? 0, addresses, close};
 	}
 
 	/** Writes a version that differs from the one before in a single route. */
@@ -301,18 +261,6 @@
 	}
 }
 
-async function announceRepeatedly(worker: SoakWorker, nodeAddress: string): Promise<() => void> {
-	const workerAddress = await worker.start(1);
-	const announce = async () => worker.announce(nodeAddress, workerAddress, false);
-	await waitUntil(announce);
-	const timer = setInterval(() => {
-		void announce();
-	}, announcementIntervalMs);
-	return () => {
-		clearInterval(timer);
-	};
-}
-
 async function callProxy(address: string, count: number, hostHeader: string): Promise<void> {
 	const [hostname, port] = address.split(':');
 	const agent = new Agent({keepAlive: true, maxSockets: callersAtOnce});
@@ -344,29 +292,6 @@
 	});
 }
 
-async function statusOf(address: string): Promise<number | undefined> {
-	return new Promise((resolve) => {
-		const request = get(`http://${address}/`, (response) => {
-			response.resume();
-			resolve(response.statusCode);
-		});
-		request.once('error', () => {
-			resolve(undefined);
-		});
-	});
-}
-
-async function waitUntil(isDone: () => Promise<boolean>): Promise<void> {
-	const endsAt = performance.now() + startTimeoutMs;
-	while (!(await isDone())) {
-		if (performance.now() > endsAt) {
-			throw new TypeError('a node was not ready in time');
-		}
-
-		await delay(pollIntervalMs);
-	}
-}
-
 function round(value: number): number {
 	return Number(value.toFixed(3));
 }
--- a/packages/redwingmill-bench/src/index.ts
+++ b/packages/redwingmill-bench/src/index.ts
@@ -17,3 +17,4 @@
 } from './simulation/compare-policies.js';
 export {plotPolicies} from './simulation/plot-policies.js';
 export {measureNodeCost, type NodeCost, type NodeCostOptions} from './experiments/node-cost.js';
+export {measureNodeStops, type NodeStops, type NodeStopsOptions} from './experiments/node-stops.js';
