A starting node doesn't wait for a store that doesn't answer

Since a node without a configuration reads the store before it asks another node, and this read only ended at its limit of 1.5 s. Now the read has a head start of 0.3 s.

--- a/packages/redwingmill-node/src/control/store-control-plane.ts
+++ b/packages/redwingmill-node/src/control/store-control-plane.ts
@@ -1,3 +1,4 @@
+import {setTimeout as delay} from 'node:timers/promises';
 import {Client} from 'undici';
 import {
 	configurationBehindMs,
@@ -45,6 +46,8 @@
 const tickIntervalMs = 100;
 /** Long enough to transfer a whole configuration over a slow link. */
 const configurationRequestTimeoutMs = 3000;
+/** A slow store takes up to about 200 ms to answer. */
+const storeHeadStartMs = 300;
 const configurationLimitBytes = 16 * 1024 * 1024;
 const randomSeedModulus = 0x7f_ff_ff_ff;
 
@@ -434,12 +437,15 @@
 	/**
 	 * Requests another node's configuration, or the patch to it from version `since`. A node without a
 	 * configuration reads the store first: its link is wider than those of the nodes, of which many may
-	 * start at once. The version read may be older than the one announced, to which a patch follows.
+	 * start at once. A store that doesn't answer soon isn't waited for. The version read may be older than the one announced, to which a patch follows.
 	 */
 	async #requestConfiguration(gateAddress: string, since: number | undefined): Promise<void> {
 		if (since === undefined) {
-			const read = await this.#ports.configuration.readRecent();
-			if (read.type === 'found' && this.#applySource(read.source, 'store')) {
+			const read = await Promise.race([
+				this.#ports.configuration.readRecent(),
+				delay(storeHeadStartMs, undefined),
+			]);
+			if (read?.type === 'found' && this.#applySource(read.source, 'store')) {
 				return;
 			}
 		}
