--- a/packages/redwingmill-node/src/control/store-control-plane.ts
+++ b/packages/redwingmill-node/src/control/store-control-plane.ts
@@ -46,8 +46,8 @@
 const tickIntervalMs = 100;
 /** Long enough to transfer a whole configuration over a slow link. */
 const configurationRequestTimeoutMs = 3000;
-/** A slow store takes up to about 200 ms to answer. */
-const storeHeadStartMs = 300;
+/** Many times what the store usually takes to answer. */
+const storeHeadStartMs = 100;
 const configurationLimitBytes = 16 * 1024 * 1024;
 const randomSeedModulus = 0x7f_ff_ff_ff;
 
