Nodes that left are contacted for a minute: they may start again

A node that restarted after a planned stop while the store was away found nobody: the others contact nodes that lapsed, but not those that had left. It refused all calls until the store was back. The new tests (9 and 60 nodes) failed before: 'starting'.

--- a/packages/redwingmill-core/src/directory/directory-limits.ts
+++ b/packages/redwingmill-core/src/directory/directory-limits.ts
@@ -11,6 +11,8 @@
 	readonly lapseHeartbeatIntervals: number;
 	/** Interval of heartbeats to a node that has lapsed. */
 	readonly lapsedHeartbeatIntervalMs: number;
+	/** Time for which a node that has left is still contacted, in case it starts again. */
+	readonly departureContactMs: number;
 	/** Time after which a lapsed node is removed. */
 	readonly removalTimeoutMs: number;
 	/** Delays after a change at which the record is announced again, because datagrams get lost. */
@@ -92,6 +94,7 @@
 	maximumHeartbeatIntervalMs: 5000,
 	lapseHeartbeatIntervals: 3.2,
 	lapsedHeartbeatIntervalMs: 1000,
+	departureContactMs: 60_000,
 	removalTimeoutMs: 600_000,
 	reannounceDelaysMs: [50, 250],
 	inquiryIntervalMs: 200,
--- a/packages/redwingmill-core/src/directory/heartbeat-controller.ts
+++ b/packages/redwingmill-core/src/directory/heartbeat-controller.ts
@@ -12,6 +12,7 @@
 	emitLapse,
 	heartbeatOf,
 	localPeers,
+	mayReturn,
 	sendToPeers,
 	setMembers,
 } from './member-actions.js';
@@ -111,10 +112,11 @@
 	const {members} = update.pending;
 	const intervalOf = intervalsOf(members, limits);
 	const due: string[] = [];
-	for (const [address, {lapsedAt, sentAt}] of members.peers) {
+	for (const [address, peer] of members.peers) {
+		const {lapsedAt, sentAt} = peer;
 		const intervalMs =
 			lapsedAt === undefined ? intervalOf(address) : limits.lapsedHeartbeatIntervalMs;
-		if (now - sentAt >= intervalMs && members.records.get(address)?.status !== 'left') {
+		if (now - sentAt >= intervalMs && mayReturn(members.records.get(address), peer, now, limits)) {
 			due.push(address);
 		}
 	}
--- a/packages/redwingmill-core/src/directory/liveness-controller.ts
+++ b/packages/redwingmill-core/src/directory/liveness-controller.ts
@@ -6,7 +6,14 @@
 } from './directory-controller.js';
 import {type DirectoryEvent} from './directory-event.js';
 import {type DirectoryState, type Peer} from './directory-state.js';
-import {announcementOf, emitLapse, inquire, sendToPeers, setMembers} from './member-actions.js';
+import {
+	announcementOf,
+	emitLapse,
+	inquire,
+	mayReturn,
+	sendToPeers,
+	setMembers,
+} from './member-actions.js';
 import {isSmallMesh} from './watchers.js';
 
 /**
@@ -73,9 +80,11 @@
 	}
 
 	const candidates: string[] = [];
-	for (const [address, {lapsedAt, sentAt}] of peers) {
-		const isWaiting = now - sentAt < limits.lapsedHeartbeatIntervalMs;
-		if (lapsedAt !== undefined && !isWaiting && records.get(address)?.status !== 'left') {
+	for (const [address, peer] of peers) {
+		const record = records.get(address);
+		const isAway = peer.lapsedAt !== undefined || record?.status === 'left';
+		const isWaiting = now - peer.sentAt < limits.lapsedHeartbeatIntervalMs;
+		if (isAway && !isWaiting && mayReturn(record, peer, now, limits)) {
 			candidates.push(address);
 		}
 	}
--- a/packages/redwingmill-core/src/directory/member-actions.ts
+++ b/packages/redwingmill-core/src/directory/member-actions.ts
@@ -147,6 +147,19 @@
 	sendToPeers(update, receivers, datagram, now);
 }
 
+/**
+ * Whether a node that is away may come back by itself. One that has left is stopped as planned, mostly to
+ * be started again, and may then have nobody to ask while the store is away.
+ */
+export function mayReturn(
+	record: NodeRecord | undefined,
+	{receivedAt}: Peer,
+	now: number,
+	{departureContactMs}: DirectoryLimits,
+): boolean {
+	return record?.status !== 'left' || now - receivedAt < departureContactMs;
+}
+
 /** Reports that a node stopped responding. */
 export function emitLapse(update: DirectoryUpdate, address: string, silentMs: number): void {
 	update.emit(
--- a/test/matrix/directory.test.ts
+++ b/test/matrix/directory.test.ts
@@ -83,6 +83,29 @@
 		expect(mesh.nodes.get('a/1')!.directory.blackboard.serving.state).to.equal('serving');
 	});
 
+	for (const count of [9, 60]) {
+		it(`discover a node that restarts after a planned stop while the store is unreachable, ${count} nodes`, () => {
+			const mesh = new FakeDirectoryMesh(seed);
+			mesh.writeConfiguration(documentOf(1));
+			for (let index = 0; index < count; index++) {
+				mesh.start(`${'abc'[index % 3]}/${Math.floor(index / 3) + 1}`);
+			}
+
+			mesh.run(4000);
+			mesh.reachability = {...fullReachability, canReachStore: () => false};
+			const node = mesh.nodes.get('a/1')!;
+			mesh.dispatch(node, {type: 'stop-requested'});
+			mesh.dispatch(node, {type: 'leave-requested'});
+			mesh.run(500);
+			mesh.kill('a/1');
+			mesh.run(500);
+			mesh.start('a/1');
+			mesh.run(boundMs);
+			expect(mesh.nodes.get('a/1')!.directory.blackboard.serving.state).to.equal('serving');
+			expect(mesh.endpointsOf('a/1').length).to.equal(count);
+		});
+	}
+
 	it('apply the records of a node that restarts with a lower incarnation after its clock was set back', () => {
 		const mesh = startedMesh();
 		mesh.reachability = {...fullReachability, canReachStore: () => false};
