--- a/packages/redwingmill-node/src/call/entry-service.ts
+++ b/packages/redwingmill-node/src/call/entry-service.ts
@@ -178,7 +178,7 @@
 	 * @param host - host that the call names, in lower case and without a port.
 	 */
 	findRoute(method: string, path: string, host?: string): RouteLookup {
-		const {isServing, routing, configurationBehindMs} = this.#control;
+		const {isServing, routing} = this.#control;
 		if (!isServing) {
 			return {type: 'refused', reason: 'not-serving', retryAfterMs: notServingRetryMs};
 		}
@@ -186,7 +186,7 @@
 		const found = matchRoute(routing.routes, method, path, host);
 		if (found === undefined) {
 			// A newer version, known but not held here, may have the route.
-			return configurationBehindMs > 0
+			return this.#control.configurationBehindMs > 0
 				? {type: 'refused', reason: 'configuration-behind', retryAfterMs: behindRetryMs}
 				: {type: 'refused', reason: 'no-route'};
 		}
--- a/packages/redwingmill-node/src/control/store-control-plane.ts
+++ b/packages/redwingmill-node/src/control/store-control-plane.ts
@@ -437,13 +437,14 @@
 	/**
 	 * Requests another node's configuration, or the patch to it from version `since`. A node without a
 	 * configuration reads the store first: its link is wider than those of the nodes, of which many may
-	 * start at once. A store that doesn't answer soon isn't waited for. The version read may be older than the one announced, to which a patch follows.
+	 * start at once. A store that doesn't answer soon isn't waited for. The version read may be older than
+	 * the one announced, to which a patch follows.
 	 */
 	async #requestConfiguration(gateAddress: string, since: number | undefined): Promise<void> {
 		if (since === undefined) {
 			const read = await Promise.race([
 				this.#ports.configuration.readRecent(),
-				delay(storeHeadStartMs, undefined),
+				delay(storeHeadStartMs),
 			]);
 			if (read?.type === 'found' && this.#applySource(read.source, 'store')) {
 				return;
