--- a/packages/redwingmill-core/src/directory/adoption-controller.ts
+++ b/packages/redwingmill-core/src/directory/adoption-controller.ts
@@ -5,6 +5,7 @@
 	type DirectoryUpdate,
 } from './directory-controller.js';
 import {type DirectoryEvent} from './directory-event.js';
+import {configurationBehindMs} from './directory-state.js';
 import {isWatching, notifyOfVersion} from './member-actions.js';
 
 /**
@@ -58,11 +59,11 @@
 		return;
 	}
 
+	const behindMs = configurationBehindMs(update.pending, context.now);
 	const isStillBehind = newer !== undefined && newer.version > document.version;
 	const stillNewer = isStillBehind ? {...newer, behindSince: context.now} : undefined;
 	update.set('adoption', {held: document, newer: stillNewer});
 	const {version} = document;
-	const behindMs = newer === undefined ? 0 : context.now - newer.behindSince;
 	update.emit({
 		type: 'notify',
 		notice: {type: 'configuration-adopted', version, previous, origin, behindMs},
