Log and count what a worker says of itself in its responses

Events 509 to 511, redwingmill_worker_limit_per_second, redwingmill_worker_requests and the limit in each call's line at the gate. Nothing is decided by them yet. A response counts as the worker's once its head has arrived and belongs to the call; those of another process at the address, or of an earlier one, don't count.

--- a/packages/redwingmill-core/src/call/gate-call.ts
+++ b/packages/redwingmill-core/src/call/gate-call.ts
@@ -1,5 +1,6 @@
 import {type Answer} from './call-ledger.js';
 import {type CrashEffect} from './crash-tracker.js';
+import {type NoticeChange} from './worker-notices.js';
 
 /** A call at the gate of its worker's node. */
 export type GateCall = {
@@ -61,6 +62,8 @@
 	/** Ends the exchange with the worker because nobody waits for its answer any more. */
 	| {readonly type: 'abort'; readonly key: string}
 	| CrashEffect
+	/** The worker said something new of itself. */
+	| {readonly type: 'notice-changed'; readonly change: NoticeChange}
 	/** Finds out whether the worker is still alive; this call timed out and no other has ended since. */
 	| {readonly type: 'check-worker'; readonly call: GateCall}
 	/** The worker can't be reached or isn't the announced one; it counts as absent from now on. */
--- a/packages/redwingmill-core/src/call/gate.ts
+++ b/packages/redwingmill-core/src/call/gate.ts
@@ -13,6 +13,8 @@
 import {StallDetector} from './stall-detector.js';
 import {SuspectedRequests} from './suspected-requests.js';
 import {type WorkerLoad} from './worker-load.js';
+import {type WorkerNotice} from './worker-notice.js';
+import {WorkerNotices} from './worker-notices.js';
 
 const minimumRetryAfterMs = 200;
 /** Longest wait, besides its own run time, of a call that can no longer meet its target. */
@@ -48,7 +50,9 @@
 	readonly #crashes: CrashTracker;
 	readonly #failures = new FailureMeter();
 	readonly #stallDetector = new StallDetector();
+	#notices = new WorkerNotices();
 	#worker: Worker | undefined;
+	#sentCount = 0;
 	/** When the worker last answered or ended a call. */
 	#answeredAt = Number.NEGATIVE_INFINITY;
 	#isStopping = false;
@@ -92,6 +96,16 @@
 		return this.#queue.size + (this.#heldCall === undefined ? 0 : 1);
 	}
 
+	/** Number of requests sent to workers since the start. */
+	get sentCount(): number {
+		return this.#sentCount;
+	}
+
+	/** Calls a second that the worker takes from all nodes together; undefined if it states no limit. */
+	get limitPerSecond(): number | undefined {
+		return this.#notices.perSecond;
+	}
+
 	/** Whether no call is running or waiting. */
 	get isIdle(): boolean {
 		return this.#running.size === 0 && this.waitingCount === 0;
@@ -106,6 +120,7 @@
 			this.#concurrencyLimit.reset();
 			this.#runTimes.reset();
 			this.#failures.reset();
+			this.#notices = new WorkerNotices();
 			this.#stallDetector.onProgress(now);
 		}
 
@@ -162,6 +177,17 @@
 		return [...effects, ...this.#dispatchWaiting(now)];
 	}
 
+	/**
+	 * Handles what the worker says of itself in a response, as soon as its head has arrived.
+	 *
+	 * @param sentAt - when the call was sent that the response answers.
+	 */
+	onNotice(notice: WorkerNotice, sentAt: number, now: number): Array<GateEffect<Payload>> {
+		return this.#notices
+			.apply(notice, sentAt, now)
+			.map((change) => ({type: 'notice-changed', change}));
+	}
+
 	/** Handles the result of a dispatched call. */
 	finish(key: string, result: WorkerResult<Payload>, now: number): Array<GateEffect<Payload>> {
 		const running = this.#running.get(key);
@@ -348,6 +374,7 @@
 
 			this.#stallDetector.onDispatch(now);
 			this.#running.set(this.keyOf(call), {call, startedAt: now, isSuspected});
+			this.#sentCount += 1;
 			effects.push({type: 'dispatch', call});
 		}
 
--- a/packages/redwingmill-core/src/index.ts
+++ b/packages/redwingmill-core/src/index.ts
@@ -52,6 +52,8 @@
 export {type Withdrawal} from './call/call-deduplicator.js';
 export * from './call/outcome.js';
 export {type WorkerLoad} from './call/worker-load.js';
+export * from './call/worker-notice.js';
+export type {NoticeChange} from './call/worker-notices.js';
 export {allowanceOfNode, RetryBudget, type RetryAllowance} from './call/retry-budget.js';
 export {matchRoute} from './call/route-matcher.js';
 export {type CrashCounts, type GateCrashes} from './call/crash-counts.js';
--- a/packages/redwingmill-node/src/__tests__/unit/metrics-page.test.ts
+++ b/packages/redwingmill-node/src/__tests__/unit/metrics-page.test.ts
@@ -11,6 +11,8 @@
 		endpoints: 3,
 		gateRunning: 1,
 		gateWaiting: 2,
+		workerRequests: 9,
+		workerLimitPerSecond: Number.POSITIVE_INFINITY,
 		isRelay: false,
 		isServing: true,
 	}));
--- a/packages/redwingmill-node/src/call/gate-service.ts
+++ b/packages/redwingmill-node/src/call/gate-service.ts
@@ -2,6 +2,7 @@
 import {type Pool} from 'undici';
 import {
 	Gate,
+	workerIdentityOf,
 	type Answer,
 	type CrashNotice,
 	type CrashReport,
@@ -9,6 +10,7 @@
 	type GateEffect,
 	type GateIdentity,
 	type GateLimits,
+	type NoticeChange,
 	type SuspicionReport,
 	type Withdrawal,
 	type Worker,
@@ -46,6 +48,8 @@
 	readonly onQuarantine?: (report: SuspicionReport) => void;
 	/** Called with what became of a crash or of a report on one. */
 	readonly onCrashNotice?: (notice: CrashNotice) => void;
+	/** Called when the worker says something new of itself in a response. */
+	readonly onNotice?: (change: NoticeChange, worker: Worker) => void;
 	/** Called when the worker crashed, is unreachable, or another worker answers at its address. */
 	readonly onWorkerGone: () => void;
 	/** Called for each call once it has been answered. */
@@ -60,6 +64,8 @@
 	readonly instance?: string;
 	/** Load of the worker at the time of the answer. */
 	readonly load: WorkerLoad;
+	/** Calls a second that the worker takes; absent when it states no limit. */
+	readonly limitPerSecond?: number;
 	/** Monotonic milliseconds at which the call arrived. */
 	readonly arrivedAt: number;
 	/** Monotonic milliseconds at which the call was sent to the worker; absent when it was not. */
@@ -130,6 +136,16 @@
 		return this.#gate.waitingCount;
 	}
 
+	/** Number of requests sent to workers since the start. */
+	get sentCount(): number {
+		return this.#gate.sentCount;
+	}
+
+	/** Calls a second that the worker takes from all nodes together; undefined if it states no limit. */
+	get limitPerSecond(): number | undefined {
+		return this.#gate.limitPerSecond;
+	}
+
 	setWorker(worker: Worker): void {
 		const isReplaced =
 			worker.address !== this.#worker?.address ||
@@ -277,6 +293,14 @@
 					break;
 				}
 
+				case 'notice-changed': {
+					if (this.#worker) {
+						this.#options.onNotice?.(effect.change, this.#worker);
+					}
+
+					break;
+				}
+
 				case 'worker-gone': {
 					this.#options.onWorkerGone();
 					break;
@@ -307,7 +331,8 @@
 		const pending = this.#requests.get(key);
 		if (pending) {
 			const {instance} = this.#worker ?? {};
-			this.#options.onAnswered?.({...pending, answer, instance, load: this.load});
+			const {load, limitPerSecond} = this;
+			this.#options.onAnswered?.({...pending, answer, instance, load, limitPerSecond});
 		}
 	}
 
@@ -320,9 +345,10 @@
 		}
 
 		pending.dispatchedAt = performance.now();
-		const {protocol, answerLimitBytes} = this.#options;
-		const {instance} = this.#worker ?? {};
-		const request = this.#workerRequest(pending.request, instance);
+		const {answerLimitBytes} = this.#options;
+		const worker = this.#worker;
+		const sentAt = pending.dispatchedAt;
+		const request = this.#workerRequest(pending.request, worker?.instance);
 		const disarm = this.#deadlines.arm(call.deadlineAt, () => {
 			this.#finishEarly(key, {type: 'timed-out'});
 		});
@@ -332,7 +358,7 @@
 			{
 				answerLimitBytes,
 				isMatchingResponse: (status, headers) =>
-					this.#isMatching(protocol.classify(status, headers, request.headers), headers),
+					this.#acceptHead(status, headers, request, {worker, sentAt}),
 			},
 			(result) => {
 				disarm();
@@ -343,6 +369,26 @@
 		this.#exchanges.set(key, exchange);
 	}
 
+	/** Reads a response's head as it arrives. Returns whether the response may belong to the request. */
+	#acceptHead(
+		status: number,
+		headers: IncomingHttpHeaders,
+		request: CallRequest,
+		{worker, sentAt}: {readonly worker: Worker | undefined; readonly sentAt: number},
+	): boolean {
+		const {protocol} = this.#options;
+		const responseClass = protocol.classify(status, headers, request.headers);
+		const isMatching = this.#isMatching(responseClass, headers);
+		// Another process at the address says nothing of the worker, nor does an earlier process of it.
+		const isOfWorker =
+			isMatching && responseClass !== 'misdirected' && isSameProcess(worker, this.#worker);
+		if (isOfWorker) {
+			this.#perform(this.#gate.onNotice(protocol.noticeOf(headers), sentAt, performance.now()));
+		}
+
+		return isMatching;
+	}
+
 	/**
 	 * Whether a response may belong to the call that waits for one. A worker that has named the call in a
 	 * response of one class does so in all of them; one that doesn't is a late copy of an earlier one.
@@ -440,6 +486,14 @@
 	}
 }
 
+function isSameProcess(one: Worker | undefined, other: Worker | undefined): boolean {
+	if (one === undefined || other === undefined) {
+		return false;
+	}
+
+	return one.address === other.address && workerIdentityOf(one) === workerIdentityOf(other);
+}
+
 /** A 504 is not the worker's failure: the call was delayed before it reached the worker. */
 function isServerFailure(status: number): boolean {
 	return status >= firstServerErrorStatus && status !== gatewayTimeoutStatus;
--- a/packages/redwingmill-node/src/call/headers.ts
+++ b/packages/redwingmill-node/src/call/headers.ts
@@ -16,6 +16,10 @@
 	reason: 'redwingmill-reason',
 	/** Set on answers after several attempts; nodes nearer to the original caller don't retry them. */
 	retried: 'redwingmill-retried',
+	/** Calls a second that a worker takes from all nodes together; on responses of workers. */
+	workerLimit: 'redwingmill-worker-limit',
+	/** `1` on the responses of a worker that is about to stop. */
+	workerLeaving: 'redwingmill-worker-leaving',
 	/** Ticket of a call, which the caller has requested from an entry node. */
 	idempotencyKey: 'idempotency-key',
 } as const;
--- a/packages/redwingmill-node/src/call/worker-protocol.ts
+++ b/packages/redwingmill-node/src/call/worker-protocol.ts
@@ -1,4 +1,5 @@
 import {type IncomingHttpHeaders, type OutgoingHttpHeaders} from 'node:http';
+import {parseStatedLimit, type WorkerNotice} from 'redwingmill-core';
 import {headerNames} from './headers.js';
 
 /** Details of a call that the worker receives along with the request. */
@@ -32,6 +33,8 @@
 		headers: IncomingHttpHeaders,
 		request: OutgoingHttpHeaders,
 	) => WorkerResponseClass;
+	/** Returns what the worker says of itself in a response, whatever its class but `foreign`. */
+	readonly noticeOf: (headers: IncomingHttpHeaders) => WorkerNotice;
 	/** Whether a response names the call that it answers; absent when workers never do. */
 	readonly isIdentified?: (headers: IncomingHttpHeaders) => boolean;
 };
@@ -41,6 +44,10 @@
 	requestHeaders({deadlineMs}) {
 		return {[headerNames.deadline]: String(deadlineMs)};
 	},
+	noticeOf: (headers) => ({
+		limit: parseStatedLimit(headers[headerNames.workerLimit]),
+		isLeaving: headers[headerNames.workerLeaving] === '1',
+	}),
 	classify(_status, headers) {
 		// A worker that forwards a retried refusal of another service has run this call itself.
 		const isShed =
--- a/packages/redwingmill-node/src/daemon.ts
+++ b/packages/redwingmill-node/src/daemon.ts
@@ -5,6 +5,7 @@
 	type AnnouncementOrder,
 	type CallerLimits,
 	type NodeRecord,
+	type NoticeChange,
 	type Worker,
 } from 'redwingmill-core';
 import {Random} from 'redwingmill-shared';
@@ -21,6 +22,7 @@
 import {Log} from './observe/log.js';
 import {logEvents} from './observe/log-event.js';
 import {Metrics, type GaugeValues} from './observe/metrics.js';
+import {logNoticeChange} from './observe/worker-notice-log.js';
 import {OperatorsServer} from './operators/operators-server.js';
 import {type Settings} from './settings/settings.js';
 
@@ -127,6 +129,10 @@
 			onCrashNotice(notice) {
 				logCrashNotice(log, notice);
 			},
+			onNotice: (change, worker) => {
+				logNoticeChange(log, change, worker);
+				this.#onNotice(change, metrics);
+			},
 			onWorkerGone: () => {
 				this.#log.write(logEvents.workerUnreachable);
 				this.#updateWorker(this.#lease.revoke());
@@ -322,6 +328,20 @@
 		await this.#gate.close();
 	}
 
+	#onNotice(change: NoticeChange, metrics: Metrics): void {
+		switch (change.type) {
+			case 'limit-malformed': {
+				metrics.countControlEvent('worker-limit-malformed');
+				break;
+			}
+
+			case 'limit-changed':
+			case 'leaving': {
+				break;
+			}
+		}
+	}
+
 	#updateWorker(worker: Worker | undefined): void {
 		if (worker) {
 			this.#log.write(logEvents.workerChanged, {worker});
@@ -342,6 +362,8 @@
 			endpoints: counts.reduce((sum, count) => sum + count, 0),
 			gateRunning: this.#gate.runningCount,
 			gateWaiting: this.#gate.waitingCount,
+			workerRequests: this.#gate.sentCount,
+			workerLimitPerSecond: this.#gate.limitPerSecond ?? Number.POSITIVE_INFINITY,
 			isRelay,
 			isServing,
 		};
--- a/packages/redwingmill-node/src/observe/call-log.ts
+++ b/packages/redwingmill-node/src/observe/call-log.ts
@@ -36,7 +36,8 @@
 		}));
 	}
 
-	writeGateCall({request, answer, instance, load, arrivedAt, dispatchedAt}: GateCallRecord): void {
+	writeGateCall(record: GateCallRecord): void {
+		const {request, answer, instance, load, limitPerSecond, arrivedAt, dispatchedAt} = record;
 		const now = performance.now();
 		const {outcome, retryAfterMs} = answer;
 		this.#log.writeCall(logEvents.callFinishedAtGate, outcome.type !== 'ran', () => ({
@@ -52,6 +53,7 @@
 			callsPerSlot: Number(load.callsPerSlot.toFixed(loadDecimals)),
 			usualRunMs: rounded(load.runMs),
 			queueMs: rounded(load.waitMs),
+			limitPerSecond,
 			waitedMs: rounded((dispatchedAt ?? now) - arrivedAt),
 			ranMs: dispatchedAt === undefined ? undefined : rounded(now - dispatchedAt),
 			leftMs: rounded(request.deadlineAt - now),
--- a/packages/redwingmill-node/src/observe/log-event.ts
+++ b/packages/redwingmill-node/src/observe/log-event.ts
@@ -91,6 +91,21 @@
 		message: 'worker unreachable, absent until its next announcement',
 	},
 	announcementIgnored: {number: 505, level: 'warn', message: 'worker announcement ignored'},
+	workerLimitChanged: {
+		number: 509,
+		level: 'info',
+		message: 'worker changed the limit that it states in its responses',
+	},
+	workerLimitMalformed: {
+		number: 510,
+		level: 'warn',
+		message: 'worker states a limit that cannot be read',
+	},
+	workerLeaving: {
+		number: 511,
+		level: 'info',
+		message: 'worker says in its responses that it leaves',
+	},
 	callFinishedAtEntry: {number: 600, level: 'info', message: 'call finished at the entry node'},
 	callFinishedAtGate: {number: 601, level: 'info', message: 'call finished at the gate'},
 	linesDropped: {number: 602, level: 'warn', message: 'log lines dropped'},
--- a/packages/redwingmill-node/src/observe/metrics-page.ts
+++ b/packages/redwingmill-node/src/observe/metrics-page.ts
@@ -132,6 +132,16 @@
 			['endpoints', 'Endpoints in the routing table.', (values) => values.endpoints],
 			['gate_running', 'Calls that the local worker is running.', (values) => values.gateRunning],
 			['gate_waiting', 'Calls queued for the local worker.', (values) => values.gateWaiting],
+			[
+				'worker_requests',
+				'Requests sent to the local worker since the start of this node.',
+				(values) => values.workerRequests,
+			],
+			[
+				'worker_limit_per_second',
+				'Calls a second that the local worker says it takes; +Inf while it states no limit.',
+				(values) => values.workerLimitPerSecond,
+			],
 			[
 				'is_relay',
 				'1 if this node is the relay of its data centre, otherwise 0.',
--- a/packages/redwingmill-node/src/observe/metrics.ts
+++ b/packages/redwingmill-node/src/observe/metrics.ts
@@ -9,6 +9,9 @@
 	readonly endpoints: number;
 	readonly gateRunning: number;
 	readonly gateWaiting: number;
+	readonly workerRequests: number;
+	/** Infinity while the worker states no limit. */
+	readonly workerLimitPerSecond: number;
 	readonly isRelay: boolean;
 	readonly isServing: boolean;
 };
@@ -87,7 +90,8 @@
 			| 'link-overflow'
 			| 'configuration-unanswered'
 			| 'configuration-refused'
-			| 'watch-renewed',
+			| 'watch-renewed'
+			| 'worker-limit-malformed',
 	): void {
 		increment(this.#controlEvents, event);
 	}
--- a/test/support/fake-call-path.ts
+++ b/test/support/fake-call-path.ts
@@ -277,6 +277,7 @@
 				case 'keep-crashes':
 				case 'check-worker':
 				case 'crash-notice':
+				case 'notice-changed':
 				case 'worker-gone': {
 					break;
 				}
--- a/test/support/fake-crash-mesh.ts
+++ b/test/support/fake-crash-mesh.ts
@@ -394,6 +394,7 @@
 					break;
 				}
 
+				case 'notice-changed':
 				case 'abort': {
 					break;
 				}
