--- /dev/null
+++ b/packages/redwingmill-core/src/call/dispatcher.ts
@@ -0,0 +1,213 @@
+import {ConcurrencyLimit} from './concurrency-limit.js';
+import {type CrashTracker} from './crash-tracker.js';
+import {type GateCall} from './gate-call.js';
+import {type GateLimits} from './gate-limits.js';
+import {type GroupMeans} from './group-means.js';
+import {RankQueue} from './rank-queue.js';
+import {StallDetector} from './stall-detector.js';
+
+/** A call that the worker is running. */
+export type RunningCall = {
+	readonly call: GateCall;
+	readonly startedAt: number;
+	readonly isSuspected: boolean;
+};
+
+/**
+ * Queues the calls for a worker and decides when each may be sent: within the worker's concurrency,
+ * the most urgent first, and calls that may crash it alone. Every request to the worker passes here.
+ */
+export class Dispatcher {
+	readonly #limits: GateLimits;
+	readonly #crashes: CrashTracker;
+	readonly #runTimes: GroupMeans;
+	readonly #queue = new RankQueue<GateCall>();
+	readonly #running = new Map<string, RunningCall>();
+	readonly #concurrencyLimit = new ConcurrencyLimit(1);
+	readonly #stallDetector = new StallDetector();
+	#slots = 1;
+	/** Suspected request held back until the worker is idle; nothing is dispatched before it. */
+	#heldCall: GateCall | undefined;
+	#runningSuspectedCount = 0;
+	#sentCount = 0;
+
+	constructor(limits: GateLimits, crashes: CrashTracker, runTimes: GroupMeans) {
+		this.#limits = limits;
+		this.#crashes = crashes;
+		this.#runTimes = runTimes;
+	}
+
+	/** Number of calls that the worker is running. */
+	get runningCount(): number {
+		return this.#running.size;
+	}
+
+	/** Number of calls that wait. */
+	get waitingCount(): number {
+		return this.#queue.size + (this.#heldCall === undefined ? 0 : 1);
+	}
+
+	/** Number of calls dispatched since the start. */
+	get sentCount(): number {
+		return this.#sentCount;
+	}
+
+	/** Running and waiting calls per slot. */
+	get callsPerSlot(): number {
+		return (this.#running.size + this.waitingCount) / this.#slots;
+	}
+
+	/** Number of calls that may wait. */
+	get #queueCapacity(): number {
+		return this.#limits.queuePerSlot * this.#slots;
+	}
+
+	/** Begins with a new worker process; calls that wait stay. */
+	reset(now: number): void {
+		this.#concurrencyLimit.reset();
+		this.#stallDetector.onProgress(now);
+	}
+
+	resize(slots: number): void {
+		this.#slots = slots;
+		this.#concurrencyLimit.resize(slots);
+	}
+
+	/**
+	 * Returns the expected time until a new call could be dispatched: the run times of the calls ahead of
+	 * it, divided by the concurrency limit.
+	 */
+	expectedWaitMs(rank: number, dueAt: number): number {
+		const limit = this.#concurrencyLimit.value;
+		if (this.#running.size < limit) {
+			return 0;
+		}
+
+		let workAheadMs = this.#runTimes.mean;
+		for (const call of this.#queue.ahead(rank, dueAt)) {
+			workAheadMs += this.#runTimes.expected(call.group);
+		}
+
+		return workAheadMs / limit;
+	}
+
+	/** Whether the worker has calls and has stopped answering. */
+	isStalled(now: number): boolean {
+		return (
+			this.#limits.isLimiting &&
+			this.#stallDetector.isStalled(this.#running.size, this.#runTimes, now)
+		);
+	}
+
+	/** Whether a call may be sent to a stalled worker, to find out whether it has recovered. */
+	canProbe(now: number): boolean {
+		return this.#stallDetector.canProbe(now);
+	}
+
+	hasRoom(rank: number): boolean {
+		const isFull = this.#running.size >= this.#concurrencyLimit.value;
+		return !this.#limits.isLimiting || !isFull || this.#queue.hasRoom(rank, this.#queueCapacity);
+	}
+
+	/** Removes and returns a less urgent call to make room for one of `rank`; undefined if there is none. */
+	displace(rank: number): GateCall | undefined {
+		return this.#queue.displace(rank, this.#queueCapacity);
+	}
+
+	/** @param dueAt - sort key within the call's rank. */
+	add(call: GateCall, dueAt: number): void {
+		this.#queue.add(call, call.rank, dueAt);
+	}
+
+	removeWaiting(isSelected: (call: GateCall) => boolean): GateCall[] {
+		const removed = this.#queue.removeWhere(isSelected);
+		if (this.#heldCall && isSelected(this.#heldCall)) {
+			removed.push(this.#heldCall);
+			this.#heldCall = undefined;
+		}
+
+		return removed;
+	}
+
+	/**
+	 * Removes and returns the call to dispatch next; undefined while none may be. A call on probation runs
+	 * alone, so that only a crash of its own quarantines it.
+	 */
+	takeNext(now: number): GateCall | undefined {
+		if (!this.#hasFreeSlot()) {
+			return undefined;
+		}
+
+		const call = this.#heldCall ?? this.#queue.pick();
+		this.#heldCall = undefined;
+		if (call && this.#running.size > 0 && this.#needsIsolation(call, now)) {
+			this.#heldCall = call;
+			return undefined;
+		}
+
+		return call;
+	}
+
+	/** Records that a call is sent to the worker. */
+	start(key: string, call: GateCall, now: number): void {
+		const isSuspected = this.#needsIsolation(call, now);
+		this.#runningSuspectedCount += isSuspected ? 1 : 0;
+		if (this.#running.size === 0) {
+			this.#stallDetector.onProgress(now);
+		}
+
+		this.#stallDetector.onDispatch(now);
+		this.#sentCount += 1;
+		this.#running.set(key, {call, startedAt: now, isSuspected});
+	}
+
+	isRunning(key: string): boolean {
+		return this.#running.has(key);
+	}
+
+	/** Removes a running call and returns it; undefined if it isn't running. */
+	finish(key: string): RunningCall | undefined {
+		const running = this.#running.get(key);
+		this.#running.delete(key);
+		this.#runningSuspectedCount -= running?.isSuspected ? 1 : 0;
+		return running;
+	}
+
+	/** Records that the worker ended a call. */
+	onProgress(now: number): void {
+		this.#stallDetector.onProgress(now);
+	}
+
+	onAnswered(): void {
+		this.#concurrencyLimit.onSuccess();
+	}
+
+	onShed(now: number): void {
+		this.#concurrencyLimit.onShed(now);
+	}
+
+	#hasFreeSlot(): boolean {
+		if (!this.#limits.isLimiting) {
+			return true;
+		}
+
+		return this.#runningSuspectedCount === 0 && this.#running.size < this.#concurrencyLimit.value;
+	}
+
+	#needsIsolation(call: GateCall, now: number): boolean {
+		switch (this.#crashes.suspicionOf(call, now)) {
+			case 'none':
+			case 'quarantined': {
+				return false;
+			}
+
+			case 'suspect': {
+				return this.#limits.isolatesSuspects;
+			}
+
+			case 'probation': {
+				return true;
+			}
+		}
+	}
+}
--- /dev/null
+++ b/packages/redwingmill-core/src/call/gate-admission.ts
@@ -0,0 +1,105 @@
+import {type Worker} from '../model/node-record.js';
+import {decideAdmission, isLate, type AdmissionDecision} from './admission.js';
+import {type CrashTracker} from './crash-tracker.js';
+import {type Dispatcher} from './dispatcher.js';
+import {type GateCall} from './gate-call.js';
+import {type GateLimits} from './gate-limits.js';
+import {type GroupMeans} from './group-means.js';
+import {type NotRunReason} from './outcome.js';
+
+/** Longest wait, besides its own run time, of a call that can no longer meet its target. */
+const maximumLateWaitMs = 160;
+/** Share of its expected run time that a waiting call must have left before its deadline. */
+const minimumRunShare = 0.5;
+/**
+ * Added to the due time of a call that can no longer meet its target. Such calls of a rank thus follow
+ * all others, in the order of their targets.
+ */
+const lateCallOffsetMs = 1e6;
+
+/** Parts of a gate by which it decides on new calls. */
+export type AdmissionParts = {
+	readonly limits: GateLimits;
+	readonly crashes: CrashTracker;
+	readonly dispatcher: Dispatcher;
+	readonly runTimes: GroupMeans;
+};
+
+/** Decides whether a call may wait for the worker, and for how long. */
+export class GateAdmission {
+	readonly #parts: AdmissionParts;
+
+	constructor(parts: AdmissionParts) {
+		this.#parts = parts;
+	}
+
+	/** Returns why a call can't be run here at all; undefined if it can. */
+	refusalOf(
+		call: GateCall,
+		worker: Worker | undefined,
+		acceptsCalls: boolean,
+		now: number,
+	): NotRunReason | undefined {
+		const {crashes, dispatcher} = this.#parts;
+		const isForWorker = worker?.service === call.service;
+		if (worker === undefined || worker.state === 'absent' || !isForWorker) {
+			return 'worker-absent';
+		}
+
+		if (!acceptsCalls) {
+			return 'draining';
+		}
+
+		if (call.deadlineAt <= now) {
+			return 'deadline-passed';
+		}
+
+		if (crashes.suspicionOf(call, now) === 'quarantined') {
+			return 'quarantined';
+		}
+
+		return dispatcher.isStalled(now) && !dispatcher.canProbe(now) ? 'worker-stalled' : undefined;
+	}
+
+	/** Decides by the expected wait whether a call is worth queueing. */
+	decide(call: GateCall, now: number): AdmissionDecision {
+		const {limits, dispatcher, runTimes} = this.#parts;
+		if (!limits.isLimiting) {
+			return {type: 'admitted'};
+		}
+
+		const {deadlineAt, targetAt, group, rank} = call;
+		const waitMs = dispatcher.expectedWaitMs(rank, this.dueAtOf(call, now));
+		return decideAdmission({now, deadlineAt, targetAt, waitMs, runMs: runTimes.expected(group)});
+	}
+
+	/** Returns the sort key within a rank: calls that can still meet their target come first. */
+	dueAtOf({targetAt, deadlineAt, group}: GateCall, now: number): number {
+		if (targetAt === undefined) {
+			return deadlineAt;
+		}
+
+		const runMs = this.#parts.runTimes.expected(group);
+		return isLate({now, targetAt, runMs}) ? targetAt + lateCallOffsetMs : targetAt;
+	}
+
+	/**
+	 * Whether a waiting call can't be answered before its deadline, or has been overtaken by others
+	 * for so long that its caller is better off retrying.
+	 */
+	hasWaitedTooLong(call: GateCall, admittedAt: number, now: number): boolean {
+		const {deadlineAt, targetAt, group} = call;
+		const runMs = this.#parts.runTimes.expected(group);
+		const earliestEndAt = now + runMs * minimumRunShare;
+		const latestEndAt = Math.max(targetAt ?? deadlineAt, admittedAt + maximumLateWaitMs + runMs);
+		return earliestEndAt >= deadlineAt || earliestEndAt > latestEndAt;
+	}
+
+	/** Returns after how many milliseconds a call that is refused now may be worth sending again. */
+	retryAfterMs(call: GateCall, reason: NotRunReason, now: number): number {
+		const {crashes, dispatcher} = this.#parts;
+		return reason === 'quarantined'
+			? crashes.remainingMs(call, now)
+			: dispatcher.expectedWaitMs(call.rank, this.dueAtOf(call, now));
+	}
+}
