Keep the limit that a worker states, and stop at once when it says that it leaves

What callers and workers saw: a worker that named 5 requests a second got 318 in 4 s; one that named 1 got 327 through two restarts of its gate; one that said that it leaves got all further calls. Cause: nobody read what a worker says of itself in its responses. The gate bounds calls at once, never a rate, and a worker left only by its announcement. Now the gate reads it as the head of a response arrives, and paces all requests to its worker in one place: a token bucket of a quarter of a second, which begins empty, and a count over 4 s that binds after a limit was lowered. A gate that has just started learns the limit from the first call of an entry that passed on such an answer, so a restart gives no second allowance. Entries that passed on a leaving answer don't send to that worker process again, whatever its node knows. Loads carry the allowance, so that entries place by it; a call that the limit can't fit in is refused as worker-limited, which is no fault of the worker and costs no retry budget.

--- a/packages/redwingmill-core/src/call/dispatcher.ts
+++ b/packages/redwingmill-core/src/call/dispatcher.ts
@@ -5,6 +5,7 @@
 import {type GroupMeans} from './group-means.js';
 import {RankQueue} from './rank-queue.js';
 import {StallDetector} from './stall-detector.js';
+import {WorkerAllowance, type Allowance} from './worker-allowance.js';
 
 /** A call that the worker is running. */
 export type RunningCall = {
@@ -25,6 +26,7 @@
 	readonly #running = new Map<string, RunningCall>();
 	readonly #concurrencyLimit = new ConcurrencyLimit(1);
 	readonly #stallDetector = new StallDetector();
+	readonly #allowance = new WorkerAllowance();
 	#slots = 1;
 	/** Suspected request held back until the worker is idle; nothing is dispatched before it. */
 	#heldCall: GateCall | undefined;
@@ -66,6 +68,17 @@
 	reset(now: number): void {
 		this.#concurrencyLimit.reset();
 		this.#stallDetector.onProgress(now);
+		this.#allowance.reset();
+	}
+
+	/** @param perSecond - calls a second that the worker takes; undefined if it limits none. */
+	setLimit(perSecond: number | undefined, now: number): void {
+		this.#allowance.setLimit(perSecond, now);
+	}
+
+	/** Returns what is left of the worker's limit; undefined if it has none. */
+	allowanceAt(now: number): Allowance | undefined {
+		return this.#allowance.reportAt(now, this.waitingCount);
 	}
 
 	resize(slots: number): void {
@@ -73,22 +86,23 @@
 		this.#concurrencyLimit.resize(slots);
 	}
 
-	/**
-	 * Returns the expected time until a new call could be dispatched: the run times of the calls ahead of
-	 * it, divided by the concurrency limit.
-	 */
-	expectedWaitMs(rank: number, dueAt: number): number {
-		const limit = this.#concurrencyLimit.value;
-		if (this.#running.size < limit) {
+	/** Returns the expected time until a new call could be dispatched. */
+	expectedWaitMs(rank: number, dueAt: number, now: number): number {
+		return Math.max(this.#slotWaitMs(rank, dueAt), this.limitWaitMs(rank, dueAt, now));
+	}
+
+	/** Returns the time until the worker's limit allows a new call; 0 if it has none. */
+	limitWaitMs(rank: number, dueAt: number, now: number): number {
+		if (!this.#allowance.isLimited) {
 			return 0;
 		}
 
-		let workAheadMs = this.#runTimes.mean;
-		for (const call of this.#queue.ahead(rank, dueAt)) {
-			workAheadMs += this.#runTimes.expected(call.group);
+		let ahead = this.#heldCall === undefined ? 0 : 1;
+		for (const _call of this.#queue.ahead(rank, dueAt)) {
+			ahead += 1;
 		}
 
-		return workAheadMs / limit;
+		return this.#allowance.waitMs(now, ahead);
 	}
 
 	/** Whether the worker has calls and has stopped answering. */
@@ -105,8 +119,9 @@
 	}
 
 	hasRoom(rank: number): boolean {
-		const isFull = this.#running.size >= this.#concurrencyLimit.value;
-		return !this.#limits.isLimiting || !isFull || this.#queue.hasRoom(rank, this.#queueCapacity);
+		const {isLimited} = this.#allowance;
+		const isFull = this.#running.size >= this.#concurrencyLimit.value && this.#limits.isLimiting;
+		return !(isLimited || isFull) || this.#queue.hasRoom(rank, this.#queueCapacity);
 	}
 
 	/** Removes and returns a less urgent call to make room for one of `rank`; undefined if there is none. */
@@ -134,7 +149,7 @@
 	 * alone, so that only a crash of its own quarantines it.
 	 */
 	takeNext(now: number): GateCall | undefined {
-		if (!this.#hasFreeSlot()) {
+		if (!this.#hasFreeSlot() || this.#allowance.waitMs(now) > 0) {
 			return undefined;
 		}
 
@@ -158,6 +173,7 @@
 
 		this.#stallDetector.onDispatch(now);
 		this.#sentCount += 1;
+		this.#allowance.record(now);
 		this.#running.set(key, {call, startedAt: now, isSuspected});
 	}
 
@@ -186,6 +202,24 @@
 		this.#concurrencyLimit.onShed(now);
 	}
 
+	/**
+	 * Returns the expected time until a slot is free for a new call: the run times of the calls ahead of it,
+	 * divided by the concurrency limit.
+	 */
+	#slotWaitMs(rank: number, dueAt: number): number {
+		const limit = this.#concurrencyLimit.value;
+		if (this.#running.size < limit) {
+			return 0;
+		}
+
+		let workAheadMs = this.#runTimes.mean;
+		for (const call of this.#queue.ahead(rank, dueAt)) {
+			workAheadMs += this.#runTimes.expected(call.group);
+		}
+
+		return workAheadMs / limit;
+	}
+
 	#hasFreeSlot(): boolean {
 		if (!this.#limits.isLimiting) {
 			return true;
--- a/packages/redwingmill-core/src/call/endpoint-chooser.ts
+++ b/packages/redwingmill-core/src/call/endpoint-chooser.ts
@@ -6,6 +6,7 @@
 	type CompletionState,
 } from './expected-completion.js';
 import {GroupMeans} from './group-means.js';
+import {ReportedNotices, type KnownLimit, type ReportedNotice} from './reported-notices.js';
 import {type WorkerLoad} from './worker-load.js';
 
 /**
@@ -91,6 +92,7 @@
 	#statesByEndpoint = new WeakMap<Endpoint, EndpointState>();
 	/** Run times by group, scaled to a worker of the service's mean speed. */
 	readonly #runTimes = new GroupMeans(initialRunMs);
+	readonly #notices = new ReportedNotices();
 	#roundRobinTurn = 0;
 
 	constructor(options: ChoiceOptions, random: Random) {
@@ -113,7 +115,10 @@
 		this.#statesByEndpoint = new WeakMap();
 	}
 
-	/** Returns an endpoint whose node isn't in `excluded`, preferring local ones; undefined if none. */
+	/**
+	 * Returns an endpoint whose node isn't in `excluded` and whose worker hasn't said that it leaves,
+	 * preferring local ones; undefined if there is none.
+	 */
 	choose(
 		endpoints: readonly Endpoint[],
 		excluded: ReadonlySet<string>,
@@ -121,10 +126,13 @@
 		profile: CallProfile = emptyProfile,
 	): Endpoint | undefined {
 		if (endpoints.length === 1) {
-			return excluded.has(endpoints[0].node) ? undefined : endpoints[0];
+			const [only] = endpoints;
+			return excluded.has(only.node) || this.#notices.isLeaving(only) ? undefined : only;
 		}
 
-		const open = endpoints.filter((endpoint) => !excluded.has(endpoint.node));
+		const open = endpoints.filter(
+			(endpoint) => !excluded.has(endpoint.node) && !this.#notices.isLeaving(endpoint),
+		);
 		const usable = this.#withoutEjected(open, endpoints.length, now);
 		if (this.#options.policy === 'expected-completion') {
 			// An ejected local endpoint can't serve the call, so it is no reason to keep the call local.
@@ -179,6 +187,21 @@
 		}
 	}
 
+	/**
+	 * Records what the endpoint's worker said of itself, as its gate reported it with an answer.
+	 *
+	 * @param notice - absent when it said nothing.
+	 * @param hasRun - whether the answer is the worker's own.
+	 */
+	onNotice(endpoint: Endpoint, notice: ReportedNotice | undefined, hasRun: boolean): void {
+		this.#notices.record(endpoint, notice, hasRun);
+	}
+
+	/** Returns the limit that the endpoint's worker has stated last; undefined if it has none. */
+	limitOf(endpoint: Endpoint): KnownLimit | undefined {
+		return this.#notices.limitOf(endpoint);
+	}
+
 	/** Records a successful call; ends the series of failures and ejections. */
 	onSuccess(endpoint: Endpoint): void {
 		const state = this.#stateOf(endpoint);
--- a/packages/redwingmill-core/src/call/entry-call.ts
+++ b/packages/redwingmill-core/src/call/entry-call.ts
@@ -3,6 +3,7 @@
 import {type Answer} from './call-ledger.js';
 import {type EndpointChooser} from './endpoint-chooser.js';
 import {isTransient, type NotRunReason, type Outcome, type UnknownReason} from './outcome.js';
+import {type KnownLimit, type ReportedNotice} from './reported-notices.js';
 import {type RetryAllowance, type RetryBudget} from './retry-budget.js';
 import {type WorkerLoad} from './worker-load.js';
 
@@ -10,6 +11,8 @@
 export type GateAnswer<Payload> = Answer<Payload> & {
 	/** Load of the worker; absent when the gate reported none. */
 	readonly load?: WorkerLoad;
+	/** What the worker said of itself; absent when it said nothing. */
+	readonly notice?: ReportedNotice;
 	/** Whether a node further along the call's path has already retried. */
 	readonly isRetried: boolean;
 };
@@ -41,6 +44,8 @@
 			readonly endpoint: Endpoint;
 			/** Nodes whose workers crashed while running this call. */
 			readonly crashedNodes: readonly string[];
+			/** Limit that the endpoint's worker has stated; absent when none is known. */
+			readonly knownLimit?: KnownLimit;
 	  }
 	| {
 			readonly type: 'withdraw';
@@ -92,6 +97,7 @@
 ]);
 /** Refusals for lack of capacity. */
 const capacityReasons: ReadonlySet<NotRunReason> = new Set<NotRunReason>([
+	'worker-limited',
 	'queue-full',
 	'queue-too-slow',
 	'waited-too-long',
@@ -225,6 +231,8 @@
 	}
 
 	#onAnswer(answer: GateAnswer<Payload>, now: number): EntryAction<Payload> {
+		const hasRun = answer.outcome.type === 'ran';
+		this.#chooser.onNotice(this.#currentEndpoint(), answer.notice, hasRun);
 		switch (answer.outcome.type) {
 			case 'ran': {
 				this.#chooser.onSuccess(this.#currentEndpoint());
@@ -329,6 +337,7 @@
 			type: 'attempt',
 			endpoint,
 			crashedNodes: this.#crashedNodes,
+			knownLimit: this.#chooser.limitOf(endpoint),
 		};
 	}
 
--- a/packages/redwingmill-core/src/call/expected-completion.ts
+++ b/packages/redwingmill-core/src/call/expected-completion.ts
@@ -38,6 +38,7 @@
 const processedShare = 0.3;
 /** Share by which calls run longer at a worker whose slots are all taken than at an idle one. */
 const fullLoadSlowdown = 0.3;
+const msPerSecond = 1000;
 
 /**
  * Returns the expected time in milliseconds until an endpoint answers: the queue that its gate
@@ -54,5 +55,17 @@
 	const loadedRunMs = runMs * (1 + fullLoadSlowdown * Math.min(1, busyShare));
 	const distanceMs = isLocal ? 0 : remoteCostMs;
 	const failureMs = (failureShare + excessFailureShare) * failureCostMs;
-	return queueMs + addedMs + loadedRunMs + distanceMs + failureMs;
+	const waitMs = Math.max(queueMs + addedMs, limitedWaitMs(state, now));
+	return waitMs + loadedRunMs + distanceMs + failureMs;
+}
+
+/** Returns the time until the worker's limit allows a new call, with those that this node has added. */
+function limitedWaitMs({load, loadAt, sentSinceReport}: CompletionState, now: number): number {
+	if (load?.allowance === undefined) {
+		return 0;
+	}
+
+	const {perSecond, waitMs} = load.allowance;
+	const addedMs = (sentSinceReport / perSecond) * msPerSecond;
+	return Math.max(0, waitMs - (now - loadAt) + addedMs);
 }
--- a/packages/redwingmill-core/src/call/gate-admission.ts
+++ b/packages/redwingmill-core/src/call/gate-admission.ts
@@ -64,13 +64,20 @@
 	/** Decides by the expected wait whether a call is worth queueing. */
 	decide(call: GateCall, now: number): AdmissionDecision {
 		const {limits, dispatcher, runTimes} = this.#parts;
-		if (!limits.isLimiting) {
+		const dueAt = this.dueAtOf(call, now);
+		const limitWaitMs = dispatcher.limitWaitMs(call.rank, dueAt, now);
+		if (!limits.isLimiting && limitWaitMs === 0) {
 			return {type: 'admitted'};
 		}
 
 		const {deadlineAt, targetAt, group, rank} = call;
-		const waitMs = dispatcher.expectedWaitMs(rank, this.dueAtOf(call, now));
-		return decideAdmission({now, deadlineAt, targetAt, waitMs, runMs: runTimes.expected(group)});
+		const waitMs = dispatcher.expectedWaitMs(rank, dueAt, now);
+		const runMs = runTimes.expected(group);
+		const decision = decideAdmission({now, deadlineAt, targetAt, waitMs, runMs});
+		const isLimited = limitWaitMs > 0 && limitWaitMs === waitMs;
+		return decision.type === 'refused' && isLimited
+			? {...decision, reason: 'worker-limited'}
+			: decision;
 	}
 
 	/** Returns the sort key within a rank: calls that can still meet their target come first. */
@@ -100,6 +107,6 @@
 		const {crashes, dispatcher} = this.#parts;
 		return reason === 'quarantined'
 			? crashes.remainingMs(call, now)
-			: dispatcher.expectedWaitMs(call.rank, this.dueAtOf(call, now));
+			: dispatcher.expectedWaitMs(call.rank, this.dueAtOf(call, now), now);
 	}
 }
--- a/packages/redwingmill-core/src/call/gate-call.ts
+++ b/packages/redwingmill-core/src/call/gate-call.ts
@@ -1,5 +1,6 @@
 import {type Answer} from './call-ledger.js';
 import {type CrashEffect} from './crash-tracker.js';
+import {type KnownLimit} from './reported-notices.js';
 import {type NoticeChange} from './worker-notices.js';
 
 /** A call at the gate of its worker's node. */
@@ -20,6 +21,8 @@
 	readonly deadlineAt: number;
 	/** Nodes whose workers crashed while running this call, as far as the entry node knows. */
 	readonly crashedNodes: readonly string[];
+	/** Limit of the worker that the entry node knows of; a gate that has just started may not. */
+	readonly knownLimit?: KnownLimit;
 	/** Identifies the request by its contents. */
 	readonly fingerprint: () => string;
 };
--- a/packages/redwingmill-core/src/call/gate.ts
+++ b/packages/redwingmill-core/src/call/gate.ts
@@ -8,10 +8,11 @@
 import {type GateCall, type GateEffect, type WorkerResult} from './gate-call.js';
 import {type GateLimits} from './gate-limits.js';
 import {GroupMeans} from './group-means.js';
+import {type ReportedNotice} from './reported-notices.js';
 import {SuspectedRequests} from './suspected-requests.js';
 import {type WorkerLoad} from './worker-load.js';
-import {type WorkerNotice} from './worker-notice.js';
-import {WorkerNotices} from './worker-notices.js';
+import {workerIdentityOf, type WorkerNotice} from './worker-notice.js';
+import {WorkerNotices, type NoticeChange} from './worker-notices.js';
 
 /** Run time assumed until the first call has finished. */
 const initialRunMs = 20;
@@ -62,9 +63,14 @@
 	loadAt(now: number): WorkerLoad {
 		return {
 			callsPerSlot: this.#dispatcher.callsPerSlot,
-			waitMs: this.#dispatcher.expectedWaitMs(Number.POSITIVE_INFINITY, Number.POSITIVE_INFINITY),
+			waitMs: this.#dispatcher.expectedWaitMs(
+				Number.POSITIVE_INFINITY,
+				Number.POSITIVE_INFINITY,
+				now,
+			),
 			runMs: this.#runTimes.mean,
 			failureShare: this.#failures.shareAt(now),
+			allowance: this.#dispatcher.allowanceAt(now),
 		};
 	}
 
@@ -88,6 +94,15 @@
 		return this.#notices.perSecond;
 	}
 
+	/** What the worker said of itself, for the entry nodes; undefined if it said nothing. */
+	get notice(): ReportedNotice | undefined {
+		const {perSecond: limitPerSecond, isLeaving} = this.#notices;
+		const worker = this.#worker && workerIdentityOf(this.#worker);
+		return worker === undefined || (limitPerSecond === undefined && !isLeaving)
+			? undefined
+			: {worker, limitPerSecond, isLeaving};
+	}
+
 	/** Whether no call is running or waiting. */
 	get isIdle(): boolean {
 		return this.runningCount === 0 && this.waitingCount === 0;
@@ -141,21 +156,22 @@
 			return [this.#answers.refuse(call, refusal, now)];
 		}
 
+		const adopted = this.#adoptLimit(call, now);
 		const decision = this.#admission.decide(call, now);
 		if (decision.type === 'refused') {
-			return [this.#answers.refuse(call, decision.reason, now, decision.retryAfterMs)];
+			return [...adopted, this.#answers.refuse(call, decision.reason, now, decision.retryAfterMs)];
 		}
 
 		const hasRoom = this.#dispatcher.hasRoom(call.rank);
 		const displaced = hasRoom ? undefined : this.#dispatcher.displace(call.rank);
 		if (!hasRoom && displaced === undefined) {
-			return [this.#answers.refuse(call, 'queue-full', now)];
+			return [...adopted, this.#answers.refuse(call, 'queue-full', now)];
 		}
 
 		this.#deduplicator.recordAdmission(call, now);
 		this.#dispatcher.add(call, this.#admission.dueAtOf(call, now));
 		const effects = displaced ? [this.#answers.refuse(displaced, 'displaced', now)] : [];
-		return [...effects, ...this.#dispatchWaiting(now)];
+		return [...adopted, ...effects, ...this.#dispatchWaiting(now)];
 	}
 
 	/**
@@ -164,9 +180,8 @@
 	 * @param sentAt - when the call was sent that the response answers.
 	 */
 	onNotice(notice: WorkerNotice, sentAt: number, now: number): Array<GateEffect<Payload>> {
-		return this.#notices
-			.apply(notice, sentAt, now)
-			.map((change) => ({type: 'notice-changed', change}));
+		const effects = this.#applyChanges(this.#notices.apply(notice, sentAt, now), now);
+		return this.#acceptsCalls() ? effects : [...effects, ...this.#refuseWaiting(now)];
 	}
 
 	/** Handles the result of a dispatched call. */
@@ -238,13 +253,36 @@
 		];
 	}
 
+	/** Applies the limit that the entry node of a call knows of, if it is this worker's. */
+	#adoptLimit({knownLimit}: GateCall, now: number): Array<GateEffect<Payload>> {
+		const worker = this.#worker && workerIdentityOf(this.#worker);
+		return knownLimit !== undefined && knownLimit.worker === worker
+			? this.#applyChanges(this.#notices.adopt(knownLimit.perSecond, now), now)
+			: [];
+	}
+
+	#applyChanges(changes: readonly NoticeChange[], now: number): Array<GateEffect<Payload>> {
+		return changes.map((change) => {
+			if (change.type === 'limit-changed') {
+				this.#dispatcher.setLimit(change.perSecond, now);
+			}
+
+			return {type: 'notice-changed', change};
+		});
+	}
+
+	/** Whether the worker's responses say that it leaves. Without an identity, a new process would count too. */
+	get #isWorkerLeaving(): boolean {
+		return this.#notices.isLeaving && this.#worker?.instance !== undefined;
+	}
+
 	#hasWaitedTooLong(call: GateCall, now: number): boolean {
 		const admittedAt = this.#deduplicator.admittedAt(call) ?? now;
 		return this.#admission.hasWaitedTooLong(call, admittedAt, now);
 	}
 
 	#acceptsCalls(): boolean {
-		return !this.#isStopping && this.#worker?.state === 'ready';
+		return !this.#isStopping && this.#worker?.state === 'ready' && !this.#isWorkerLeaving;
 	}
 
 	#dispatchWaiting(now: number): Array<GateEffect<Payload>> {
--- a/packages/redwingmill-core/src/call/worker-load.ts
+++ b/packages/redwingmill-core/src/call/worker-load.ts
@@ -1,3 +1,5 @@
+import {type Allowance} from './worker-allowance.js';
+
 /** Load of a worker as its gate reports it. */
 export type WorkerLoad = {
 	/** Running and waiting calls per slot. */
@@ -8,4 +10,6 @@
 	readonly runMs: number;
 	/** Moving average of the share of the worker's runs that failed, from 0 to 1. */
 	readonly failureShare: number;
+	/** Absent when the worker states no limit. */
+	readonly allowance?: Allowance;
 };
--- a/packages/redwingmill-core/src/call/worker-notices.ts
+++ b/packages/redwingmill-core/src/call/worker-notices.ts
@@ -23,6 +23,7 @@
 	#perSecond: number | undefined;
 	#statedSince = Number.POSITIVE_INFINITY;
 	#isLeaving = false;
+	#hasResponded = false;
 
 	/** Calls a second that the worker takes from all nodes together; undefined if it states no limit. */
 	get perSecond(): number | undefined {
@@ -41,6 +42,7 @@
 	 *   response to a call from before the limit may have overtaken the first one that states it.
 	 */
 	apply({limit, isLeaving}: WorkerNotice, sentAt: number, now: number): NoticeChange[] {
+		this.#hasResponded = true;
 		const changes: NoticeChange[] = [];
 		switch (limit.type) {
 			case 'stated': {
@@ -67,6 +69,16 @@
 		return changes;
 	}
 
+	/**
+	 * Applies the limit that another node knows of. The worker's own responses to this node count more, also
+	 * those that state none.
+	 */
+	adopt(perSecond: number, now: number): NoticeChange[] {
+		return this.#hasResponded || this.#perSecond !== undefined
+			? []
+			: this.#setLimit(perSecond, now);
+	}
+
 	#setLimit(perSecond: number | undefined, now: number): NoticeChange[] {
 		const previous = this.#perSecond;
 		if (previous === perSecond) {
--- a/packages/redwingmill-core/src/model/derive-routing.ts
+++ b/packages/redwingmill-core/src/model/derive-routing.ts
@@ -1,4 +1,5 @@
 import {type Configuration, type Route} from 'redwingmill-text';
+import {workerIdentityOf} from '../call/worker-notice.js';
 import {isRoutable, type NodeRecord} from './node-record.js';
 import {
 	type Endpoint,
@@ -77,6 +78,7 @@
 		incarnation: record.incarnation,
 		service: worker.service,
 		slots: worker.slots,
+		worker: workerIdentityOf(worker),
 	};
 	endpointsByRecord.set(record, endpoint);
 	return endpoint;
--- a/packages/redwingmill-core/src/model/routing-table.ts
+++ b/packages/redwingmill-core/src/model/routing-table.ts
@@ -9,6 +9,8 @@
 	readonly incarnation: number;
 	readonly service: string;
 	readonly slots: number;
+	/** Identity of the worker process, see `workerIdentityOf`; absent when it announces no instance. */
+	readonly worker?: string;
 };
 
 /** Reason why a route accepts no calls. */
--- a/packages/redwingmill-node/src/__tests__/unit/node-headers.test.ts
+++ b/packages/redwingmill-node/src/__tests__/unit/node-headers.test.ts
@@ -33,6 +33,11 @@
 		});
 	});
 
+	it('parses a formatted attempt with the limit that the entry node knows of', () => {
+		const limited = {...attempt, knownLimit: {worker: 'i-1;/1000', perSecond: 20.6}};
+		expect(parseAttempt(formatAttempt(limited))).to.deep.equal(limited);
+	});
+
 	it('rejects malformed attempts', () => {
 		for (const text of [
 			'',
@@ -67,11 +72,25 @@
 				load: undefined,
 			},
 		];
-		for (const answer of answers) {
+		const allowance = {perSecond: 20.6, waitMs: -40.5};
+		const limited: AnswerHeader = {
+			...answers[0],
+			load: {callsPerSlot: 1, waitMs: 2, runMs: 3, failureShare: 0, allowance},
+			notice: {worker: 'i-1;/1000', limitPerSecond: 20.6, isLeaving: true},
+		};
+		const leaving: AnswerHeader = {
+			...answers[1],
+			notice: {worker: 'i-1/', limitPerSecond: undefined, isLeaving: true},
+		};
+		for (const answer of [...answers, limited, leaving]) {
 			expect(parseAnswer(formatAnswer(answer))).to.deep.equal(answer);
 		}
 	});
 
+	it('reads a malformed identity of a worker as absent', () => {
+		expect(parseAnswer('ran;;;;1;2;3;0;%;5;1;;').notice).to.equal(undefined);
+	});
+
 	it('parses an answer without a valid outcome as unknown, since the call may have run', () => {
 		for (const text of ['', 'done', 'not-run;because;;;;;']) {
 			expect(parseAnswer(text).outcome.type, text).to.equal('unknown');
--- a/packages/redwingmill-node/src/call/answer-header.ts
+++ b/packages/redwingmill-node/src/call/answer-header.ts
@@ -1,8 +1,10 @@
 import {
 	notRunReasons,
 	unknownReasons,
+	type Allowance,
 	type GateAnswer,
 	type Outcome,
+	type ReportedNotice,
 	type WorkerLoad,
 } from 'redwingmill-core';
 
@@ -11,31 +13,81 @@
 
 const separator = ';';
 const decimals = 2;
+/** Number of fields of an answer whose worker states no limit and doesn't leave. */
+const basicFieldCount = 8;
 
-/** Formats the header: its fields in a fixed order, separated by semicolons. */
-export function formatAnswer({outcome, retryAfterMs, ranMs, load}: AnswerHeader): string {
-	const {callsPerSlot, waitMs, runMs, failureShare} = load ?? {};
+/**
+ * Formats the header: its fields in a fixed order, separated by semicolons. Only the answers of workers
+ * that state a limit or leave have more than the first eight.
+ */
+export function formatAnswer({outcome, retryAfterMs, ranMs, load, notice}: AnswerHeader): string {
+	const {callsPerSlot, waitMs, runMs, failureShare, allowance} = load ?? {};
 	const numbers = [retryAfterMs, ranMs, callsPerSlot, waitMs, runMs, failureShare];
-	return [
+	const fields = [
 		outcome.type,
 		outcome.type === 'ran' ? '' : outcome.reason,
-		...numbers.map((number) =>
-			number === undefined ? '' : String(Number(number.toFixed(decimals))),
-		),
-	].join(separator);
+		...numbers.map((number) => formatNumber(number)),
+	];
+	if (notice !== undefined || allowance !== undefined) {
+		fields.push(
+			encodeURIComponent(notice?.worker ?? ''),
+			formatNumber(notice?.limitPerSecond),
+			notice?.isLeaving ? '1' : '',
+			formatNumber(allowance?.perSecond),
+			formatNumber(allowance?.waitMs),
+		);
+	}
+
+	return fields.join(separator);
 }
 
 /** Parses the header. An invalid outcome is read as `unknown`, as the call may have run. */
 export function parseAnswer(text: string): AnswerHeader {
-	const [type, reason, ...parts] = text.split(separator);
+	const fields = text.split(separator);
+	const [type, reason, ...parts] = fields.slice(0, basicFieldCount);
 	const [retryAfterMs, ranMs, callsPerSlot, waitMs, runMs, failureShare = 0] = parts.map((part) =>
-		part === '' ? undefined : Number(part),
+		parseNumber(part),
 	);
+	const [worker, limitPerSecond, isLeaving, ...allowanceParts] = fields.slice(basicFieldCount);
+	const allowance = parseAllowance(allowanceParts);
 	const load: WorkerLoad | undefined =
 		callsPerSlot === undefined || waitMs === undefined || runMs === undefined
 			? undefined
-			: {callsPerSlot, waitMs, runMs, failureShare};
-	return {outcome: toOutcome(type, reason), retryAfterMs, ranMs, load};
+			: {callsPerSlot, waitMs, runMs, failureShare, ...(allowance && {allowance})};
+	const identity = decode(worker ?? '');
+	const notice: ReportedNotice | undefined = identity
+		? {
+				worker: identity,
+				limitPerSecond: parseNumber(limitPerSecond),
+				isLeaving: isLeaving === '1',
+			}
+		: undefined;
+	return {outcome: toOutcome(type, reason), retryAfterMs, ranMs, load, ...(notice && {notice})};
+}
+
+function parseAllowance(parts: readonly string[]): Allowance | undefined {
+	const [perSecond, waitMs] = parts.map((part) => parseNumber(part));
+	return perSecond !== undefined && perSecond > 0 && waitMs !== undefined
+		? {perSecond, waitMs}
+		: undefined;
+}
+
+function formatNumber(number: number | undefined): string {
+	return number === undefined ? '' : String(Number(number.toFixed(decimals)));
+}
+
+function parseNumber(part: string | undefined): number | undefined {
+	const number = part === undefined || part === '' ? Number.NaN : Number(part);
+	return Number.isFinite(number) ? number : undefined;
+}
+
+/** Decodes a field; a malformed one is read as empty. */
+function decode(field: string): string {
+	try {
+		return decodeURIComponent(field);
+	} catch {
+		return '';
+	}
 }
 
 function toOutcome(type: string, reason: string): Outcome {
--- a/packages/redwingmill-node/src/call/attempt-header.ts
+++ b/packages/redwingmill-node/src/call/attempt-header.ts
@@ -1,4 +1,4 @@
-import {type GateCall} from 'redwingmill-core';
+import {type GateCall, type KnownLimit} from 'redwingmill-core';
 
 /** Details that the entry node sends to the gate along with the caller's request. */
 export type AttemptHeader = {
@@ -20,10 +20,14 @@
 	readonly incarnation?: number;
 	/** Control addresses of the nodes whose workers crashed while they ran the call. */
 	readonly crashedNodes: readonly string[];
+	/** Limit that the worker has stated last, as far as the entry node knows. */
+	readonly knownLimit?: KnownLimit;
 };
 
 const separator = ';';
 const nodeSeparator = ',';
+/** Position of the worker's identity among the fields after the nodes. */
+const workerIndex = 6;
 
 /**
  * Formats the header: its fields in a fixed order, separated by semicolons. The format is compact,
@@ -32,11 +36,13 @@
 export function formatAttempt(attempt: AttemptHeader): string {
 	const {id, service, group, rank, deadlineMs, targetMs, caller, ticket, incarnation} = attempt;
 	const numbers = [rank, deadlineMs, targetMs, ticket, incarnation];
+	const {knownLimit} = attempt;
 	return [
 		...[id, service, group, caller ?? '', attempt.crashedNodes.join(nodeSeparator)].map((text) =>
 			encodeURIComponent(text),
 		),
 		...numbers.map((number) => (number === undefined ? '' : String(Math.floor(number)))),
+		...(knownLimit ? [String(knownLimit.perSecond), encodeURIComponent(knownLimit.worker)] : []),
 	].join(separator);
 }
 
@@ -51,8 +57,11 @@
 }
 
 function readAttempt(text: string): AttemptHeader | undefined {
-	const [id, service, group, caller, crashedNodes, ...numbers] = text.split(separator);
-	const [rank, deadlineMs, targetMs, ticket, incarnation] = numbers.map((part) => toNumber(part));
+	const [id, service, group, caller, crashedNodes, ...parts] = text.split(separator);
+	const [rank, deadlineMs, targetMs, ticket, incarnation, perSecond] = parts.map((part) =>
+		toNumber(part),
+	);
+	const worker = parts.at(workerIndex);
 	if (!id || service === undefined || rank === undefined || deadlineMs === undefined) {
 		return undefined;
 	}
@@ -68,6 +77,8 @@
 		ticket,
 		incarnation,
 		crashedNodes: crashedNodes === '' ? [] : decodeURIComponent(crashedNodes).split(nodeSeparator),
+		...(worker !== undefined &&
+			perSecond !== undefined && {knownLimit: {worker: decodeURIComponent(worker), perSecond}}),
 	};
 }
 
--- a/packages/redwingmill-node/src/call/entry-exchange.ts
+++ b/packages/redwingmill-node/src/call/entry-exchange.ts
@@ -83,7 +83,11 @@
 		}
 	}
 
-	#send({endpoint, crashedNodes}: Extract<EntryAction<Payload>, {type: 'attempt'}>): void {
+	#send({
+		endpoint,
+		crashedNodes,
+		knownLimit,
+	}: Extract<EntryAction<Payload>, {type: 'attempt'}>): void {
 		const {service, route, request, ticket, caller, targetAt, deadlineAt} = this.#options;
 		const attempt: Attempt = {
 			id: service.nextId(),
@@ -93,6 +97,7 @@
 			rank: route.rank,
 			caller,
 			crashedNodes,
+			knownLimit,
 			targetAt,
 			deadlineAt,
 			startedAt: performance.now(),
--- a/packages/redwingmill-node/src/call/entry-service.ts
+++ b/packages/redwingmill-node/src/call/entry-service.ts
@@ -8,6 +8,7 @@
 	parseTicket,
 	RefusedCalls,
 	RetryBudget,
+	workerIdentityOf,
 	type Answer,
 	type AttemptResult,
 	type Endpoint,
@@ -283,8 +284,8 @@
 		}
 
 		this.#gate.submit({...attempt, service: attempt.endpoint.service}, (answer) => {
-			const {load} = this.#gate;
-			onResult({type: 'answered', answer: {...answer, load, isRetried: false}});
+			const {load, notice} = this.#gate;
+			onResult({type: 'answered', answer: {...answer, load, notice, isRetried: false}});
 		});
 		return {abort: () => undefined};
 	}
@@ -364,7 +365,9 @@
 		}
 
 		const {address, gateAddress, dataCentre, incarnation, worker} = record;
-		return {node: address, gateAddress, dataCentre, incarnation, service, slots: worker.slots};
+		const {slots} = worker;
+		const identity = workerIdentityOf(worker);
+		return {node: address, gateAddress, dataCentre, incarnation, service, slots, worker: identity};
 	}
 
 	#budgetOf(service: string): RetryBudget {
--- a/packages/redwingmill-node/src/call/gate-client.ts
+++ b/packages/redwingmill-node/src/call/gate-client.ts
@@ -1,6 +1,11 @@
 import {Buffer} from 'node:buffer';
 import {Pool} from 'undici';
-import {type AttemptResult, type Endpoint, type WithdrawResult} from 'redwingmill-core';
+import {
+	type AttemptResult,
+	type Endpoint,
+	type KnownLimit,
+	type WithdrawResult,
+} from 'redwingmill-core';
 import {parseAnswer} from './answer-header.js';
 import {formatAttempt, relativeTimes} from './attempt-header.js';
 import {beginExchange, type Exchange, type ExchangeResult} from './exchange.js';
@@ -18,6 +23,8 @@
 	readonly caller?: string;
 	/** Control addresses of the nodes whose workers crashed while they ran this call. */
 	readonly crashedNodes: readonly string[];
+	/** Limit that the worker has stated last; absent when none is known. */
+	readonly knownLimit?: KnownLimit;
 	readonly targetAt?: number;
 	readonly deadlineAt: number;
 	readonly startedAt: number;
--- a/packages/redwingmill-node/src/call/gate-server.ts
+++ b/packages/redwingmill-node/src/call/gate-server.ts
@@ -203,9 +203,10 @@
 		}
 
 		const {payload} = answer;
+		const {load, notice} = this.#service;
 		const headers = {
 			...payload?.headers,
-			[headerNames.answer]: formatAnswer({...answer, load: this.#service.load}),
+			[headerNames.answer]: formatAnswer({...answer, load, notice}),
 			'content-length': payload?.body.length ?? 0,
 		};
 		// Nodes use fixed keep-alive times, and these headers would make every answer longer.
--- a/packages/redwingmill-node/src/call/gate-service.ts
+++ b/packages/redwingmill-node/src/call/gate-service.ts
@@ -11,6 +11,7 @@
 	type GateIdentity,
 	type GateLimits,
 	type NoticeChange,
+	type ReportedNotice,
 	type SuspicionReport,
 	type Withdrawal,
 	type Worker,
@@ -136,6 +137,11 @@
 		return this.#gate.waitingCount;
 	}
 
+	/** What the worker said of itself, for the entry nodes; undefined if it said nothing. */
+	get notice(): ReportedNotice | undefined {
+		return this.#gate.notice;
+	}
+
 	/** Number of requests sent to workers since the start. */
 	get sentCount(): number {
 		return this.#gate.sentCount;
--- a/packages/redwingmill-node/src/daemon.ts
+++ b/packages/redwingmill-node/src/daemon.ts
@@ -131,7 +131,7 @@
 			},
 			onNotice: (change, worker) => {
 				logNoticeChange(log, change, worker);
-				this.#onNotice(change, metrics);
+				this.#onNotice(change, worker, metrics);
 			},
 			onWorkerGone: () => {
 				this.#log.write(logEvents.workerUnreachable);
@@ -328,15 +328,22 @@
 		await this.#gate.close();
 	}
 
-	#onNotice(change: NoticeChange, metrics: Metrics): void {
+	#onNotice(change: NoticeChange, {instance, startedAt}: Worker, metrics: Metrics): void {
 		switch (change.type) {
 			case 'limit-malformed': {
 				metrics.countControlEvent('worker-limit-malformed');
 				break;
 			}
 
-			case 'limit-changed':
 			case 'leaving': {
+				if (instance !== undefined) {
+					this.announceDeparture(instance, startedAt);
+				}
+
+				break;
+			}
+
+			case 'limit-changed': {
 				break;
 			}
 		}
--- a/packages/redwingmill-node/src/observe/call-log.ts
+++ b/packages/redwingmill-node/src/observe/call-log.ts
@@ -54,6 +54,7 @@
 			usualRunMs: rounded(load.runMs),
 			queueMs: rounded(load.waitMs),
 			limitPerSecond,
+			limitWaitMs: rounded(load.allowance?.waitMs),
 			waitedMs: rounded((dispatchedAt ?? now) - arrivedAt),
 			ranMs: dispatchedAt === undefined ? undefined : rounded(now - dispatchedAt),
 			leftMs: rounded(request.deadlineAt - now),
--- a/packages/redwingmill-protocol/src/datagram-codec.ts
+++ b/packages/redwingmill-protocol/src/datagram-codec.ts
@@ -6,6 +6,8 @@
 import {decodeRecord, encodeRecord} from './record-codec.js';
 
 const hundredthsPerUnit = 100;
+/** Seconds over which the calls that a worker takes are given. */
+const limitSeconds = 10;
 const tenthsPerMs = 10;
 /** Stands for the load of a node that has none; the run time of a known load is above 0. */
 const unknownLoad = {};
@@ -212,12 +214,15 @@
 	waitMs,
 	runMs,
 	failureShare,
+	allowance,
 }: WorkerLoad): MessageInitShape<typeof wire.LoadSchema> {
 	return {
 		callsPerHundredSlots: Math.round(callsPerSlot * hundredthsPerUnit),
 		waitMs: Math.round(waitMs),
 		runTenthsMs: Math.round(runMs * tenthsPerMs),
 		failuresPerHundred: Math.round(failureShare * hundredthsPerUnit),
+		limitPerTenSeconds: Math.round((allowance?.perSecond ?? 0) * limitSeconds),
+		limitWaitMs: Math.round(allowance?.waitMs ?? 0),
 	};
 }
 
@@ -226,11 +231,15 @@
 	waitMs,
 	runTenthsMs,
 	failuresPerHundred,
+	limitPerTenSeconds,
+	limitWaitMs,
 }: wire.Load): WorkerLoad {
+	const allowance = {perSecond: limitPerTenSeconds / limitSeconds, waitMs: limitWaitMs};
 	return {
 		callsPerSlot: callsPerHundredSlots / hundredthsPerUnit,
 		waitMs,
 		runMs: runTenthsMs / tenthsPerMs,
 		failureShare: failuresPerHundred / hundredthsPerUnit,
+		...(limitPerTenSeconds > 0 && {allowance}),
 	};
 }
