Play limits in the load simulation, and search for sequences that break them

redwingmill-bench limits: workers that state constant, falling, rising or lifted limits, some or all copies, gates that restart or freeze, workers that leave; with limits known to nobody, to gates, to the mesh. A property test on entries and a gate on virtual time found one fault: a gate that had adopted a limit from an entry kept it for an answer longer than the worker did, if the call had been sent before. What another node knows is older than any response, so the first response ends it.

--- a/packages/redwingmill-bench/src/index.ts
+++ b/packages/redwingmill-bench/src/index.ts
@@ -15,6 +15,9 @@
 	comparePolicies,
 	type PolicyResult,
 } from './simulation/compare-policies.js';
+export {compareLimits, type LimitComparison} from './simulation/compare-limits.js';
+export {limitLoads, type LimitLoad} from './simulation/limit-loads.js';
+export {type LimitResult} from './simulation/limit-meter.js';
 export {plotPolicies} from './simulation/plot-policies.js';
 export {measureNodeCost, type NodeCost, type NodeCostOptions} from './experiments/node-cost.js';
 export {measureNodeStops, type NodeStops, type NodeStopsOptions} from './experiments/node-stops.js';
--- a/packages/redwingmill-bench/src/main.ts
+++ b/packages/redwingmill-bench/src/main.ts
@@ -6,6 +6,7 @@
 import {capacityCommand} from './commands/capacity-command.js';
 import {convergenceCommand} from './commands/convergence-command.js';
 import {demoCommand} from './commands/demo-command.js';
+import {limitsCommand} from './commands/limits-command.js';
 import {policiesCommand} from './commands/policies-command.js';
 
 const tool = subcommands({
@@ -18,6 +19,7 @@
 		capacity: capacityCommand,
 		'capacity-page': capacityPageCommand,
 		policies: policiesCommand,
+		limits: limitsCommand,
 	},
 });
 
--- a/packages/redwingmill-bench/src/simulation/load-simulation.ts
+++ b/packages/redwingmill-bench/src/simulation/load-simulation.ts
@@ -4,15 +4,20 @@
 	EntryCall,
 	Gate,
 	RetryBudget,
+	emptyNotice,
 	type Answer,
+	type AttemptResult,
 	type ChoicePolicy,
 	type Endpoint,
 	type EntryAction,
+	type GateAnswer,
 	type GateCall,
 	type GateEffect,
-	type WorkerLoad,
+	type KnownLimit,
+	type WorkerNotice,
 } from 'redwingmill-core';
 import {Random} from 'redwingmill-shared';
+import {LimitMeter, type LimitResult} from './limit-meter.js';
 import {VirtualClock} from './virtual-clock.js';
 
 /** A class of calls, with the behaviour of its callers. */
@@ -31,6 +36,17 @@
 	readonly bytes: number;
 };
 
+/** A change of the limit that a worker states. */
+export type LimitChange = {
+	readonly atMs: number;
+	/** Calls a second; absent when the worker states no limit from then on. */
+	readonly perSecond?: number;
+};
+
+/** Nodes that take the limit which a worker states into account. */
+export const limitKnowledges = ['none', 'gate', 'mesh'] as const;
+export type LimitKnowledge = (typeof limitKnowledges)[number];
+
 /** A worker behind a gate of its own. */
 export type LoadWorker = {
 	readonly dataCentre: string;
@@ -39,6 +55,14 @@
 	readonly slowness: number;
 	/** Whether it fails every call, in a tenth of the call's run time. */
 	readonly isFailing?: boolean;
+	/** Limits that it states, in the order of their times; absent when it never states one. */
+	readonly limits?: readonly LimitChange[];
+	/** When it begins to say that it leaves; absent when it stays. */
+	readonly leavesAtMs?: number;
+	/** When its gate's node ends and starts again. */
+	readonly gateRestartsMs?: readonly number[];
+	/** When its gate's node stands still, and for how long. */
+	readonly freezes?: ReadonlyArray<{readonly atMs: number; readonly forMs: number}>;
 };
 
 /** Workers, load and policy of a simulation. */
@@ -50,6 +74,8 @@
 	readonly isLimiting: boolean;
 	/** Whether the choice of an endpoint takes the size of calls into account. */
 	readonly weighsBytes: boolean;
+	/** By default `mesh`. */
+	readonly limitKnowledge?: LimitKnowledge;
 	readonly durationMs: number;
 	readonly seed: number;
 };
@@ -66,19 +92,24 @@
 export type LoadOutcome = {
 	readonly classes: ReadonlyMap<string, LoadResult>;
 	readonly remoteBytes: number;
+	/** What became of the limits that workers stated. */
+	readonly limits: LimitResult;
 };
 
 type Host = {
 	readonly worker: LoadWorker;
 	readonly endpoint: Endpoint;
-	readonly gate: Gate<string>;
-	readonly waiters: Map<string, (answer: Answer<string>) => void>;
+	gate: Gate<string>;
+	readonly waiters: Map<string, AttemptHandler>;
+	frozenUntil: number;
 	/** Calls that occupy a slot of the worker. */
 	running: number;
 	/** Calls that the gate has dispatched and that wait at the worker for a slot. */
-	readonly queued: GateCall[];
+	readonly queued: Array<{readonly call: GateCall; readonly sentAt: number}>;
 };
 
+type AttemptHandler = (result: AttemptResult<string>) => void;
+
 type Entry = {
 	readonly dataCentre: string;
 	readonly chooser: EndpointChooser;
@@ -90,6 +121,7 @@
 const loadReportIntervalMs = 500;
 const gateTickMs = 20;
 const service = 'service';
+const workerStartedAt = 1000;
 /** Callers wait at most this share of the time to their deadline before they retry. */
 const maximumRetryWaitShare = 1 / 3;
 /** Lower bound of the factor on mean run times, which is uniform between 0.5 and 1.5. */
@@ -109,12 +141,14 @@
 	readonly #hosts: readonly Host[];
 	readonly #entries: readonly Entry[];
 	readonly #results = new Map<string, LoadResult>();
+	readonly #limitMeter: LimitMeter;
 	#attempts = 0;
 	#remoteBytes = 0;
 
 	constructor(plan: LoadPlan) {
 		this.#plan = plan;
 		this.#random = new Random(plan.seed);
+		this.#limitMeter = new LimitMeter(plan.workers, plan.durationMs);
 		this.#hosts = plan.workers.map((worker, index) => this.#newHost(worker, index));
 		const dataCentres = new Set(plan.workers.map(({dataCentre}) => dataCentre));
 		this.#entries = [...dataCentres].map((dataCentre) => ({
@@ -132,20 +166,76 @@
 			}
 		}
 
+		for (const host of this.#hosts) {
+			this.#scheduleFaults(host);
+		}
+
 		this.#tick();
 		this.#reportLoads();
 		this.#clock.runUntil(this.#plan.durationMs);
-		return {classes: this.#results, remoteBytes: this.#remoteBytes};
+		const limits = this.#limitMeter.result();
+		return {classes: this.#results, remoteBytes: this.#remoteBytes, limits};
 	}
 
 	#newHost(worker: LoadWorker, index: number): Host {
 		const node = `node ${index}`;
 		const {dataCentre, slots} = worker;
+		const endpoint = {
+			node,
+			gateAddress: node,
+			dataCentre,
+			incarnation: 1,
+			service,
+			slots,
+			worker: `${node}/${workerStartedAt}`,
+		};
+		const gate = this.#newGate(endpoint, 0);
+		return {worker, endpoint, gate, waiters: new Map(), frozenUntil: 0, running: 0, queued: []};
+	}
+
+	#newGate({node, slots}: Endpoint, now: number): Gate<string> {
 		const {isLimiting} = this.#plan;
-		const gate = new Gate<string>({...defaultGateLimits, isLimiting}, {node, incarnation: 1}, 0);
-		gate.setWorker({service, address: node, slots, state: 'ready'}, 0);
-		const endpoint = {node, gateAddress: node, dataCentre, incarnation: 1, service, slots};
-		return {worker, endpoint, gate, waiters: new Map(), running: 0, queued: []};
+		const gate = new Gate<string>({...defaultGateLimits, isLimiting}, {node, incarnation: 1}, now);
+		const identity = {instance: node, startedAt: workerStartedAt};
+		gate.setWorker({service, address: node, slots, state: 'ready', ...identity}, now);
+		return gate;
+	}
+
+	#scheduleFaults(host: Host): void {
+		const {gateRestartsMs = [], freezes = []} = host.worker;
+		for (const atMs of gateRestartsMs) {
+			this.#clock.after(atMs, () => {
+				this.#restartGate(host);
+			});
+		}
+
+		for (const {atMs, forMs} of freezes) {
+			this.#clock.after(atMs, () => {
+				host.frozenUntil = atMs + forMs;
+			});
+		}
+	}
+
+	/** Ends the gate's process with all that it knows; the worker goes on with its calls. */
+	#restartGate(host: Host): void {
+		const waiting = [...host.waiters.values()];
+		host.waiters.clear();
+		host.gate = this.#newGate(host.endpoint, this.#clock.now);
+		for (const onResult of waiting) {
+			onResult({type: 'broken'});
+		}
+	}
+
+	/** Runs something in the gate's process, once it isn't frozen any more. */
+	#atGate(host: Host, run: () => void): void {
+		const delayMs = host.frozenUntil - this.#clock.now;
+		if (delayMs > 0) {
+			this.#clock.after(delayMs, () => {
+				this.#atGate(host, run);
+			});
+		} else {
+			run();
+		}
 	}
 
 	#scheduleArrival(entry: Entry, callClass: LoadClass): void {
@@ -178,20 +268,25 @@
 		const perform = (action: EntryAction<string>) => {
 			switch (action.type) {
 				case 'attempt': {
-					const {endpoint} = action;
-					this.#send(entry, callClass, {arrivedAt, endpoint}, (answer, load) => {
-						const result = {type: 'answered', answer: {...answer, load, isRetried: false}} as const;
+					const {endpoint, knownLimit} = action;
+					this.#send(entry, callClass, {arrivedAt, endpoint, knownLimit}, (result) => {
 						perform(call.onAttempt(result, this.#clock.now));
 					});
 					break;
 				}
 
 				case 'answer': {
-					this.#onAnswer(entry, callClass, action.answer, {arrivedAt, retriesLeft});
+					this.#onAnswer(entry, callClass, action.answer, {
+						arrivedAt,
+						retriesLeft,
+						startedAt: now,
+					});
 					break;
 				}
 
 				case 'withdraw': {
+					// Only the end of a gate's process breaks exchanges here.
+					perform(call.onWithdraw({type: 'gone'}, this.#clock.now));
 					break;
 				}
 			}
@@ -203,8 +298,16 @@
 	#send(
 		entry: Entry,
 		callClass: LoadClass,
-		{arrivedAt, endpoint}: {readonly arrivedAt: number; readonly endpoint: Endpoint},
-		onAnswer: (answer: Answer<string>, load: WorkerLoad) => void,
+		{
+			arrivedAt,
+			endpoint,
+			knownLimit,
+		}: {
+			readonly arrivedAt: number;
+			readonly endpoint: Endpoint;
+			readonly knownLimit?: KnownLimit;
+		},
+		onResult: AttemptHandler,
 	): void {
 		const host = this.#hosts.find((candidate) => candidate.endpoint === endpoint)!;
 		const isRemote = endpoint.dataCentre !== entry.dataCentre;
@@ -220,16 +323,20 @@
 			targetAt: arrivedAt + callClass.targetMs,
 			deadlineAt: arrivedAt + callClass.deadlineMs,
 			crashedNodes: [],
+			knownLimit,
 			fingerprint: () => id,
 		};
-		this.#clock.after(hopMs, () => {
-			host.waiters.set(id, (answer) => {
-				const load = host.gate.loadAt(this.#clock.now);
+		const submit = () => {
+			host.waiters.set(id, (result) => {
 				this.#clock.after(hopMs, () => {
-					onAnswer(answer, load);
+					onResult(result);
 				});
 			});
 			this.#applyEffects(host, host.gate.submit(call, this.#clock.now));
+		};
+
+		this.#clock.after(hopMs, () => {
+			this.#atGate(host, submit);
 		});
 	}
 
@@ -238,16 +345,33 @@
 			if (effect.type === 'answer') {
 				const respond = host.waiters.get(effect.key);
 				host.waiters.delete(effect.key);
-				respond?.(effect.answer);
+				respond?.({type: 'answered', answer: this.#gateAnswer(host, effect.answer)});
 			} else if (effect.type === 'dispatch') {
 				this.#dispatch(host, effect.call);
 			}
 		}
 	}
 
+	/** Adds what the gate reports of its worker, as far as entries take it into account. */
+	#gateAnswer({gate}: Host, answer: Answer<string>): GateAnswer<string> {
+		const load = gate.loadAt(this.#clock.now);
+		return this.#knowledge === 'mesh'
+			? {...answer, load, notice: gate.notice, isRetried: false}
+			: {...answer, load: {...load, allowance: undefined}, isRetried: false};
+	}
+
+	get #knowledge(): LimitKnowledge {
+		return this.#plan.limitKnowledge ?? 'mesh';
+	}
+
 	#dispatch(host: Host, call: GateCall): void {
+		this.#limitMeter.onArrival(host.worker, this.#clock.now);
+		this.#run(host, call, this.#clock.now);
+	}
+
+	#run(host: Host, call: GateCall, sentAt: number): void {
 		if (host.running >= host.worker.slots) {
-			host.queued.push(call);
+			host.queued.push({call, sentAt});
 			return;
 		}
 
@@ -260,22 +384,49 @@
 			host.running -= 1;
 			const next = host.queued.shift();
 			if (next) {
-				this.#dispatch(host, next);
+				this.#run(host, next.call, next.sentAt);
 			}
 
 			const payload = isFailing ? failedPayload : '';
 			const result = {type: 'answered', payload, bytes: 0, isFailure: isFailing} as const;
-			this.#applyEffects(host, host.gate.finish(call.id, result, this.#clock.now));
+			const notice = this.#noticeOf(host.worker);
+			this.#atGate(host, () => {
+				const {now} = this.#clock;
+				this.#applyEffects(host, host.gate.onNotice(notice, sentAt, now));
+				this.#applyEffects(host, host.gate.finish(call.id, result, now));
+			});
 		});
 	}
 
+	/** Returns what a worker says of itself now, as far as its gate takes it into account. */
+	#noticeOf({limits = [], leavesAtMs = Number.POSITIVE_INFINITY}: LoadWorker): WorkerNotice {
+		const {now} = this.#clock;
+		if (this.#knowledge === 'none') {
+			return emptyNotice;
+		}
+
+		const perSecond = limits.findLast(({atMs}) => atMs <= now)?.perSecond;
+		return {
+			limit: perSecond === undefined ? {type: 'none'} : {type: 'stated', perSecond},
+			isLeaving: now >= leavesAtMs,
+		};
+	}
+
 	#onAnswer(
 		entry: Entry,
 		callClass: LoadClass,
 		{outcome, retryAfterMs, payload}: Answer<string>,
-		{arrivedAt, retriesLeft}: {readonly arrivedAt: number; readonly retriesLeft: number},
+		{
+			arrivedAt,
+			retriesLeft,
+			startedAt,
+		}: {readonly arrivedAt: number; readonly retriesLeft: number; readonly startedAt: number},
 	): void {
 		const {now} = this.#clock;
+		if (outcome.type === 'not-run') {
+			this.#limitMeter.onRefusal(now - startedAt);
+		}
+
 		const elapsedMs = now - arrivedAt;
 		const result = this.#resultOf(callClass);
 		if (payload === failedPayload) {
@@ -303,7 +454,9 @@
 
 	#tick(): void {
 		for (const host of this.#hosts) {
-			this.#applyEffects(host, host.gate.tick(this.#clock.now));
+			this.#atGate(host, () => {
+				this.#applyEffects(host, host.gate.tick(this.#clock.now));
+			});
 		}
 
 		this.#clock.after(gateTickMs, () => {
@@ -314,7 +467,9 @@
 	#reportLoads(): void {
 		for (const {chooser} of this.#entries) {
 			for (const {endpoint, gate} of this.#hosts) {
-				chooser.onLoad(endpoint, gate.loadAt(this.#clock.now), this.#clock.now);
+				const load = gate.loadAt(this.#clock.now);
+				const allowance = this.#knowledge === 'mesh' ? load.allowance : undefined;
+				chooser.onLoad(endpoint, {...load, allowance}, this.#clock.now);
 			}
 		}
 
--- a/packages/redwingmill-core/src/__tests__/unit/worker-notices.test.ts
+++ b/packages/redwingmill-core/src/__tests__/unit/worker-notices.test.ts
@@ -35,7 +35,7 @@
 
 	it('adopts what another node knows only before the worker has responded', () => {
 		const notices = new WorkerNotices();
-		expect(notices.adopt(3, 0)).to.have.length(1);
+		expect(notices.adopt(3, 5)).to.have.length(1);
 		expect(notices.perSecond).to.equal(3);
 		apply(notices, none, 0, 10);
 		expect(notices.perSecond).to.equal(undefined);
--- a/packages/redwingmill-core/src/call/worker-notices.ts
+++ b/packages/redwingmill-core/src/call/worker-notices.ts
@@ -74,9 +74,14 @@
 	 * those that state none.
 	 */
 	adopt(perSecond: number, now: number): NoticeChange[] {
-		return this.#hasResponded || this.#perSecond !== undefined
-			? []
-			: this.#setLimit(perSecond, now);
+		if (this.#hasResponded || this.#perSecond !== undefined) {
+			return [];
+		}
+
+		const changes = this.#setLimit(perSecond, now);
+		// It is older than any response to this node.
+		this.#statedSince = Number.NEGATIVE_INFINITY;
+		return changes;
 	}
 
 	#setLimit(perSecond: number | undefined, now: number): NoticeChange[] {
