Soak: workers say limits and leaving in their responses only

Up to three notices a seed, from a generator of their own, so that the other faults of a seed stay as they were; the checker counts at the instances which calls they get from hosts that passed on such a response, in any 4 s, and after it left.

--- a/packages/redwingmill-soak/src/fault-plan.ts
+++ b/packages/redwingmill-soak/src/fault-plan.ts
@@ -31,6 +31,12 @@
 const storeReturnSeedOffset = 1_000_003;
 const maximumSilences = 2;
 const silenceSeedOffset = 2_000_003;
+const maximumNotices = 3;
+const noticeSeedOffset = 3_000_017;
+const minimumNoticeMs = 5000;
+const noticeDurationSpreadMs = 4000;
+/** Calls a second, below what a worker of a soak usually gets. */
+const limitsPerSecond = [0.5, 1, 3, 8] as const;
 /** Kinds of faults, one per series; a kind's probability is its share of the entries. */
 const weightedSeriesKinds = [
 	'link',
@@ -60,10 +66,26 @@
 	faults.push(
 		...planStoreReturns(new Random(seed + storeReturnSeedOffset), scope),
 		...planSilences(new Random(seed + silenceSeedOffset), scope),
+		...planNotices(new Random(seed + noticeSeedOffset), scope),
 	);
 	return faults.toSorted((a, b) => a.atMs - b.atMs);
 }
 
+/** Draws what workers say of themselves in their responses, from a generator of its own. */
+function planNotices(random: Random, {hosts, durationMs}: PlanScope): readonly PlannedFault[] {
+	const count = random.below(maximumNotices + 1);
+	return Array.from({length: count}, () => {
+		const forMs = Math.min(durationMs, minimumNoticeMs + random.below(noticeDurationSpreadMs));
+		const limit = {type: 'limit', perSecond: pick(random, limitsPerSecond)} as const;
+		const notice = random.fraction() < 0.6 ? limit : ({type: 'leaving'} as const);
+		return {
+			atMs: random.below(Math.max(1, durationMs - forMs)),
+			forMs,
+			fault: {type: 'notice' as const, host: random.below(hosts), notice},
+		};
+	});
+}
+
 /** Draws silences of connections, each with a change at the same time, from a generator of their own. */
 function planSilences(random: Random, {durationMs}: PlanScope): readonly PlannedFault[] {
 	const count = random.below(maximumSilences + 1);
--- a/packages/redwingmill-soak/src/index.ts
+++ b/packages/redwingmill-soak/src/index.ts
@@ -10,3 +10,4 @@
 	type SoakStore,
 	type SoakWorker,
 } from './soak-deployment.js';
+export {type SoakNotice} from './soak-fault.js';
--- a/packages/redwingmill-soak/src/invariant-checker.ts
+++ b/packages/redwingmill-soak/src/invariant-checker.ts
@@ -1,3 +1,6 @@
+import {NoticeChecker, type CallOrigin} from './notice-checker.js';
+import {type SoakNotice} from './soak-fault.js';
+
 /** A call as sent by its caller. */
 export type SentCall = {
 	readonly id: string;
@@ -73,6 +76,8 @@
 	| 'sent-after-crashes'
 	/** A call ran at a worker too long after its leaving was acknowledged. */
 	| 'ran-after-leaving'
+	/** A worker got more calls than the limit that it states, or calls long after it said that it leaves. */
+	| 'notice-ignored'
 	/** A call was pending beyond its timeout. */
 	| 'held-too-long'
 	/** A call got status 404 for a route that every version has. */
@@ -133,6 +138,7 @@
 	/** Times at which a request that crashes workers began to run, and whether its hosts were in touch. */
 	readonly #crashingRuns = new Map<string, CrashingRun[]>();
 	readonly #disruptedUntil: (host: number) => number;
+	readonly #notices = new NoticeChecker();
 	#isFaultFree = false;
 	/** Newest version seen in force by host and incarnation, and when it was first seen. */
 	readonly #newestVersions = new Map<string, {readonly version: number; readonly at: number}>();
@@ -160,6 +166,16 @@
 		this.#callsAllowedUntil.set(instance, callsAllowedUntil);
 	}
 
+	/** Records that the response to a call says something of the instance that ran it. */
+	onNotice(id: string, instance: string, notice: SoakNotice, now: number): void {
+		this.#notices.onNotice(id, instance, notice, now);
+	}
+
+	/** Records that an instance says nothing of itself any more. */
+	onNoticeEnded(instance: string): void {
+		this.#notices.onEnd(instance);
+	}
+
 	onRun(run: ObservedRun, now: number): void {
 		const call = this.#calls.get(run.id);
 		if (!call || !matchesCall(run, call)) {
@@ -185,6 +201,11 @@
 			this.#report('wrong-service', `${run.id} for ${call.expects.service} ran at ${run.service}`);
 		}
 
+		const ignored = this.#notices.onRun(run.instance, this.#originOf(call), run.isHeldUp, now);
+		if (ignored !== undefined) {
+			this.#report('notice-ignored', `${run.id}: ${ignored}`);
+		}
+
 		const callsAllowedUntil = this.#callsAllowedUntil.get(run.instance) ?? Infinity;
 		if (now > callsAllowedUntil && !run.isHeldUp) {
 			this.#report(
@@ -245,6 +266,7 @@
 			}
 
 			this.#checkVersion(call, now);
+			this.#notices.onAnswered(id, this.#originOf(call), now);
 		}
 
 		if (notRunStatuses.has(result.status)) {
@@ -297,6 +319,10 @@
 		}
 	}
 
+	#originOf({host, incarnation, sentAt}: SentCall): CallOrigin {
+		return {host, incarnation, sentAt, disruptedUntil: this.#disruptedUntil(host)};
+	}
+
 	#report(invariant: Invariant, detail: string): void {
 		this.breaches.push({promise: invariant, detail});
 	}
--- a/packages/redwingmill-soak/src/soak-deployment.ts
+++ b/packages/redwingmill-soak/src/soak-deployment.ts
@@ -1,4 +1,5 @@
 import {type ObservedRun} from './invariant-checker.js';
+import {type SoakNotice} from './soak-fault.js';
 
 /** A route of the configuration that the soak writes. */
 export type SoakRoute = {
@@ -53,6 +54,8 @@
 	readonly instance: string;
 	/** Starts an instance. Returns the address at which it listens. */
 	readonly start: (instanceNumber: number) => Promise<string>;
+	/** Has all further responses of the instance say something of it; undefined for nothing. */
+	readonly setNotice: (notice: SoakNotice | undefined) => void;
 	/** Ends the instance and closes all its connections. */
 	readonly stop: () => Promise<void>;
 	/**
--- a/packages/redwingmill-soak/src/soak-fault.ts
+++ b/packages/redwingmill-soak/src/soak-fault.ts
@@ -37,6 +37,10 @@
 export const workerFaults = ['crash', 'hang', 'slow', 'drop-answers', 'leave'] as const;
 export type WorkerFault = (typeof workerFaults)[number];
 
+/** What a worker says of itself in its responses and nowhere else. */
+export type SoakNotice =
+	{readonly type: 'limit'; readonly perSecond: number} | {readonly type: 'leaving'};
+
 /** A fault of a host's links, process or worker, or a change of the operators' configuration. */
 export type SoakFault =
 	| {
@@ -47,6 +51,8 @@
 	  }
 	| {readonly type: 'process'; readonly host: number; readonly fault: ProcessFault}
 	| {readonly type: 'worker'; readonly host: number; readonly fault: WorkerFault}
+	/** A worker says something of itself in its responses; one that says that it leaves is replaced. */
+	| {readonly type: 'notice'; readonly host: number; readonly notice: SoakNotice}
 	/** Kills the process of every node. */
 	| {readonly type: 'power-loss'}
 	/** The store is away, and returns from the copy that it had {@link storeCopyAgeMs} before. */
--- a/packages/redwingmill-soak/src/soak-host.ts
+++ b/packages/redwingmill-soak/src/soak-host.ts
@@ -10,7 +10,12 @@
 	type SoakDeployment,
 	type SoakWorker,
 } from './soak-deployment.js';
-import {type LinkBehaviour, type LinkPurpose, type WorkerFault} from './soak-fault.js';
+import {
+	type LinkBehaviour,
+	type LinkPurpose,
+	type SoakNotice,
+	type WorkerFault,
+} from './soak-fault.js';
 import {StreamFaultProxy} from './stream-fault-proxy.js';
 
 /** Settings and dependencies of a host. */
@@ -73,6 +78,7 @@
 	readonly #worker: SoakWorker;
 	readonly #streamProxies: StreamProxies;
 	#workerFault: WorkerFault | undefined;
+	#notice: SoakNotice | undefined;
 	#workerInstanceNumber = 0;
 	#isWorkerRunning = false;
 	/** Address at which the node reaches the worker; undefined while none runs. */
@@ -160,7 +166,7 @@
 	 * nothing while another worker fault lasts.
 	 */
 	async injectWorkerFault(fault: WorkerFault, forMs: number): Promise<void> {
-		if (this.#workerFault) {
+		if (this.#workerFault !== undefined || this.#notice !== undefined) {
 			return;
 		}
 
@@ -180,6 +186,24 @@
 		this.#workerFault = undefined;
 	}
 
+	/** Has the worker say something of itself in its responses for a time. Does nothing while it has a fault. */
+	async injectNotice(notice: SoakNotice, forMs: number): Promise<void> {
+		if (this.#workerFault !== undefined || this.#notice !== undefined || !this.#isWorkerRunning) {
+			return;
+		}
+
+		this.#notice = notice;
+		this.#worker.setNotice(notice);
+		await delay(forMs);
+		this.#notice = undefined;
+		this.#worker.setNotice(undefined);
+		this.#options.checker.onNoticeEnded(this.#worker.instance);
+		if (notice.type === 'leaving') {
+			await this.stopWorker();
+			await this.startWorker();
+		}
+	}
+
 	async startWorker(): Promise<void> {
 		return this.#changeWorker(async () => {
 			if (this.#isWorkerRunning || this.#isClosed) {
@@ -190,6 +214,8 @@
 			this.#workerInstanceNumber += 1;
 			this.#isLeaving = false;
 			proxy.setTarget(await this.#worker.start(this.#workerInstanceNumber));
+			// An instance that follows one that crashed meanwhile says the same.
+			this.#worker.setNotice(this.#notice);
 			await proxy.listen();
 			this.#workerAddress = proxy.address;
 			this.#isWorkerRunning = true;
@@ -256,6 +282,11 @@
 		}
 
 		const respond = () => {
+			const notice = this.#notice;
+			if (notice && run.instance === this.#worker.instance) {
+				this.#options.checker.onNotice(run.id, run.instance, notice, performance.now());
+			}
+
 			reply.send(responseBodyOf(run.id, this.service));
 		};
 
--- a/packages/redwingmill-soak/src/soak.ts
+++ b/packages/redwingmill-soak/src/soak.ts
@@ -260,6 +260,11 @@
 				break;
 			}
 
+			case 'notice': {
+				await this.#hosts[fault.host].injectNotice(fault.notice, forMs);
+				break;
+			}
+
 			case 'power-loss': {
 				await Promise.all(
 					this.#hosts.map(async (host) => this.#injectProcessFault(host, 'kill', forMs)),
--- a/test/matrix/limited-worker.test.ts
+++ b/test/matrix/limited-worker.test.ts
@@ -32,6 +32,13 @@
 			entry: fc.integer({min: 0, max: 1}),
 		}),
 	},
+	{
+		weight: 2,
+		arbitrary: fc.record({
+			type: fc.constant('pause-calls' as const),
+			forMs: fc.integer({min: 500, max: 6000}),
+		}),
+	},
 	{weight: 1, arbitrary: fc.constant({type: 'malformed-limit' as const})},
 	{weight: 1, arbitrary: fc.constant({type: 'leave' as const})},
 	{weight: 1, arbitrary: fc.constant({type: 'new-worker' as const})},
