--- a/packages/redwingmill-core/src/call/gate.ts
+++ b/packages/redwingmill-core/src/call/gate.ts
@@ -97,10 +97,12 @@
 	/** What the worker said of itself, for the entry nodes; undefined if it said nothing. */
 	get notice(): ReportedNotice | undefined {
 		const {perSecond: limitPerSecond, isLeaving} = this.#notices;
-		const worker = this.#worker && workerIdentityOf(this.#worker);
-		return worker === undefined || (limitPerSecond === undefined && !isLeaving)
-			? undefined
-			: {worker, limitPerSecond, isLeaving};
+		if (limitPerSecond === undefined && !isLeaving) {
+			return undefined;
+		}
+
+		const worker = this.#workerIdentity;
+		return worker === undefined ? undefined : {worker, limitPerSecond, isLeaving};
 	}
 
 	/** Whether no call is running or waiting. */
@@ -255,8 +257,7 @@
 
 	/** Applies the limit that the entry node of a call knows of, if it is this worker's. */
 	#adoptLimit({knownLimit}: GateCall, now: number): Array<GateEffect<Payload>> {
-		const worker = this.#worker && workerIdentityOf(this.#worker);
-		return knownLimit !== undefined && knownLimit.worker === worker
+		return knownLimit !== undefined && knownLimit.worker === this.#workerIdentity
 			? this.#applyChanges(this.#notices.adopt(knownLimit.perSecond, now), now)
 			: [];
 	}
@@ -271,6 +272,10 @@
 		});
 	}
 
+	get #workerIdentity(): string | undefined {
+		return this.#worker && workerIdentityOf(this.#worker);
+	}
+
 	/** Whether the worker's responses say that it leaves. Without an identity, a new process would count too. */
 	get #isWorkerLeaving(): boolean {
 		return this.#notices.isLeaving && this.#worker?.instance !== undefined;
--- a/packages/redwingmill-core/src/call/worker-allowance.ts
+++ b/packages/redwingmill-core/src/call/worker-allowance.ts
@@ -78,10 +78,14 @@
 
 	/** Records that a call is sent. */
 	record(now: number): void {
+		if (this.#sentAt === undefined) {
+			return;
+		}
+
 		this.#refill(now);
 		this.#tokens -= 1;
 		this.#forget(now);
-		this.#sentAt?.push(now);
+		this.#sentAt.push(now);
 	}
 
 	/**
--- a/packages/redwingmill-ctl/src/commands/node-commands.ts
+++ b/packages/redwingmill-ctl/src/commands/node-commands.ts
@@ -52,6 +52,29 @@
 	},
 });
 
+export const gateCommand = command({
+	name: 'gate',
+	description: "Show the calls at a node's worker, the limit that it states and whether it leaves.",
+	args: {json: jsonFlag, node: nodeOption},
+	async handler({json, node}) {
+		const {gate} = await readNodeStatus(nodeAddress(node));
+		if (gate === undefined) {
+			throw new CommandError('the node does not report the state of its gate');
+		}
+
+		if (json) {
+			printJson(gate);
+			return;
+		}
+
+		const {running, waiting, limitPerSecond, limitWaitMs, isWorkerLeaving} = gate;
+		const limit = limitPerSecond === undefined ? '-' : `${limitPerSecond}/s`;
+		const wait = limitWaitMs === undefined ? '-' : `${Math.round(limitWaitMs)} ms`;
+		const row = [String(running), String(waiting), limit, wait, isWorkerLeaving ? 'yes' : 'no'];
+		print(formatTable(['running', 'waiting', 'limit', 'next call in', 'leaving'], [row]));
+	},
+});
+
 export const explainCommand = command({
 	name: 'explain',
 	description: 'Show which routes match a path and to which nodes their calls go.',
--- a/packages/redwingmill-ctl/src/main.ts
+++ b/packages/redwingmill-ctl/src/main.ts
@@ -1,7 +1,12 @@
 #!/usr/bin/env node
 import process from 'node:process';
 import {binary, run, subcommands} from 'cmd-ts';
-import {explainCommand, nodesCommand, routesCommand} from './commands/node-commands.js';
+import {
+	explainCommand,
+	gateCommand,
+	nodesCommand,
+	routesCommand,
+} from './commands/node-commands.js';
 import {statusCommand} from './commands/status-command.js';
 import {applyCommand, checkCommand, diffCommand} from './commands/text-commands.js';
 import {
@@ -23,6 +28,7 @@
 		diff: diffCommand,
 		routes: routesCommand,
 		nodes: nodesCommand,
+		gate: gateCommand,
 		explain: explainCommand,
 	},
 });
--- a/packages/redwingmill-ctl/src/node-status.ts
+++ b/packages/redwingmill-ctl/src/node-status.ts
@@ -6,6 +6,16 @@
 	readonly node: string;
 	readonly serving: string;
 	readonly versionInForce?: {readonly number: number; readonly digest: string};
+	/** Absent on nodes of earlier versions. */
+	readonly gate?: {
+		readonly running: number;
+		readonly waiting: number;
+		/** Calls a second that the worker takes; absent while it states no limit. */
+		readonly limitPerSecond?: number;
+		/** Time until its limit allows a new call; below 0 while some are left. */
+		readonly limitWaitMs?: number;
+		readonly isWorkerLeaving: boolean;
+	};
 	readonly routes: ReadonlyArray<{
 		readonly path: string;
 		readonly methods: readonly string[];
--- a/packages/redwingmill-node/src/daemon.ts
+++ b/packages/redwingmill-node/src/daemon.ts
@@ -162,7 +162,7 @@
 			metrics,
 			log,
 		});
-		this.#operators = new OperatorsServer(this.#control, metrics, (worker) => {
+		this.#operators = new OperatorsServer(this.#control, this.#gate, metrics, (worker) => {
 			this.announce(worker);
 		});
 	}
--- a/packages/redwingmill-node/src/operators/operators-server.ts
+++ b/packages/redwingmill-node/src/operators/operators-server.ts
@@ -1,5 +1,6 @@
 import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
 import {type Worker} from 'redwingmill-core';
+import {type GateService} from '../call/gate-service.js';
 import {readRequestBody} from '../call/read-request.js';
 import {type ControlPlane} from '../control/control-plane.js';
 import {listenOn} from '../listen.js';
@@ -19,15 +20,28 @@
 
 const announcementLimitBytes = 4096;
 
+/** Properties of the gate that the status page shows. */
+export type GateState = Pick<
+	GateService,
+	'runningCount' | 'waitingCount' | 'limitPerSecond' | 'notice' | 'load'
+>;
+
 /** HTTP server for operators and for the announcements of the node's worker. */
 export class OperatorsServer {
 	readonly #server: Server;
 	readonly #control: ControlPlane;
 	readonly #metrics: Metrics;
 	readonly #onAnnouncement: (worker: Worker) => void;
+	readonly #gate: GateState;
 	#metricsPage: MetricsPage | undefined;
 
-	constructor(control: ControlPlane, metrics: Metrics, onAnnouncement: (worker: Worker) => void) {
+	constructor(
+		control: ControlPlane,
+		gate: GateState,
+		metrics: Metrics,
+		onAnnouncement: (worker: Worker) => void,
+	) {
+		this.#gate = gate;
 		this.#control = control;
 		this.#metrics = metrics;
 		this.#onAnnouncement = onAnnouncement;
@@ -64,7 +78,7 @@
 			}
 
 			case operatorsPaths.status: {
-				reply(response, 200, this.#control.status());
+				reply(response, 200, {...(this.#control.status() as object), gate: this.#gateStatus});
 				break;
 			}
 
@@ -79,6 +93,17 @@
 		}
 	}
 
+	get #gateStatus() {
+		const {runningCount, waitingCount, limitPerSecond, notice, load} = this.#gate;
+		return {
+			running: runningCount,
+			waiting: waitingCount,
+			limitPerSecond,
+			limitWaitMs: load.allowance?.waitMs,
+			isWorkerLeaving: notice?.isLeaving ?? false,
+		};
+	}
+
 	async #sendMetrics(response: ServerResponse): Promise<void> {
 		const module = await import('../observe/metrics-page.js');
 		this.#metricsPage ??= new module.MetricsPage(this.#metrics);
--- a/packages/redwingmill-protocol/src/__tests__/unit/datagram-codec.test.ts
+++ b/packages/redwingmill-protocol/src/__tests__/unit/datagram-codec.test.ts
@@ -34,6 +34,22 @@
 		storeEra: 5,
 		load: {callsPerSlot: 1.25, waitMs: 30, runMs: 64.5, failureShare: 0.25},
 	},
+	{
+		type: 'pulse',
+		incarnation: 1_775_726_659_321_288,
+		revision: 3,
+		version: 42,
+		isWatching: true,
+		crashDigest: 1,
+		storeEra: 5,
+		load: {
+			callsPerSlot: 1.25,
+			waitMs: 30,
+			runMs: 64.5,
+			failureShare: 0.25,
+			allowance: {perSecond: 20.6, waitMs: -250},
+		},
+	},
 	{
 		type: 'digest',
 		incarnation: 1_775_726_659_321_288,
