--- a/packages/redwingmill-core/src/call/worker-allowance.ts
+++ b/packages/redwingmill-core/src/call/worker-allowance.ts
@@ -66,7 +66,6 @@
 		this.#refill(now);
 		this.#tokens = this.#limit === undefined ? 0 : this.#tokens;
 		this.#limit = limit;
-		this.#tokens = Math.min(this.#tokens, this.#capacity);
 		if (limit !== undefined) {
 			this.#sentAt ??= [];
 		}
