--- a/packages/redwingmill-soak/src/__tests__/unit/fault-plan.test.ts
+++ b/packages/redwingmill-soak/src/__tests__/unit/fault-plan.test.ts
@@ -34,6 +34,11 @@
 						break;
 					}
 
+					case 'notice': {
+						kinds.add(`notice ${fault.notice.type}`);
+						break;
+					}
+
 					case 'change':
 					case 'store-return':
 					case 'silent-connections':
@@ -46,7 +51,7 @@
 		}
 
 		// Five behaviours of four streams, four of datagrams, four process faults, five worker faults,
-		// `change`, `store-return`, `silent-connections` and `power-loss`.
-		expect(kinds.size).to.equal(5 * 4 + 4 + 4 + 5 + 4);
+		// two notices, `change`, `store-return`, `silent-connections` and `power-loss`.
+		expect(kinds.size).to.equal(5 * 4 + 4 + 4 + 5 + 2 + 4);
 	});
 });
