One comparison of worker processes in the gate's service

setWorker compared address, instance and start field by field, and the reading of a response's head did the same through workerIdentityOf. Both use isSameProcess now, which compares the three fields.

--- a/packages/redwingmill-node/src/call/gate-service.ts
+++ b/packages/redwingmill-node/src/call/gate-service.ts
@@ -2,7 +2,6 @@
 import {type Pool} from 'undici';
 import {
 	Gate,
-	workerIdentityOf,
 	type Answer,
 	type CrashNotice,
 	type CrashReport,
@@ -153,10 +152,7 @@
 	}
 
 	setWorker(worker: Worker): void {
-		const isReplaced =
-			worker.address !== this.#worker?.address ||
-			worker.instance !== this.#worker.instance ||
-			worker.startedAt !== this.#worker.startedAt;
+		const isReplaced = !isSameProcess(worker, this.#worker);
 		this.#worker = worker;
 		if (isReplaced) {
 			void this.#pool?.close();
@@ -497,7 +493,11 @@
 		return false;
 	}
 
-	return one.address === other.address && workerIdentityOf(one) === workerIdentityOf(other);
+	return (
+		one.address === other.address &&
+		one.instance === other.instance &&
+		one.startedAt === other.startedAt
+	);
 }
 
 /** A 504 is not the worker's failure: the call was delayed before it reached the worker. */
