Workspaces, keys and bulk routes, end to end

Change: the configuration holds workspaces with keys, rank and quota; an entry looks the key up in an index made once a version, answers 401 to unknown ones, removes the key and names the workspace to the worker; records carry the worker's software version. Settings take the bounds of roll-outs, quotas and revocation. Quotas aren't kept yet.

--- a/packages/redwingmill-core/src/call/gate-call.ts
+++ b/packages/redwingmill-core/src/call/gate-call.ts
@@ -3,6 +3,13 @@
 import {type KnownLimit} from './reported-notices.js';
 import {type NoticeChange} from './worker-notices.js';
 
+/** What a gate knows of the workspace that a call belongs to. */
+export type CallWorkspace = {
+	readonly name: string;
+	/** Takes precedence over the rank of the route; 0 is the most urgent. */
+	readonly rank: number;
+};
+
 /** A call at the gate of its worker's node. */
 export type GateCall = {
 	/** Unique identifier of this attempt, assigned by the entry node. */
@@ -13,8 +20,12 @@
 	readonly service: string;
 	/** Identifies calls with similar run times. */
 	readonly group: string;
-	/** 0 is the most urgent. */
+	/** Rank of the route; 0 is the most urgent. */
 	readonly rank: number;
+	/** Workspace of the caller; absent when the call needs none. */
+	readonly workspace?: CallWorkspace;
+	/** Whether the answer is so large that it is scheduled by the host's link. */
+	readonly isBulk?: boolean;
 	/** Latency target in monotonic milliseconds; absent when only the deadline counts. */
 	readonly targetAt?: number;
 	/** Monotonic milliseconds at which the caller stops waiting. */
--- a/packages/redwingmill-core/src/call/outcome.ts
+++ b/packages/redwingmill-core/src/call/outcome.ts
@@ -1,6 +1,8 @@
 /** Reasons why a call wasn't run; also values of the metrics' `reason` label. */
 export const notRunReasons = [
 	'no-route',
+	'key-unknown',
+	'quota-exceeded',
 	'configuration-behind',
 	'route-inactive',
 	'not-serving',
@@ -51,6 +53,7 @@
 /** Reasons that may no longer hold later, so that the answer carries a `Retry-After`. */
 const transientReasons: ReadonlySet<NotRunReason> = new Set<NotRunReason>([
 	'configuration-behind',
+	'quota-exceeded',
 	'route-inactive',
 	'not-serving',
 	'no-endpoint',
--- a/packages/redwingmill-core/src/call/worker-lease.ts
+++ b/packages/redwingmill-core/src/call/worker-lease.ts
@@ -133,6 +133,7 @@
 		a.slots === b.slots &&
 		a.state === b.state &&
 		a.instance === b.instance &&
-		a.startedAt === b.startedAt
+		a.startedAt === b.startedAt &&
+		a.version === b.version
 	);
 }
--- a/packages/redwingmill-core/src/index.ts
+++ b/packages/redwingmill-core/src/index.ts
@@ -58,6 +58,7 @@
 export type {NoticeChange} from './call/worker-notices.js';
 export {allowanceOfNode, RetryBudget, type RetryAllowance} from './call/retry-budget.js';
 export {matchRoute} from './call/route-matcher.js';
+export {WorkspaceIndex, workspaceIndexOf, type Authorization} from './call/workspace-index.js';
 export {type CrashCounts, type GateCrashes} from './call/crash-counts.js';
 export {
 	type CrashNotice,
--- a/packages/redwingmill-core/src/model/derive-routing.ts
+++ b/packages/redwingmill-core/src/model/derive-routing.ts
@@ -1,5 +1,6 @@
 import {type Configuration, type Route} from 'redwingmill-text';
 import {workerIdentityOf} from '../call/worker-notice.js';
+import {workspaceIndexOf} from '../call/workspace-index.js';
 import {isRoutable, type NodeRecord} from './node-record.js';
 import {
 	type Endpoint,
@@ -37,7 +38,11 @@
 	const inactive = inactiveServices(configuration, endpoints, activated);
 	const isKept = previous?.version === version && hasSameReasons(previous.inactive, inactive);
 	const routes = isKept ? previous.routes : deriveRoutes(configuration, endpoints, inactive);
-	return {routing: {version, routes, endpoints, inactive}, activated};
+	const workspaces = workspaceIndexOf(configuration);
+	return {
+		routing: {version, routes, endpoints, inactive, ...(workspaces && {workspaces})},
+		activated,
+	};
 }
 
 function endpointsByService(
@@ -79,6 +84,7 @@
 		service: worker.service,
 		slots: worker.slots,
 		worker: workerIdentityOf(worker),
+		...(worker.version !== undefined && {version: worker.version}),
 	};
 	endpointsByRecord.set(record, endpoint);
 	return endpoint;
--- a/packages/redwingmill-core/src/model/node-record.ts
+++ b/packages/redwingmill-core/src/model/node-record.ts
@@ -18,6 +18,8 @@
 	readonly instance?: string;
 	/** Start of the instance in Unix milliseconds; absent when the worker does not announce it. */
 	readonly startedAt?: number;
+	/** Version of the worker's software; absent when the worker does not announce one. */
+	readonly version?: string;
 };
 
 /**
--- a/packages/redwingmill-core/src/model/routing-table.ts
+++ b/packages/redwingmill-core/src/model/routing-table.ts
@@ -1,4 +1,5 @@
 import {type Route} from 'redwingmill-text';
+import {type WorkspaceIndex} from '../call/workspace-index.js';
 
 /** A worker that calls can be sent to, through the gate of its node. */
 export type Endpoint = {
@@ -11,6 +12,8 @@
 	readonly slots: number;
 	/** Identity of the worker process, see `workerIdentityOf`; absent when it announces no instance. */
 	readonly worker?: string;
+	/** Version of the worker's software; absent when it announces none. */
+	readonly version?: string;
 };
 
 /** Reason why a route accepts no calls. */
@@ -30,6 +33,8 @@
 	readonly endpoints: ReadonlyMap<string, readonly Endpoint[]>;
 	/** Services that accept no calls. */
 	readonly inactive: ReadonlyMap<string, InactiveReason>;
+	/** Absent when calls need no key. */
+	readonly workspaces?: WorkspaceIndex;
 };
 
 export const emptyRoutingTable: RoutingTable = {
--- a/packages/redwingmill-node/src/call/attempt-header.ts
+++ b/packages/redwingmill-node/src/call/attempt-header.ts
@@ -1,4 +1,4 @@
-import {type GateCall, type KnownLimit} from 'redwingmill-core';
+import {type CallWorkspace, type GateCall, type KnownLimit} from 'redwingmill-core';
 
 /** Details that the entry node sends to the gate along with the caller's request. */
 export type AttemptHeader = {
@@ -22,12 +22,18 @@
 	readonly crashedNodes: readonly string[];
 	/** Limit that the worker has stated last, as far as the entry node knows. */
 	readonly knownLimit?: KnownLimit;
+	/** Workspace of the caller; absent when the call needs none. */
+	readonly workspace?: CallWorkspace;
+	/** Whether the answer is so large that it is scheduled by the host's link. */
+	readonly isBulk?: boolean;
 };
 
 const separator = ';';
 const nodeSeparator = ',';
-/** Position of the worker's identity among the fields after the nodes. */
+/** Positions of texts among the fields after the nodes. */
 const workerIndex = 6;
+const workspaceIndex = 7;
+const bulkFlag = '1';
 
 /**
  * Formats the header: its fields in a fixed order, separated by semicolons. The format is compact,
@@ -36,13 +42,24 @@
 export function formatAttempt(attempt: AttemptHeader): string {
 	const {id, service, group, rank, deadlineMs, targetMs, caller, ticket, incarnation} = attempt;
 	const numbers = [rank, deadlineMs, targetMs, ticket, incarnation];
-	const {knownLimit} = attempt;
+	const {knownLimit, workspace, isBulk = false} = attempt;
+	const limitFields = [
+		knownLimit === undefined ? '' : String(knownLimit.perSecond),
+		encodeURIComponent(knownLimit?.worker ?? ''),
+	];
+	const workspaceFields = [
+		encodeURIComponent(workspace?.name ?? ''),
+		String(workspace?.rank ?? ''),
+		isBulk ? bulkFlag : '',
+	];
+	const hasWorkspaceFields = workspace !== undefined || isBulk;
 	return [
 		...[id, service, group, caller ?? '', attempt.crashedNodes.join(nodeSeparator)].map((text) =>
 			encodeURIComponent(text),
 		),
 		...numbers.map((number) => (number === undefined ? '' : String(Math.floor(number)))),
-		...(knownLimit ? [String(knownLimit.perSecond), encodeURIComponent(knownLimit.worker)] : []),
+		...(knownLimit !== undefined || hasWorkspaceFields ? limitFields : []),
+		...(hasWorkspaceFields ? workspaceFields : []),
 	].join(separator);
 }
 
@@ -58,10 +75,11 @@
 
 function readAttempt(text: string): AttemptHeader | undefined {
 	const [id, service, group, caller, crashedNodes, ...parts] = text.split(separator);
-	const [rank, deadlineMs, targetMs, ticket, incarnation, perSecond] = parts.map((part) =>
-		toNumber(part),
-	);
+	const numbers = parts.map((part) => toNumber(part));
+	const [rank, deadlineMs, targetMs, ticket, incarnation, perSecond] = numbers;
 	const worker = parts.at(workerIndex);
+	const workspace = parts.at(workspaceIndex);
+	const workspaceRank = numbers.at(workspaceIndex + 1);
 	if (!id || service === undefined || rank === undefined || deadlineMs === undefined) {
 		return undefined;
 	}
@@ -79,6 +97,11 @@
 		crashedNodes: crashedNodes === '' ? [] : decodeURIComponent(crashedNodes).split(nodeSeparator),
 		...(worker !== undefined &&
 			perSecond !== undefined && {knownLimit: {worker: decodeURIComponent(worker), perSecond}}),
+		...(workspace !== undefined &&
+			workspaceRank !== undefined && {
+				workspace: {name: decodeURIComponent(workspace), rank: workspaceRank},
+			}),
+		...(parts.at(workspaceIndex + 2) === bulkFlag && {isBulk: true}),
 	};
 }
 
--- a/packages/redwingmill-node/src/call/caller-protocol.ts
+++ b/packages/redwingmill-node/src/call/caller-protocol.ts
@@ -16,6 +16,13 @@
 	readonly deadlineHeader: string;
 	/** Name, in lower case, of the header with the caller's request id. */
 	readonly requestIdHeader: string;
+	/** Name, in lower case, of the header with the key of the caller's workspace. */
+	readonly keyHeader: string;
+	/**
+	 * Headers, in lower case, that are removed from callers' requests where the configuration has
+	 * workspaces: the key, and headers that only a node may send to workers.
+	 */
+	readonly removedHeaders: readonly string[];
 	/** Returns the status of an answer without a worker's response. */
 	readonly statusOf: (outcome: Outcome) => number;
 	/** Returns the headers that the node adds to an answer. */
@@ -24,6 +31,8 @@
 
 const notRunStatuses: Partial<Record<NotRunReason, number>> = {
 	'no-route': 404,
+	'key-unknown': 401,
+	'quota-exceeded': 429,
 	'body-too-large': 413,
 	'ticket-invalid': 400,
 	'deadline-passed': 504,
@@ -59,6 +68,8 @@
 export const defaultCallerProtocol: CallerProtocol = {
 	deadlineHeader: headerNames.deadline,
 	requestIdHeader: 'x-request-id',
+	keyHeader: headerNames.key,
+	removedHeaders: [],
 	statusOf,
 	headersOf({outcome, isRetried, retryAfterMs}) {
 		return {
--- a/packages/redwingmill-node/src/call/entry-exchange.ts
+++ b/packages/redwingmill-node/src/call/entry-exchange.ts
@@ -88,13 +88,16 @@
 		crashedNodes,
 		knownLimit,
 	}: Extract<EntryAction<Payload>, {type: 'attempt'}>): void {
-		const {service, route, request, ticket, caller, targetAt, deadlineAt} = this.#options;
+		const {service, route, request, ticket, caller, targetAt, deadlineAt, workspace} =
+			this.#options;
 		const attempt: Attempt = {
 			id: service.nextId(),
 			endpoint,
 			ticket,
 			group: route.path,
 			rank: route.rank,
+			...(workspace && {workspace: {name: workspace.name, rank: workspace.rank}}),
+			...(route.isBulk && {isBulk: true}),
 			caller,
 			crashedNodes,
 			knownLimit,
--- a/packages/redwingmill-node/src/call/entry-server.ts
+++ b/packages/redwingmill-node/src/call/entry-server.ts
@@ -9,7 +9,12 @@
 import {logEvents} from '../observe/log-event.js';
 import {type Metrics} from '../observe/metrics.js';
 import {type CallerProtocol} from './caller-protocol.js';
-import {type CallerCall, type EntryAnswer, type EntryService} from './entry-service.js';
+import {
+	type CallerCall,
+	type EntryAnswer,
+	type EntryService,
+	type RouteLookup,
+} from './entry-service.js';
 import {forwardedHeaders, headerNames, numberHeader, textHeader} from './headers.js';
 import {OpenRequests, type OpenRequest} from './open-requests.js';
 import {readConnectedRequest} from './read-request.js';
@@ -152,7 +157,8 @@
 		const path = request.url ?? '/';
 		const isTicket = path.startsWith(`${ticketPath}?`);
 		const target = isTicket ? (new URL(path, 'http://node').searchParams.get('path') ?? '') : path;
-		const lookup = this.#service.findRoute(request.method ?? 'GET', target, hostOf(request));
+		const key = textHeader(request.headers, this.#options.protocol.keyHeader);
+		const lookup = this.#service.findRoute(request.method ?? 'GET', target, hostOf(request), key);
 		if (headerBytesOf(request) > this.#headerLimitBytes) {
 			request.resume();
 			const headers = arrival.open.closeConnection() ? {connection: 'close'} : {};
@@ -171,7 +177,7 @@
 			request.resume();
 			this.#sendTicket(response, lookup.route);
 		} else {
-			this.#forward(arrival, lookup.route, startedAt);
+			this.#forward(arrival, lookup, startedAt);
 		}
 	}
 
@@ -195,7 +201,11 @@
 		});
 	}
 
-	#forward(arrival: Arrival, route: Route, startedAt: number): void {
+	#forward(
+		arrival: Arrival,
+		{route, workspace}: Extract<RouteLookup, {type: 'found'}>,
+		startedAt: number,
+	): void {
 		const {request, response} = arrival;
 		const requestedMs = numberHeader(request.headers, this.#options.protocol.deadlineHeader);
 		const waitMs = Math.min(route.deadlineMs, requestedMs ?? route.deadlineMs);
@@ -213,7 +223,7 @@
 		readConnectedRequest(request, this.#bodyLimitBytes, (result) => {
 			switch (result.type) {
 				case 'complete': {
-					this.#begin(arrival, result.body, {route, ...details});
+					this.#begin(arrival, result.body, {route, workspace, ...details});
 					break;
 				}
 
@@ -248,7 +258,10 @@
 				request: {
 					method: request.method ?? 'GET',
 					path: request.url ?? '/',
-					headers: forwardedHeaders(request.headers),
+					headers: forwardedHeaders(
+						request.headers,
+						this.#service.hasWorkspaces ? protocol.removedHeaders : [],
+					),
 					body,
 				},
 			},
--- a/packages/redwingmill-node/src/call/entry-service.ts
+++ b/packages/redwingmill-node/src/call/entry-service.ts
@@ -18,7 +18,7 @@
 	type Ticket,
 } from 'redwingmill-core';
 import {digestOf, type Random} from 'redwingmill-shared';
-import {anyMethod, type Route} from 'redwingmill-text';
+import {anyMethod, type Route, type Workspace} from 'redwingmill-text';
 import {type ControlPlane} from '../control/control-plane.js';
 import {type Metrics} from '../observe/metrics.js';
 import {type Settings} from '../settings/settings.js';
@@ -40,6 +40,8 @@
 export type CallerCall = {
 	readonly request: CallRequest;
 	readonly route: Route;
+	/** Workspace of the caller; absent when the call needs none. */
+	readonly workspace?: Workspace;
 	/** Request id given by the caller; absent when it gave none. */
 	readonly requestId?: string;
 	/** Method, host and path, by which a repeated request is recognised. */
@@ -60,7 +62,12 @@
 
 /** Result of looking up the route of a call. */
 export type RouteLookup =
-	| {readonly type: 'found'; readonly route: Route}
+	| {
+			readonly type: 'found';
+			readonly route: Route;
+			/** Workspace of the caller; absent when the call needs none. */
+			readonly workspace?: Workspace;
+	  }
 	| {readonly type: 'refused'; readonly reason: NotRunReason; readonly retryAfterMs?: number};
 
 const routeRetryMs = 1000;
@@ -173,12 +180,18 @@
 		}
 	}
 
+	/** Whether calls on routes that aren't public need a workspace's key. */
+	get hasWorkspaces(): boolean {
+		return this.#control.routing.workspaces !== undefined;
+	}
+
 	/**
-	 * Finds the route of a call, or the reason to refuse it.
+	 * Finds the route and the workspace of a call, or the reason to refuse it.
 	 *
 	 * @param host - host that the call names, in lower case and without a port.
+	 * @param key - key of a workspace that the call carries.
 	 */
-	findRoute(method: string, path: string, host?: string): RouteLookup {
+	findRoute(method: string, path: string, host?: string, key?: string): RouteLookup {
 		const {isServing, routing} = this.#control;
 		if (!isServing) {
 			return {type: 'refused', reason: 'not-serving', retryAfterMs: notServingRetryMs};
@@ -186,14 +199,16 @@
 
 		const found = matchRoute(routing.routes, method, path, host);
 		if (found === undefined) {
-			// A newer version, known but not held here, may have the route.
-			return this.#control.configurationBehindMs > 0
-				? {type: 'refused', reason: 'configuration-behind', retryAfterMs: behindRetryMs}
-				: {type: 'refused', reason: 'no-route'};
+			return this.#refuseUnknown('no-route');
+		}
+
+		const authorization = routing.workspaces?.authorize(found.route, key);
+		if (authorization?.type === 'denied') {
+			return this.#refuseUnknown('key-unknown');
 		}
 
 		return found.type === 'active'
-			? {type: 'found', route: found.route}
+			? {type: 'found', route: found.route, workspace: authorization?.workspace}
 			: {type: 'refused', reason: 'route-inactive', retryAfterMs: routeRetryMs};
 	}
 
@@ -324,6 +339,13 @@
 		this.#onAnswered?.(record);
 	}
 
+	/** Refuses a call for what the configuration lacks; a newer version, known but not held here, may have it. */
+	#refuseUnknown(reason: NotRunReason): RouteLookup {
+		return this.#control.configurationBehindMs > 0
+			? {type: 'refused', reason: 'configuration-behind', retryAfterMs: behindRetryMs}
+			: {type: 'refused', reason};
+	}
+
 	#newCall(
 		{request, route, targetAt, deadlineAt}: CallerCall,
 		service: string,
--- a/packages/redwingmill-node/src/call/gate-client.ts
+++ b/packages/redwingmill-node/src/call/gate-client.ts
@@ -2,6 +2,7 @@
 import {Pool} from 'undici';
 import {
 	type AttemptResult,
+	type CallWorkspace,
 	type Endpoint,
 	type KnownLimit,
 	type WithdrawResult,
@@ -20,6 +21,8 @@
 	readonly ticket?: number;
 	readonly group: string;
 	readonly rank: number;
+	readonly workspace?: CallWorkspace;
+	readonly isBulk?: boolean;
 	readonly caller?: string;
 	/** Control addresses of the nodes whose workers crashed while they ran this call. */
 	readonly crashedNodes: readonly string[];
--- a/packages/redwingmill-node/src/call/gate-service.ts
+++ b/packages/redwingmill-node/src/call/gate-service.ts
@@ -409,11 +409,16 @@
 	}
 
 	#workerRequest(
-		{request, deadlineAt, caller}: GateRequest,
+		{request, deadlineAt, caller, workspace}: GateRequest,
 		instance: string | undefined,
 	): CallRequest {
 		const deadlineMs = Math.max(1, Math.floor(deadlineAt - performance.now()));
-		const headers = this.#options.protocol.requestHeaders({deadlineMs, instance, caller});
+		const headers = this.#options.protocol.requestHeaders({
+			deadlineMs,
+			instance,
+			caller,
+			workspace: workspace?.name,
+		});
 		return {...request, headers: {...request.headers, ...headers}};
 	}
 
--- a/packages/redwingmill-node/src/call/headers.ts
+++ b/packages/redwingmill-node/src/call/headers.ts
@@ -20,6 +20,10 @@
 	workerLimit: 'redwingmill-worker-limit',
 	/** `1` on the responses of a worker that is about to stop. */
 	workerLeaving: 'redwingmill-worker-leaving',
+	/** Key of the caller's workspace. */
+	key: 'redwingmill-key',
+	/** Name of the caller's workspace; on requests to workers. */
+	workspace: 'redwingmill-workspace',
 	/** Ticket of a call, which the caller has requested from an entry node. */
 	idempotencyKey: 'idempotency-key',
 } as const;
@@ -39,11 +43,18 @@
 	'content-length',
 ]);
 
-/** Returns the headers to forward: all but hop-by-hop headers and redwingmill's own. */
-export function forwardedHeaders(headers: IncomingHttpHeaders): OutgoingHttpHeaders {
+/**
+ * Returns the headers to forward: all but hop-by-hop headers and redwingmill's own.
+ *
+ * @param removed - names, in lower case, of further headers to leave out.
+ */
+export function forwardedHeaders(
+	headers: IncomingHttpHeaders,
+	removed: readonly string[] = [],
+): OutgoingHttpHeaders {
 	const forwarded: OutgoingHttpHeaders = {};
 	for (const name in headers) {
-		if (!hopByHopHeaders.has(name) && !name.startsWith(redwingmillPrefix)) {
+		if (isForwarded(name) && !removed.includes(name)) {
 			forwarded[name] = headers[name];
 		}
 	}
@@ -51,6 +62,10 @@
 	return forwarded;
 }
 
+function isForwarded(name: string): boolean {
+	return !hopByHopHeaders.has(name) && !name.startsWith(redwingmillPrefix);
+}
+
 /** Returns a header as a number, or undefined when it is absent or not numeric. */
 export function numberHeader(headers: IncomingHttpHeaders, name: string): number | undefined {
 	const value = headers[name];
--- a/packages/redwingmill-node/src/call/worker-protocol.ts
+++ b/packages/redwingmill-node/src/call/worker-protocol.ts
@@ -10,6 +10,8 @@
 	readonly instance?: string;
 	/** Calling service, as named in the entry node's settings; absent when they name none. */
 	readonly caller?: string;
+	/** Name of the caller's workspace; absent when the call needs none. */
+	readonly workspace?: string;
 };
 
 /**
@@ -41,8 +43,11 @@
 
 /** Default worker protocol, which uses redwingmill's own headers. */
 export const defaultWorkerProtocol: WorkerProtocol = {
-	requestHeaders({deadlineMs}) {
-		return {[headerNames.deadline]: String(deadlineMs)};
+	requestHeaders({deadlineMs, workspace}) {
+		return {
+			[headerNames.deadline]: String(deadlineMs),
+			...(workspace === undefined ? {} : {[headerNames.workspace]: workspace}),
+		};
 	},
 	noticeOf: (headers) => ({
 		limit: parseStatedLimit(headers[headerNames.workerLimit]),
--- a/packages/redwingmill-node/src/settings/settings.ts
+++ b/packages/redwingmill-node/src/settings/settings.ts
@@ -58,6 +58,31 @@
 		/** Time after the worker's last announcement at which it counts as absent. */
 		readonly workerLeaseMs: number;
 	};
+	/** Bounds on roll-outs of service versions; absent where operators order none. */
+	readonly rollouts?: {
+		/** Largest part of a service's calls that a bad version may get during its order, from 0 to 1. */
+		readonly exposureShare: number;
+		/** Calls that it may get besides. */
+		readonly exposureSlack: number;
+		/** Time after its 50th bad answer in which a version has to be rolled back. */
+		readonly rollbackMs: number;
+	};
+	/** Bounds on how exactly quotas are kept; absent where workspaces have none. */
+	readonly quotas?: {
+		/** Length of the sliding window in which calls are counted. */
+		readonly windowSeconds: number;
+		/** Calls tolerated over a quota, as a share of it. */
+		readonly overShare: number;
+		/** Calls tolerated besides, in a window. */
+		readonly slack: number;
+	};
+	/** What a node does with keys that it can't confirm; absent where no caller needs one. */
+	readonly revocation?: {
+		/** Whether a node that can't confirm its configuration refuses calls that need a key. */
+		readonly isStrict: boolean;
+		/** Time without confirmation after which it does. */
+		readonly withinMs: number;
+	};
 	readonly control: {
 		readonly distributionIntervalMs: number;
 		readonly sendsWholeTables: boolean;
@@ -145,6 +170,32 @@
 				workerLeaseMs: {...durationMsSchema, minimum: 100, default: 3000},
 			},
 		},
+		rollouts: {
+			type: 'object',
+			additionalProperties: false,
+			required: ['exposureShare', 'exposureSlack', 'rollbackMs'],
+			properties: {
+				exposureShare: {type: 'number', minimum: 0, maximum: 1},
+				exposureSlack: {type: 'number', minimum: 0, maximum: 1_000_000},
+				rollbackMs: durationMsSchema,
+			},
+		},
+		quotas: {
+			type: 'object',
+			additionalProperties: false,
+			required: ['windowSeconds', 'overShare', 'slack'],
+			properties: {
+				windowSeconds: {type: 'number', minimum: 0.1, maximum: 600},
+				overShare: {type: 'number', minimum: 0, maximum: 10},
+				slack: {type: 'number', minimum: 0, maximum: 1_000_000},
+			},
+		},
+		revocation: {
+			type: 'object',
+			additionalProperties: false,
+			required: ['isStrict', 'withinMs'],
+			properties: {isStrict: {type: 'boolean'}, withinMs: durationMsSchema},
+		},
 		control: {
 			type: 'object',
 			additionalProperties: false,
--- a/packages/redwingmill-protocol/src/record-codec.ts
+++ b/packages/redwingmill-protocol/src/record-codec.ts
@@ -42,6 +42,7 @@
 			state: decodeEnum(workerStates, worker.state),
 			...(worker.instance === '' ? {} : {instance: worker.instance}),
 			...(worker.startedAt === 0n ? {} : {startedAt: Number(worker.startedAt)}),
+			...(worker.version === '' ? {} : {version: worker.version}),
 		},
 		...(fields.linkMbps === 0 ? {} : {linkMbps: fields.linkMbps}),
 	};
--- a/packages/redwingmill-text/src/configuration.ts
+++ b/packages/redwingmill-text/src/configuration.ts
@@ -41,6 +41,28 @@
 	readonly maximumAttempts?: number;
 	/** Retry budget: retries as a share of first attempts, from 0 to 1. */
 	readonly retryShare: number;
+	/** Whether calls need no workspace's key; without workspaces no call needs one. */
+	readonly isPublic?: boolean;
+	/** Whether answers are so large that they are scheduled by the host's link. */
+	readonly isBulk?: boolean;
+};
+
+/** Calls that a workspace may make in the whole mesh: a token bucket. */
+export type Quota = {
+	readonly perSecond: number;
+	/** Calls that may be made at once after a time without any. */
+	readonly burst: number;
+};
+
+/** A group of callers that share keys, a rank and a quota. */
+export type Workspace = {
+	readonly name: string;
+	/** Keys that identify its callers. Secret: never logged or sent to workers. */
+	readonly keys: readonly string[];
+	/** Scheduling rank, which takes precedence over that of a route; 0 is the most urgent. */
+	readonly rank: number;
+	/** Absent when its calls aren't limited. */
+	readonly quota?: Quota;
 };
 
 /**
@@ -50,4 +72,6 @@
 export type Configuration = {
 	readonly services: readonly Service[];
 	readonly routes: readonly Route[];
+	/** Workspaces, one of whose keys every call on a route that isn't public must carry. */
+	readonly workspaces?: readonly Workspace[];
 };
--- a/packages/redwingmill-text/src/index.ts
+++ b/packages/redwingmill-text/src/index.ts
@@ -2,6 +2,8 @@
 	anyMethod,
 	priorities,
 	type Configuration,
+	type Quota,
+	type Workspace,
 	type Destination,
 	type Priority,
 	type Route,
