A starting node fetches one whole configuration at a time, compressed

Callers saw: after a loss of power of all hosts, with a configuration of 2,500 routes (500 KB) and links of 5 to 7 Mbit/s, calls between hosts took 0.5 to 0.7 s each way for ten seconds; most ended at their deadline without having reached a worker. Cause: a node without a configuration began a new read of the store and a new request to another node every 0.6 s while the earlier ones were still on their way. They filled its link, timed out together and were begun again; 12 of 17 nodes held a configuration only after 3.1 s. Change: one whole configuration at a time; the store's read is abandoned once another node has answered; nodes send large configurations compressed, made once for all that ask.

--- a/packages/redwingmill-node/src/call/gate-server.ts
+++ b/packages/redwingmill-node/src/call/gate-server.ts
@@ -2,6 +2,7 @@
 import {createServer, type IncomingMessage, type Server, type ServerResponse} from 'node:http';
 import {type Answer} from 'redwingmill-core';
 import {type ConfigurationReply} from '../control/configuration-history.js';
+import {encodeReply} from '../control/encoded-reply.js';
 import {listenOn} from '../listen.js';
 import {formatAnswer} from './answer-header.js';
 import {parseAttempt, type AttemptHeader} from './attempt-header.js';
@@ -93,7 +94,9 @@
 
 			default: {
 				if (request.url?.startsWith(gatePaths.configuration)) {
-					sendJson(response, this.#node.configurationSince(parseSince(request.url)));
+					const reply = this.#node.configurationSince(parseSince(request.url));
+					const {headers, body} = encodeReply(reply, request.headers);
+					response.writeHead(200, headers).end(body);
 				} else {
 					this.#handleAttempt(request, response);
 				}
--- a/packages/redwingmill-node/src/control/configuration-history.ts
+++ b/packages/redwingmill-node/src/control/configuration-history.ts
@@ -18,7 +18,7 @@
 	/** Oldest first. */
 	#versions: readonly StoredVersion[] = [];
 	/** Replies by base version, cached because many nodes request the patch from the same version. */
-	readonly #replies = new Map<number, ConfigurationReply>();
+	readonly #replies = new Map<number | undefined, ConfigurationReply>();
 
 	add(version: number, source: unknown): void {
 		this.#versions = [...this.#versions, {version, source: source as Json}].slice(-maximumVersions);
@@ -32,10 +32,6 @@
 			return {type: 'none'};
 		}
 
-		if (since === undefined) {
-			return {type: 'whole', source: newest.source};
-		}
-
 		const reply = this.#replies.get(since) ?? this.#createReply(since, newest);
 		this.#replies.set(since, reply);
 		return reply;
@@ -62,11 +58,11 @@
 		}
 	}
 
-	#createReply(since: number, newest: StoredVersion): ConfigurationReply {
+	#createReply(since: number | undefined, newest: StoredVersion): ConfigurationReply {
 		const base = this.#versions.find(({version}) => version === since);
 		const patch = base && mergePatchOf(base.source, newest.source);
-		return patch === undefined
+		return base === undefined || patch === undefined
 			? {type: 'whole', source: newest.source}
-			: {type: 'change', base: since, patch};
+			: {type: 'change', base: base.version, patch};
 	}
 }
--- a/packages/redwingmill-node/src/control/store-control-plane.ts
+++ b/packages/redwingmill-node/src/control/store-control-plane.ts
@@ -22,7 +22,7 @@
 	type CrashReport,
 } from 'redwingmill-core';
 import {Random, type Teardown} from 'redwingmill-shared';
-import {exchange, type ExchangeResult} from '../call/exchange.js';
+import {exchange} from '../call/exchange.js';
 import {configurationPath} from '../call/gate-server.js';
 import {logDirectoryNotice} from '../observe/directory-log.js';
 import {logEvents} from '../observe/log-event.js';
@@ -30,6 +30,7 @@
 import {type Metrics} from '../observe/metrics.js';
 import {type Settings} from '../settings/settings.js';
 import {ConfigurationHistory, type ConfigurationReply} from './configuration-history.js';
+import {acceptGzip, decodeReply} from './encoded-reply.js';
 import {ConfigurationWatch} from './configuration-watch.js';
 import {
 	type ControlPlane,
@@ -80,6 +81,8 @@
 	#stopEraListener: Teardown | undefined;
 	#timer: NodeJS.Timeout | undefined;
 	#isStopped = false;
+	/** Whether a whole configuration is on its way. */
+	#isRequestingWhole = false;
 
 	constructor({settings, self, ports, log, metrics}: StoreControlPlaneOptions) {
 		const random = new Random(self.incarnation % randomSeedModulus);
@@ -435,37 +438,80 @@
 	}
 
 	/**
-	 * Requests another node's configuration, or the patch to it from version `since`. A node without a
-	 * configuration reads the store first: its link is wider than those of the nodes, of which many may
-	 * start at once. A store that doesn't answer soon isn't waited for. The version read may be older than
-	 * the one announced, to which a patch follows.
+	 * Requests another node's configuration, or the patch to it from version `since`. A whole
+	 * configuration may fill a narrow link for a second, so only one is requested at a time: requests
+	 * beside each other would all time out.
 	 */
 	async #requestConfiguration(gateAddress: string, since: number | undefined): Promise<void> {
-		if (since === undefined) {
-			const read = await Promise.race([
-				this.#ports.configuration.readRecent(),
-				delay(storeHeadStartMs),
-			]);
-			if (read?.type === 'found' && this.#applySource(read.source, 'store')) {
-				return;
+		if (since !== undefined) {
+			this.#applyReply(await this.#askNode(gateAddress, since));
+			return;
+		}
+
+		if (!this.#isRequestingWhole) {
+			this.#isRequestingWhole = true;
+			try {
+				await this.#requestWholeConfiguration(gateAddress);
+			} finally {
+				this.#isRequestingWhole = false;
 			}
 		}
+	}
+
+	/**
+	 * Reads the store first: its link is wider than those of the nodes, of which many may start at once.
+	 * A store that doesn't answer soon isn't waited for, and the read that is less far is abandoned. The
+	 * version read may be older than the one announced, to which a patch follows.
+	 */
+	async #requestWholeConfiguration(gateAddress: string): Promise<void> {
+		const abandoned = new AbortController();
+		const reading = this.#ports.configuration.readRecent(abandoned.signal);
+		const read = await Promise.race([reading, delay(storeHeadStartMs)]);
+		if (read?.type === 'found' && this.#applySource(read.source, 'store')) {
+			return;
+		}
+
+		const asking = this.#askNode(gateAddress, undefined);
+		const first = await Promise.race([asking, reading]);
+		if (first.type === 'found' && this.#applySource(first.source, 'store')) {
+			return;
+		}
+
+		const isHeld = this.#applyReply(await asking);
+		if (isHeld) {
+			abandoned.abort();
+			return;
+		}
 
+		const late = await reading;
+		if (late.type === 'found') {
+			this.#applySource(late.source, 'store');
+		}
+	}
+
+	async #askNode(gateAddress: string, since: number | undefined): Promise<ConfigurationReply> {
 		const connect = {timeout: configurationRequestTimeoutMs};
 		const client = new Client(`http://${gateAddress}`, {connect});
 		const result = await exchange(
 			client,
-			{method: 'GET', path: configurationPath(since), headers: {}, body: undefined},
+			{method: 'GET', path: configurationPath(since), headers: acceptGzip, body: undefined},
 			{answerLimitBytes: configurationLimitBytes, silenceTimeoutMs: configurationRequestTimeoutMs},
 		);
 		void client.destroy();
-		const source = this.#history.sourceFromReply(toConfigurationReply(result));
-		// A restarted node may have no configuration yet; others announce the version too.
+		return result.type === 'complete'
+			? decodeReply(result.headers, result.payload.body)
+			: {type: 'none'};
+	}
+
+	/** Returns whether the reply contains a valid configuration. A node that has restarted may have none. */
+	#applyReply(reply: ConfigurationReply): boolean {
+		const source = this.#history.sourceFromReply(reply);
 		if (source === undefined) {
 			this.#metrics.countControlEvent('configuration-unanswered');
-		} else {
-			this.#applySource(source, 'node');
+			return false;
 		}
+
+		return this.#applySource(source, 'node');
 	}
 
 	/** Returns whether the source is a valid configuration. */
@@ -481,16 +527,3 @@
 		return false;
 	}
 }
-
-/** Returns a node's reply, or `none` if the exchange failed or its body is malformed. */
-function toConfigurationReply(result: ExchangeResult): ConfigurationReply {
-	if (result.type !== 'complete') {
-		return {type: 'none'};
-	}
-
-	try {
-		return JSON.parse(result.payload.body.toString()) as ConfigurationReply;
-	} catch {
-		return {type: 'none'};
-	}
-}
--- a/packages/redwingmill-node/src/control/store-ports.ts
+++ b/packages/redwingmill-node/src/control/store-ports.ts
@@ -24,8 +24,12 @@
 /** Operators' configuration in the store. Methods don't throw; failures are results. */
 export type ConfigurationSource = {
 	read: () => Promise<ConfigurationReadResult>;
-	/** Reads at a lower cost a state that may be some seconds old. */
-	readRecent: () => Promise<ConfigurationReadResult>;
+	/**
+	 * Reads at a lower cost a state that may be some seconds old.
+	 *
+	 * @param signal - abandons the read.
+	 */
+	readRecent: (signal?: AbortSignal) => Promise<ConfigurationReadResult>;
 	/** Waits up to `waitMs` milliseconds for a change after `position`. */
 	waitForChange: (
 		position: StorePosition,
