--- a/packages/redwingmill-node/src/control/store-control-plane.ts
+++ b/packages/redwingmill-node/src/control/store-control-plane.ts
@@ -1,4 +1,3 @@
-import {setTimeout as delay} from 'node:timers/promises';
 import {Client} from 'undici';
 import {
 	configurationBehindMs,
@@ -29,6 +28,7 @@
 import {type Log} from '../observe/log.js';
 import {type Metrics} from '../observe/metrics.js';
 import {type Settings} from '../settings/settings.js';
+import {ConfigurationFetcher} from './configuration-fetcher.js';
 import {ConfigurationHistory, type ConfigurationReply} from './configuration-history.js';
 import {acceptGzip, decodeReply} from './encoded-reply.js';
 import {ConfigurationWatch} from './configuration-watch.js';
@@ -45,10 +45,11 @@
 import {type StorePorts} from './store-ports.js';
 
 const tickIntervalMs = 100;
-/** Long enough to transfer a whole configuration over a slow link. */
-const configurationRequestTimeoutMs = 3000;
-/** Many times what the store usually takes to answer. */
-const storeHeadStartMs = 100;
+/**
+ * Time without a byte after which another node counts as unresponsive. A node that has no configuration
+ * asks the next one only then.
+ */
+const configurationRequestTimeoutMs = 1500;
 const configurationLimitBytes = 16 * 1024 * 1024;
 const randomSeedModulus = 0x7f_ff_ff_ff;
 
@@ -68,6 +69,7 @@
 	readonly #metrics: Metrics;
 	readonly #socket: DatagramSocket;
 	readonly #history = new ConfigurationHistory();
+	readonly #fetcher: ConfigurationFetcher;
 	readonly #random: Random;
 	readonly #documentListeners = new Set<(document: ConfigurationDocument) => void>();
 	#crashReportHandler: CrashReportHandler | undefined;
@@ -81,8 +83,6 @@
 	#stopEraListener: Teardown | undefined;
 	#timer: NodeJS.Timeout | undefined;
 	#isStopped = false;
-	/** Whether a whole configuration is on its way. */
-	#isRequestingWhole = false;
 
 	constructor({settings, self, ports, log, metrics}: StoreControlPlaneOptions) {
 		const random = new Random(self.incarnation % randomSeedModulus);
@@ -96,6 +96,12 @@
 			seeds: settings.seeds,
 			random,
 		});
+		this.#fetcher = new ConfigurationFetcher({
+			readStore: async (signal) => ports.configuration.readRecent(signal),
+			askNode: async (gateAddress, since) => this.#askNode(gateAddress, since),
+			applySource: (source) => this.#applySource(source, 'store'),
+			applyReply: (reply) => this.#applyReply(reply),
+		});
 		this.#socket = new DatagramSocket({
 			onDatagram: (from, datagram) => {
 				this.#dispatch({type: 'datagram', from, datagram});
@@ -329,7 +335,7 @@
 			}
 
 			case 'ask-configuration': {
-				void this.#requestConfiguration(effect.gateAddress, effect.since);
+				void this.#fetcher.fetch(effect.gateAddress, effect.since);
 				break;
 			}
 
@@ -437,59 +443,7 @@
 		return new ConfigurationWatch(this.#ports.configuration, handlers, this.#random);
 	}
 
-	/**
-	 * Requests another node's configuration, or the patch to it from version `since`. A whole
-	 * configuration may fill a narrow link for a second, so only one is requested at a time: requests
-	 * beside each other would all time out.
-	 */
-	async #requestConfiguration(gateAddress: string, since: number | undefined): Promise<void> {
-		if (since !== undefined) {
-			this.#applyReply(await this.#askNode(gateAddress, since));
-			return;
-		}
-
-		if (!this.#isRequestingWhole) {
-			this.#isRequestingWhole = true;
-			try {
-				await this.#requestWholeConfiguration(gateAddress);
-			} finally {
-				this.#isRequestingWhole = false;
-			}
-		}
-	}
-
-	/**
-	 * Reads the store first: its link is wider than those of the nodes, of which many may start at once.
-	 * A store that doesn't answer soon isn't waited for, and the read that is less far is abandoned. The
-	 * version read may be older than the one announced, to which a patch follows.
-	 */
-	async #requestWholeConfiguration(gateAddress: string): Promise<void> {
-		const abandoned = new AbortController();
-		const reading = this.#ports.configuration.readRecent(abandoned.signal);
-		const read = await Promise.race([reading, delay(storeHeadStartMs)]);
-		if (read?.type === 'found' && this.#applySource(read.source, 'store')) {
-			return;
-		}
-
-		const asking = this.#askNode(gateAddress, undefined);
-		const first = await Promise.race([asking, reading]);
-		if (first.type === 'found' && this.#applySource(first.source, 'store')) {
-			return;
-		}
-
-		const isHeld = this.#applyReply(await asking);
-		if (isHeld) {
-			abandoned.abort();
-			return;
-		}
-
-		const late = await reading;
-		if (late.type === 'found') {
-			this.#applySource(late.source, 'store');
-		}
-	}
-
-	async #askNode(gateAddress: string, since: number | undefined): Promise<ConfigurationReply> {
+	async #askNode(gateAddress: string, since?: number): Promise<ConfigurationReply> {
 		const connect = {timeout: configurationRequestTimeoutMs};
 		const client = new Client(`http://${gateAddress}`, {connect});
 		const result = await exchange(
