Order calls by workspace, with a fair share and a forecast for retries

Callers saw: a hot workspace filled the queue of a gate and delayed all others; the rank of a workspace had no effect, and refused calls were told to return before the work of their rank was done. Cause: the gate's queue knew ranks of routes only. Change: once a call of a workspace arrives, the gate orders by the ranks of workspace and route, shares each rank fairly by expected run time, keeps every workspace above half of the whole, and states the time in which the work of the rank is done.

--- a/packages/redwingmill-core/src/call/dispatcher.ts
+++ b/packages/redwingmill-core/src/call/dispatcher.ts
@@ -1,10 +1,11 @@
+import {CallQueue, type QueuedCall} from './call-queue.js';
 import {ConcurrencyLimit} from './concurrency-limit.js';
 import {type CrashTracker} from './crash-tracker.js';
 import {type GateCall} from './gate-call.js';
 import {type GateLimits} from './gate-limits.js';
 import {type GroupMeans} from './group-means.js';
-import {RankQueue} from './rank-queue.js';
 import {StallDetector} from './stall-detector.js';
+import {WaitForecast, type Occupancy} from './wait-forecast.js';
 import {WorkerAllowance, type Allowance} from './worker-allowance.js';
 
 /** A call that the worker is running. */
@@ -22,11 +23,12 @@
 	readonly #limits: GateLimits;
 	readonly #crashes: CrashTracker;
 	readonly #runTimes: GroupMeans;
-	readonly #queue = new RankQueue<GateCall>();
+	readonly #queue = new CallQueue(({group}) => this.#runTimes.expected(group));
 	readonly #running = new Map<string, RunningCall>();
 	readonly #concurrencyLimit = new ConcurrencyLimit(1);
 	readonly #stallDetector = new StallDetector();
 	readonly #allowance = new WorkerAllowance();
+	readonly #waits: WaitForecast;
 	#slots = 1;
 	/** Suspected request held back until the worker is idle; nothing is dispatched before it. */
 	#heldCall: GateCall | undefined;
@@ -37,6 +39,12 @@
 		this.#limits = limits;
 		this.#crashes = crashes;
 		this.#runTimes = runTimes;
+		this.#waits = new WaitForecast({
+			queue: this.#queue,
+			concurrencyLimit: this.#concurrencyLimit,
+			allowance: this.#allowance,
+			runTimes,
+		});
 	}
 
 	/** Number of calls that the worker is running. */
@@ -69,6 +77,7 @@
 		this.#concurrencyLimit.reset();
 		this.#stallDetector.onProgress(now);
 		this.#allowance.reset();
+		this.#queue.reset();
 	}
 
 	/** @param perSecond - calls a second that the worker takes; undefined if it limits none. */
@@ -87,23 +96,18 @@
 	}
 
 	/** Returns the expected time until a new call could be dispatched. */
-	expectedWaitMs(rank: number, dueAt: number, now: number): number {
-		return Math.max(this.#slotWaitMs(rank, dueAt), this.limitWaitMs(rank, dueAt, now));
+	expectedWaitMs(call: QueuedCall, dueAt: number, now: number): number {
+		return this.#waits.expectedMs(call, {dueAt, ...this.#occupancy}, now);
 	}
 
-	/** Returns the time until the worker's limit allows a new call; 0 if it has none. */
-	limitWaitMs(rank: number, dueAt: number, now: number): number {
-		if (!this.#allowance.isLimited) {
-			return 0;
-		}
-
-		let ahead = this.#heldCall === undefined ? 0 : 1;
-		for (const _call of this.#queue.ahead(rank, dueAt)) {
-			ahead += 1;
-		}
+	/** Returns the time in which all work of ranks as urgent as that of a call is expected to be done. */
+	forecastMs(call: QueuedCall, now: number): number {
+		return this.#waits.forecastMs(call, this.#occupancy, now);
+	}
 
-		const isMostUrgent = rank <= (this.#queue.mostUrgentRank ?? rank);
-		return this.#allowance.waitMs(now, ahead + (isMostUrgent ? 0 : this.#allowance.reserve));
+	/** Returns the time until the worker's limit allows a new call; 0 if it has none. */
+	limitWaitMs(call: QueuedCall, dueAt: number, now: number): number {
+		return this.#waits.limitMs(call, {dueAt, ...this.#occupancy}, now);
 	}
 
 	/** Whether the worker has calls and has stopped answering. */
@@ -119,20 +123,30 @@
 		return this.#stallDetector.canProbe(now);
 	}
 
-	hasRoom(rank: number): boolean {
+	/** Whether calls of workspaces have arrived. */
+	get hasWorkspaces(): boolean {
+		return this.#queue.hasWorkspaces;
+	}
+
+	/** Records that a call arrived, whether or not it is admitted. */
+	onAsked(call: QueuedCall): void {
+		this.#queue.onAsked(call);
+	}
+
+	hasRoom(call: QueuedCall): boolean {
 		const {isLimited} = this.#allowance;
 		const isFull = this.#running.size >= this.#concurrencyLimit.value && this.#limits.isLimiting;
-		return !(isLimited || isFull) || this.#queue.hasRoom(rank, this.#queueCapacity);
+		return !(isLimited || isFull) || this.#queue.hasRoom(call, this.#queueCapacity);
 	}
 
-	/** Removes and returns a less urgent call to make room for one of `rank`; undefined if there is none. */
-	displace(rank: number): GateCall | undefined {
-		return this.#queue.displace(rank, this.#queueCapacity);
+	/** Removes and returns a waiting call to make room for another one; undefined if there is none. */
+	displace(call: QueuedCall): GateCall | undefined {
+		return this.#queue.displace(call, this.#queueCapacity);
 	}
 
 	/** @param dueAt - sort key within the call's rank. */
 	add(call: GateCall, dueAt: number): void {
-		this.#queue.add(call, call.rank, dueAt);
+		this.#queue.add(call, dueAt);
 	}
 
 	removeWaiting(isSelected: (call: GateCall) => boolean): GateCall[] {
@@ -203,22 +217,11 @@
 		this.#concurrencyLimit.onShed(now);
 	}
 
-	/**
-	 * Returns the expected time until a slot is free for a new call: the run times of the calls ahead of it,
-	 * divided by the concurrency limit.
-	 */
-	#slotWaitMs(rank: number, dueAt: number): number {
-		const limit = this.#concurrencyLimit.value;
-		if (this.#running.size < limit) {
-			return 0;
-		}
-
-		let workAheadMs = this.#runTimes.mean;
-		for (const call of this.#queue.ahead(rank, dueAt)) {
-			workAheadMs += this.#runTimes.expected(call.group);
-		}
-
-		return workAheadMs / limit;
+	get #occupancy(): Occupancy {
+		return {
+			running: this.#running.size,
+			held: this.#heldCall === undefined ? 0 : 1,
+		};
 	}
 
 	/** Calls that are to be left over for the most urgent ones, as long as none of them waits. */
--- a/packages/redwingmill-core/src/call/gate-admission.ts
+++ b/packages/redwingmill-core/src/call/gate-admission.ts
@@ -65,19 +65,25 @@
 	decide(call: GateCall, now: number): AdmissionDecision {
 		const {limits, dispatcher, runTimes} = this.#parts;
 		const dueAt = this.dueAtOf(call, now);
-		const limitWaitMs = dispatcher.limitWaitMs(call.rank, dueAt, now);
+		const limitWaitMs = dispatcher.limitWaitMs(call, dueAt, now);
 		if (!limits.isLimiting && limitWaitMs === 0) {
 			return {type: 'admitted'};
 		}
 
-		const {deadlineAt, targetAt, group, rank} = call;
-		const waitMs = dispatcher.expectedWaitMs(rank, dueAt, now);
+		const {deadlineAt, targetAt, group} = call;
+		const waitMs = dispatcher.expectedWaitMs(call, dueAt, now);
 		const runMs = runTimes.expected(group);
 		const decision = decideAdmission({now, deadlineAt, targetAt, waitMs, runMs});
+		if (decision.type === 'admitted') {
+			return decision;
+		}
+
 		const isLimited = limitWaitMs > 0 && limitWaitMs === waitMs;
-		return decision.type === 'refused' && isLimited
-			? {...decision, reason: 'worker-limited'}
-			: decision;
+		return {
+			...decision,
+			...(isLimited && {reason: 'worker-limited'}),
+			...(this.#usesForecast(call) && {retryAfterMs: dispatcher.forecastMs(call, now)}),
+		};
 	}
 
 	/** Returns the sort key within a rank: calls that can still meet their target come first. */
@@ -105,8 +111,20 @@
 	/** Returns after how many milliseconds a call that is refused now may be worth sending again. */
 	retryAfterMs(call: GateCall, reason: NotRunReason, now: number): number {
 		const {crashes, dispatcher} = this.#parts;
-		return reason === 'quarantined'
-			? crashes.remainingMs(call, now)
-			: dispatcher.expectedWaitMs(call.rank, this.dueAtOf(call, now), now);
+		if (reason === 'quarantined') {
+			return crashes.remainingMs(call, now);
+		}
+
+		return this.#usesForecast(call)
+			? dispatcher.forecastMs(call, now)
+			: dispatcher.expectedWaitMs(call, this.dueAtOf(call, now), now);
+	}
+
+	/**
+	 * Whether a retry is worthwhile only once the work of all calls as urgent is done: a single call's place
+	 * says little of that where workspaces share the worker.
+	 */
+	#usesForecast({isBulk = false}: GateCall): boolean {
+		return isBulk || this.#parts.dispatcher.hasWorkspaces;
 	}
 }
--- a/packages/redwingmill-core/src/call/gate.ts
+++ b/packages/redwingmill-core/src/call/gate.ts
@@ -16,6 +16,8 @@
 
 /** Run time assumed until the first call has finished. */
 const initialRunMs = 20;
+/** Stands for a call that all others precede. */
+const leastUrgent = {rank: Number.POSITIVE_INFINITY};
 
 /**
  * Controls all access to a worker: admits calls within the worker's capacity, dispatches each at
@@ -63,11 +65,7 @@
 	loadAt(now: number): WorkerLoad {
 		return {
 			callsPerSlot: this.#dispatcher.callsPerSlot,
-			waitMs: this.#dispatcher.expectedWaitMs(
-				Number.POSITIVE_INFINITY,
-				Number.POSITIVE_INFINITY,
-				now,
-			),
+			waitMs: this.#dispatcher.expectedWaitMs(leastUrgent, Number.POSITIVE_INFINITY, now),
 			runMs: this.#runTimes.mean,
 			failureShare: this.#failures.shareAt(now),
 			allowance: this.#dispatcher.allowanceAt(now),
@@ -158,14 +156,15 @@
 			return [this.#answers.refuse(call, refusal, now)];
 		}
 
+		this.#dispatcher.onAsked(call);
 		const adopted = this.#adoptLimit(call, now);
 		const decision = this.#admission.decide(call, now);
 		if (decision.type === 'refused') {
 			return [...adopted, this.#answers.refuse(call, decision.reason, now, decision.retryAfterMs)];
 		}
 
-		const hasRoom = this.#dispatcher.hasRoom(call.rank);
-		const displaced = hasRoom ? undefined : this.#dispatcher.displace(call.rank);
+		const hasRoom = this.#dispatcher.hasRoom(call);
+		const displaced = hasRoom ? undefined : this.#dispatcher.displace(call);
 		if (!hasRoom && displaced === undefined) {
 			return [...adopted, this.#answers.refuse(call, 'queue-full', now)];
 		}
--- a/packages/redwingmill-core/src/call/rank-queue.ts
+++ b/packages/redwingmill-core/src/call/rank-queue.ts
@@ -127,11 +127,12 @@
 	}
 }
 
-function pickIntervalOf(rank: number): number {
+/** Returns n for the rank whose every n-th pick is guaranteed, see {@link RankQueue}. */
+export function pickIntervalOf(rank: number): number {
 	return pickIntervalBase ** Math.min(maximumPickIntervalExponent, Math.max(0, rank));
 }
 
 /** Returns the capacity reserved for a rank: all of it for rank 0, then a quarter, an eighth, ... */
-function reserveOf(rank: number, capacity: number): number {
+export function reserveOf(rank: number, capacity: number): number {
 	return Math.max(1, Math.floor(rank <= 0 ? capacity : capacity / 2 ** (rank + 1)));
 }
--- a/packages/redwingmill-core/src/index.ts
+++ b/packages/redwingmill-core/src/index.ts
@@ -38,6 +38,7 @@
 export {FailureMeter} from './call/failure-meter.js';
 export {GroupMeans} from './call/group-means.js';
 export {RankQueue} from './call/rank-queue.js';
+export {CallQueue, type QueuedCall} from './call/call-queue.js';
 export {ConcurrencyLimit} from './call/concurrency-limit.js';
 export {
 	choicePolicies,
