Use the load that workers report on shared machines

Callers saw: on machines whose speed changes many times a second, gates admitted calls that were then late, and sent calls to workers that still ran those of callers who had left. Cause: the load in the workers' responses was not read. Change: a gate keeps the last report of its worker process with its age, counts the calls beyond its own, and scales expected run times by the host's speed, which it publishes. Malformed reports are ignored, counted and logged once.

--- a/packages/redwingmill-core/src/call/dispatcher.ts
+++ b/packages/redwingmill-core/src/call/dispatcher.ts
@@ -3,10 +3,11 @@
 import {type CrashTracker} from './crash-tracker.js';
 import {type GateCall} from './gate-call.js';
 import {type GateLimits} from './gate-limits.js';
-import {type GroupMeans} from './group-means.js';
+import {type RunTimes} from './run-times.js';
 import {StallDetector} from './stall-detector.js';
 import {WaitForecast, type Occupancy} from './wait-forecast.js';
 import {WorkerAllowance, type Allowance} from './worker-allowance.js';
+import {type WorkerReports} from './worker-reports.js';
 
 /** A call that the worker is running. */
 export type RunningCall = {
@@ -22,8 +23,9 @@
 export class Dispatcher {
 	readonly #limits: GateLimits;
 	readonly #crashes: CrashTracker;
-	readonly #runTimes: GroupMeans;
-	readonly #queue = new CallQueue(({group}) => this.#runTimes.expected(group));
+	readonly #runTimes: RunTimes;
+	readonly #reports: WorkerReports;
+	readonly #queue = new CallQueue(({group}) => this.#runTimes.usual(group));
 	readonly #running = new Map<string, RunningCall>();
 	readonly #concurrencyLimit = new ConcurrencyLimit(1);
 	readonly #stallDetector = new StallDetector();
@@ -35,10 +37,21 @@
 	#runningSuspectedCount = 0;
 	#sentCount = 0;
 
-	constructor(limits: GateLimits, crashes: CrashTracker, runTimes: GroupMeans) {
+	constructor({
+		limits,
+		crashes,
+		runTimes,
+		reports,
+	}: {
+		readonly limits: GateLimits;
+		readonly crashes: CrashTracker;
+		readonly runTimes: RunTimes;
+		readonly reports: WorkerReports;
+	}) {
 		this.#limits = limits;
 		this.#crashes = crashes;
 		this.#runTimes = runTimes;
+		this.#reports = reports;
 		this.#waits = new WaitForecast({
 			queue: this.#queue,
 			concurrencyLimit: this.#concurrencyLimit,
@@ -62,9 +75,9 @@
 		return this.#sentCount;
 	}
 
-	/** Running and waiting calls per slot. */
-	get callsPerSlot(): number {
-		return (this.#running.size + this.waitingCount) / this.#slots;
+	/** Returns the running and waiting calls per slot. */
+	callsPerSlotAt(now: number): number {
+		return (this.#occupancyAt(now).running + this.waitingCount) / this.#slots;
 	}
 
 	/** Number of calls that may wait. */
@@ -97,17 +110,17 @@
 
 	/** Returns the expected time until a new call could be dispatched. */
 	expectedWaitMs(call: QueuedCall, dueAt: number, now: number): number {
-		return this.#waits.expectedMs(call, {dueAt, ...this.#occupancy}, now);
+		return this.#waits.expectedMs(call, {dueAt, ...this.#occupancyAt(now)}, now);
 	}
 
 	/** Returns the time in which all work of ranks as urgent as that of a call is expected to be done. */
 	forecastMs(call: QueuedCall, now: number): number {
-		return this.#waits.forecastMs(call, this.#occupancy, now);
+		return this.#waits.forecastMs(call, this.#occupancyAt(now), now);
 	}
 
 	/** Returns the time until the worker's limit allows a new call; 0 if it has none. */
 	limitWaitMs(call: QueuedCall, dueAt: number, now: number): number {
-		return this.#waits.limitMs(call, {dueAt, ...this.#occupancy}, now);
+		return this.#waits.limitMs(call, {dueAt, ...this.#occupancyAt(now)}, now);
 	}
 
 	/** Whether the worker has calls and has stopped answering. */
@@ -133,9 +146,10 @@
 		this.#queue.onAsked(call);
 	}
 
-	hasRoom(call: QueuedCall): boolean {
+	hasRoom(call: QueuedCall, now: number): boolean {
 		const {isLimited} = this.#allowance;
-		const isFull = this.#running.size >= this.#concurrencyLimit.value && this.#limits.isLimiting;
+		const {running} = this.#occupancyAt(now);
+		const isFull = running >= this.#concurrencyLimit.value && this.#limits.isLimiting;
 		return !(isLimited || isFull) || this.#queue.hasRoom(call, this.#queueCapacity);
 	}
 
@@ -164,7 +178,7 @@
 	 * alone, so that only a crash of its own quarantines it.
 	 */
 	takeNext(now: number): GateCall | undefined {
-		if (!this.#hasFreeSlot() || this.#allowance.waitMs(now, this.#reserve) > 0) {
+		if (!this.#hasFreeSlot(now) || this.#allowance.waitMs(now, this.#reserve) > 0) {
 			return undefined;
 		}
 
@@ -217,9 +231,10 @@
 		this.#concurrencyLimit.onShed(now);
 	}
 
-	get #occupancy(): Occupancy {
+	/** Calls that the worker runs although their callers have left take slots as well. */
+	#occupancyAt(now: number): Occupancy {
 		return {
-			running: this.#running.size,
+			running: this.#running.size + this.#reports.extraCallsAt(now),
 			held: this.#heldCall === undefined ? 0 : 1,
 		};
 	}
@@ -230,12 +245,14 @@
 		return hasUrgent ? 0 : this.#allowance.reserve;
 	}
 
-	#hasFreeSlot(): boolean {
+	#hasFreeSlot(now: number): boolean {
 		if (!this.#limits.isLimiting) {
 			return true;
 		}
 
-		return this.#runningSuspectedCount === 0 && this.#running.size < this.#concurrencyLimit.value;
+		// Only an answer brings the next report, so that one call at least is always running.
+		const {running} = this.#running.size === 0 ? {running: 0} : this.#occupancyAt(now);
+		return this.#runningSuspectedCount === 0 && running < this.#concurrencyLimit.value;
 	}
 
 	#needsIsolation(call: GateCall, now: number): boolean {
--- a/packages/redwingmill-core/src/call/gate-admission.ts
+++ b/packages/redwingmill-core/src/call/gate-admission.ts
@@ -4,8 +4,8 @@
 import {type Dispatcher} from './dispatcher.js';
 import {type GateCall} from './gate-call.js';
 import {type GateLimits} from './gate-limits.js';
-import {type GroupMeans} from './group-means.js';
 import {type NotRunReason} from './outcome.js';
+import {type RunTimes} from './run-times.js';
 
 /** Longest wait, besides its own run time, of a call that can no longer meet its target. */
 const maximumLateWaitMs = 160;
@@ -22,7 +22,7 @@
 	readonly limits: GateLimits;
 	readonly crashes: CrashTracker;
 	readonly dispatcher: Dispatcher;
-	readonly runTimes: GroupMeans;
+	readonly runTimes: RunTimes;
 };
 
 /** Decides whether a call may wait for the worker, and for how long. */
@@ -72,7 +72,7 @@
 
 		const {deadlineAt, targetAt, group} = call;
 		const waitMs = dispatcher.expectedWaitMs(call, dueAt, now);
-		const runMs = runTimes.expected(group);
+		const runMs = runTimes.expectedAt(group, now);
 		const decision = decideAdmission({now, deadlineAt, targetAt, waitMs, runMs});
 		if (decision.type === 'admitted') {
 			return decision;
@@ -92,7 +92,7 @@
 			return deadlineAt;
 		}
 
-		const runMs = this.#parts.runTimes.expected(group);
+		const runMs = this.#parts.runTimes.expectedAt(group, now);
 		return isLate({now, targetAt, runMs}) ? targetAt + lateCallOffsetMs : targetAt;
 	}
 
@@ -102,7 +102,7 @@
 	 */
 	hasWaitedTooLong(call: GateCall, admittedAt: number, now: number): boolean {
 		const {deadlineAt, targetAt, group} = call;
-		const runMs = this.#parts.runTimes.expected(group);
+		const runMs = this.#parts.runTimes.expectedAt(group, now);
 		const earliestEndAt = now + runMs * minimumRunShare;
 		const latestEndAt = Math.max(targetAt ?? deadlineAt, admittedAt + maximumLateWaitMs + runMs);
 		return earliestEndAt >= deadlineAt || earliestEndAt > latestEndAt;
--- a/packages/redwingmill-core/src/call/gate-answers.ts
+++ b/packages/redwingmill-core/src/call/gate-answers.ts
@@ -5,8 +5,8 @@
 import {type FailureMeter} from './failure-meter.js';
 import {type GateAdmission} from './gate-admission.js';
 import {type GateCall, type GateEffect, type WorkerResult} from './gate-call.js';
-import {type GroupMeans} from './group-means.js';
 import {isTransient, type NotRunReason, type UnknownReason} from './outcome.js';
+import {type RunTimes} from './run-times.js';
 
 const minimumRetryAfterMs = 200;
 
@@ -17,7 +17,7 @@
 	readonly deduplicator: CallDeduplicator<Payload>;
 	readonly dispatcher: Dispatcher;
 	readonly failures: FailureMeter;
-	readonly runTimes: GroupMeans;
+	readonly runTimes: RunTimes;
 };
 
 /** Answers calls: turns a worker's results and refusals into outcomes, and retains them. */
@@ -121,7 +121,7 @@
 		dispatcher.onAnswered();
 		failures.record(isFailure, now);
 		if (ranMs !== undefined) {
-			runTimes.record(call.group, ranMs);
+			runTimes.record(call.group, ranMs, now);
 		}
 
 		return [
--- a/packages/redwingmill-core/src/call/gate.ts
+++ b/packages/redwingmill-core/src/call/gate.ts
@@ -7,15 +7,14 @@
 import {GateAnswers} from './gate-answers.js';
 import {type GateCall, type GateEffect, type WorkerResult} from './gate-call.js';
 import {type GateLimits} from './gate-limits.js';
-import {GroupMeans} from './group-means.js';
 import {type ReportedNotice} from './reported-notices.js';
+import {RunTimes} from './run-times.js';
 import {SuspectedRequests} from './suspected-requests.js';
 import {type WorkerLoad} from './worker-load.js';
 import {workerIdentityOf, type WorkerNotice} from './worker-notice.js';
+import {WorkerReports} from './worker-reports.js';
 import {WorkerNotices, type NoticeChange} from './worker-notices.js';
 
-/** Run time assumed until the first call has finished. */
-const initialRunMs = 20;
 /** Stands for a call that all others precede. */
 const leastUrgent = {rank: Number.POSITIVE_INFINITY};
 
@@ -25,7 +24,8 @@
  */
 export class Gate<Payload> {
 	readonly #deduplicator: CallDeduplicator<Payload>;
-	readonly #runTimes = new GroupMeans(initialRunMs);
+	readonly #reports = new WorkerReports();
+	readonly #runTimes = new RunTimes(this.#reports);
 	readonly #crashes: CrashTracker;
 	readonly #failures = new FailureMeter();
 	readonly #dispatcher: Dispatcher;
@@ -44,7 +44,7 @@
 		);
 		const deduplicator = new CallDeduplicator<Payload>(limits);
 		const runTimes = this.#runTimes;
-		const dispatcher = new Dispatcher(limits, crashes, runTimes);
+		const dispatcher = new Dispatcher({limits, crashes, runTimes, reports: this.#reports});
 		const admission = new GateAdmission({limits, crashes, dispatcher, runTimes});
 		const failures = this.#failures;
 		this.#crashes = crashes;
@@ -63,12 +63,14 @@
 
 	/** Returns the load by which entry nodes choose between workers. */
 	loadAt(now: number): WorkerLoad {
+		const hostTime = this.#reports.hostTimeAt(now);
 		return {
-			callsPerSlot: this.#dispatcher.callsPerSlot,
+			callsPerSlot: this.#dispatcher.callsPerSlotAt(now),
 			waitMs: this.#dispatcher.expectedWaitMs(leastUrgent, Number.POSITIVE_INFINITY, now),
-			runMs: this.#runTimes.mean,
+			runMs: this.#runTimes.meanAt(now),
 			failureShare: this.#failures.shareAt(now),
 			allowance: this.#dispatcher.allowanceAt(now),
+			...(hostTime !== undefined && {hostTime}),
 		};
 	}
 
@@ -116,6 +118,7 @@
 		if (isNewInstance) {
 			this.#dispatcher.reset(now);
 			this.#runTimes.reset();
+			this.#reports.reset();
 			this.#failures.reset();
 			this.#notices = new WorkerNotices();
 		}
@@ -163,7 +166,7 @@
 			return [...adopted, this.#answers.refuse(call, decision.reason, now, decision.retryAfterMs)];
 		}
 
-		const hasRoom = this.#dispatcher.hasRoom(call);
+		const hasRoom = this.#dispatcher.hasRoom(call, now);
 		const displaced = hasRoom ? undefined : this.#dispatcher.displace(call);
 		if (!hasRoom && displaced === undefined) {
 			return [...adopted, this.#answers.refuse(call, 'queue-full', now)];
@@ -182,6 +185,10 @@
 	 */
 	onNotice(notice: WorkerNotice, sentAt: number, now: number): Array<GateEffect<Payload>> {
 		const effects = this.#applyChanges(this.#notices.apply(notice, sentAt, now), now);
+		if (notice.load?.type === 'stated') {
+			this.#reports.record(notice.load.report, this.runningCount, now);
+		}
+
 		return this.#acceptsCalls() ? effects : [...effects, ...this.#refuseWaiting(now)];
 	}
 
--- a/packages/redwingmill-core/src/call/stall-detector.ts
+++ b/packages/redwingmill-core/src/call/stall-detector.ts
@@ -1,4 +1,4 @@
-import {type GroupMeans} from './group-means.js';
+import {type RunTimes} from './run-times.js';
 
 /** A worker counts as stalled after this multiple of the longest expected run time without answers. */
 const stallMultiple = 6;
@@ -29,8 +29,8 @@
 	 *
 	 * @param running - number of calls that the worker is running.
 	 */
-	isStalled(running: number, runTimes: GroupMeans, now: number): boolean {
-		const limitMs = Math.max(minimumStallMs, stallMultiple * runTimes.highest);
+	isStalled(running: number, runTimes: RunTimes, now: number): boolean {
+		const limitMs = Math.max(minimumStallMs, stallMultiple * runTimes.highestAt(now));
 		return running > 0 && now - this.#progressAt > limitMs;
 	}
 
--- a/packages/redwingmill-core/src/call/wait-forecast.ts
+++ b/packages/redwingmill-core/src/call/wait-forecast.ts
@@ -1,7 +1,7 @@
 import {type CallQueue, type QueuedCall} from './call-queue.js';
 import {type ConcurrencyLimit} from './concurrency-limit.js';
 import {type GateCall} from './gate-call.js';
-import {type GroupMeans} from './group-means.js';
+import {type RunTimes} from './run-times.js';
 import {type WorkerAllowance} from './worker-allowance.js';
 
 /** Calls that a worker has, besides those in the queue. */
@@ -16,7 +16,7 @@
 	readonly queue: CallQueue;
 	readonly concurrencyLimit: ConcurrencyLimit;
 	readonly allowance: WorkerAllowance;
-	readonly runTimes: GroupMeans;
+	readonly runTimes: RunTimes;
 };
 
 /** Estimates how long calls wait for a worker, in milliseconds. */
@@ -35,14 +35,14 @@
 	): number {
 		const {queue, concurrencyLimit} = this.#parts;
 		const hasFreeSlot = occupancy.running < concurrencyLimit.value;
-		const slotMs = hasFreeSlot ? 0 : this.#workMs(queue.ahead(call, dueAt));
+		const slotMs = hasFreeSlot ? 0 : this.#workMs(queue.ahead(call, dueAt), now);
 		return Math.max(slotMs, this.limitMs(call, {dueAt, ...occupancy}, now));
 	}
 
 	/** Returns the time in which all work of ranks as urgent as that of a call is expected to be done. */
 	forecastMs(call: QueuedCall, {held}: Occupancy, now: number): number {
 		const limitMs = this.limitMs(call, {dueAt: Number.POSITIVE_INFINITY, held}, now);
-		return Math.max(this.#workMs(this.#parts.queue.upTo(call)), limitMs);
+		return Math.max(this.#workMs(this.#parts.queue.upTo(call), now), limitMs);
 	}
 
 	/** Returns the time until the worker's limit allows a new call; 0 if it has none. */
@@ -69,11 +69,11 @@
 	 * Returns the expected time until a slot is free after these calls, while all slots are busy: their run
 	 * times, divided by the concurrency limit.
 	 */
-	#workMs(calls: Iterable<GateCall>): number {
+	#workMs(calls: Iterable<GateCall>, now: number): number {
 		const {concurrencyLimit, runTimes} = this.#parts;
-		let workMs = runTimes.mean;
+		let workMs = runTimes.meanAt(now);
 		for (const {group} of calls) {
-			workMs += runTimes.expected(group);
+			workMs += runTimes.expectedAt(group, now);
 		}
 
 		return workMs / concurrencyLimit.value;
--- a/packages/redwingmill-core/src/call/worker-load.ts
+++ b/packages/redwingmill-core/src/call/worker-load.ts
@@ -12,4 +12,9 @@
 	readonly failureShare: number;
 	/** Absent when the worker states no limit. */
 	readonly allowance?: Allowance;
+	/**
+	 * How long work takes on the worker's host at the moment, relative to the usual time; `waitMs` and
+	 * `runMs` include it. Absent unless the worker reports it.
+	 */
+	readonly hostTime?: number;
 };
--- a/packages/redwingmill-core/src/call/worker-notice.ts
+++ b/packages/redwingmill-core/src/call/worker-notice.ts
@@ -1,4 +1,5 @@
 import {type Worker} from '../model/node-record.js';
+import {type StatedLoad} from './worker-report.js';
 
 /** Limit on the requests that a worker takes from all nodes together, as one response states it. */
 export type StatedLimit =
@@ -11,6 +12,8 @@
 	readonly limit: StatedLimit;
 	/** Whether the worker is about to stop. */
 	readonly isLeaving: boolean;
+	/** Absent when the response states none. */
+	readonly load?: StatedLoad;
 };
 
 /** Notice of a response that says nothing of the worker. */
--- a/packages/redwingmill-core/src/call/worker-notices.ts
+++ b/packages/redwingmill-core/src/call/worker-notices.ts
@@ -11,6 +11,13 @@
 	  }
 	/** The limit can't be read; the one before holds. */
 	| {readonly type: 'limit-malformed'; readonly text: string}
+	/** The load can't be read and is ignored. */
+	| {
+			readonly type: 'load-malformed';
+			readonly text: string;
+			/** Whether it is the first one of the worker process. */
+			readonly isFirst: boolean;
+	  }
 	| {readonly type: 'leaving'};
 
 /** Maximum number of malformed limits of one worker that are reported, and their length. */
@@ -24,6 +31,7 @@
 	#statedSince = Number.POSITIVE_INFINITY;
 	#isLeaving = false;
 	#hasResponded = false;
+	#hasMalformedLoad = false;
 
 	/** Calls a second that the worker takes from all nodes together; undefined if it states no limit. */
 	get perSecond(): number | undefined {
@@ -41,7 +49,7 @@
 	 * @param sentAt - monotonic milliseconds at which the call was sent that the response answers. A
 	 *   response to a call from before the limit may have overtaken the first one that states it.
 	 */
-	apply({limit, isLeaving}: WorkerNotice, sentAt: number, now: number): NoticeChange[] {
+	apply({limit, isLeaving, load}: WorkerNotice, sentAt: number, now: number): NoticeChange[] {
 		this.#hasResponded = true;
 		const changes: NoticeChange[] = [];
 		switch (limit.type) {
@@ -61,6 +69,12 @@
 			}
 		}
 
+		if (load?.type === 'malformed') {
+			const text = load.text.slice(0, maximumTextLength);
+			changes.push({type: 'load-malformed', text, isFirst: !this.#hasMalformedLoad});
+			this.#hasMalformedLoad = true;
+		}
+
 		if (isLeaving && !this.#isLeaving) {
 			this.#isLeaving = true;
 			changes.push({type: 'leaving'});
--- a/packages/redwingmill-node/src/__tests__/unit/node-headers.test.ts
+++ b/packages/redwingmill-node/src/__tests__/unit/node-headers.test.ts
@@ -78,11 +78,15 @@
 			load: {callsPerSlot: 1, waitMs: 2, runMs: 3, failureShare: 0, allowance},
 			notice: {worker: 'i-1;/1000', limitPerSecond: 20.6, isLeaving: true},
 		};
+		const shared: AnswerHeader = {
+			...answers[0],
+			load: {callsPerSlot: 1, waitMs: 2, runMs: 3, failureShare: 0, hostTime: 1.75},
+		};
 		const leaving: AnswerHeader = {
 			...answers[1],
 			notice: {worker: 'i-1/', limitPerSecond: undefined, isLeaving: true},
 		};
-		for (const answer of [...answers, limited, leaving]) {
+		for (const answer of [...answers, limited, shared, leaving]) {
 			expect(parseAnswer(formatAnswer(answer))).to.deep.equal(answer);
 		}
 	});
--- a/packages/redwingmill-node/src/call/answer-header.ts
+++ b/packages/redwingmill-node/src/call/answer-header.ts
@@ -13,22 +13,24 @@
 
 const separator = ';';
 const decimals = 2;
-/** Number of fields of an answer whose worker states no limit and doesn't leave. */
+/** Number of fields of an answer whose worker states no limit, doesn't leave and reports no load. */
 const basicFieldCount = 8;
+/** Position of the host time among the fields after the notice. */
+const hostTimeIndex = 2;
 
 /**
  * Formats the header: its fields in a fixed order, separated by semicolons. Only the answers of workers
- * that state a limit or leave have more than the first eight.
+ * that state a limit, leave or report their host's speed have more than the first eight.
  */
 export function formatAnswer({outcome, retryAfterMs, ranMs, load, notice}: AnswerHeader): string {
-	const {callsPerSlot, waitMs, runMs, failureShare, allowance} = load ?? {};
+	const {callsPerSlot, waitMs, runMs, failureShare, allowance, hostTime} = load ?? {};
 	const numbers = [retryAfterMs, ranMs, callsPerSlot, waitMs, runMs, failureShare];
 	const fields = [
 		outcome.type,
 		outcome.type === 'ran' ? '' : outcome.reason,
 		...numbers.map((number) => formatNumber(number)),
 	];
-	if (notice !== undefined || allowance !== undefined) {
+	if (notice !== undefined || allowance !== undefined || hostTime !== undefined) {
 		fields.push(
 			encodeURIComponent(notice?.worker ?? ''),
 			formatNumber(notice?.limitPerSecond),
@@ -38,6 +40,10 @@
 		);
 	}
 
+	if (hostTime !== undefined) {
+		fields.push(formatNumber(hostTime));
+	}
+
 	return fields.join(separator);
 }
 
@@ -48,12 +54,20 @@
 	const [retryAfterMs, ranMs, callsPerSlot, waitMs, runMs, failureShare = 0] = parts.map((part) =>
 		parseNumber(part),
 	);
-	const [worker, limitPerSecond, isLeaving, ...allowanceParts] = fields.slice(basicFieldCount);
-	const allowance = parseAllowance(allowanceParts);
+	const [worker, limitPerSecond, isLeaving, ...loadParts] = fields.slice(basicFieldCount);
+	const allowance = parseAllowance(loadParts);
+	const hostTime = parseNumber(loadParts.at(hostTimeIndex));
 	const load: WorkerLoad | undefined =
 		callsPerSlot === undefined || waitMs === undefined || runMs === undefined
 			? undefined
-			: {callsPerSlot, waitMs, runMs, failureShare, ...(allowance && {allowance})};
+			: {
+					callsPerSlot,
+					waitMs,
+					runMs,
+					failureShare,
+					...(allowance && {allowance}),
+					...(hostTime !== undefined && hostTime > 0 && {hostTime}),
+				};
 	const identity = decode(worker ?? '');
 	const notice: ReportedNotice | undefined = identity
 		? {
--- a/packages/redwingmill-node/src/call/headers.ts
+++ b/packages/redwingmill-node/src/call/headers.ts
@@ -20,6 +20,8 @@
 	workerLimit: 'redwingmill-worker-limit',
 	/** `1` on the responses of a worker that is about to stop. */
 	workerLeaving: 'redwingmill-worker-leaving',
+	/** Load of a worker: `running,waiting,slots[,hostPercent]`; on responses of workers. */
+	workerLoad: 'redwingmill-worker-load',
 	/** Key of the caller's workspace. */
 	key: 'redwingmill-key',
 	/** Name of the caller's workspace; on requests to workers. */
--- a/packages/redwingmill-node/src/call/worker-protocol.ts
+++ b/packages/redwingmill-node/src/call/worker-protocol.ts
@@ -1,5 +1,5 @@
 import {type IncomingHttpHeaders, type OutgoingHttpHeaders} from 'node:http';
-import {parseStatedLimit, type WorkerNotice} from 'redwingmill-core';
+import {parseStatedLimit, parseStatedLoad, type WorkerNotice} from 'redwingmill-core';
 import {headerNames} from './headers.js';
 
 /** Details of a call that the worker receives along with the request. */
@@ -52,6 +52,7 @@
 	noticeOf: (headers) => ({
 		limit: parseStatedLimit(headers[headerNames.workerLimit]),
 		isLeaving: headers[headerNames.workerLeaving] === '1',
+		load: parseStatedLoad(headers[headerNames.workerLoad]),
 	}),
 	classify(_status, headers) {
 		// A worker that forwards a retried refusal of another service has run this call itself.
--- a/packages/redwingmill-node/src/daemon.ts
+++ b/packages/redwingmill-node/src/daemon.ts
@@ -335,6 +335,11 @@
 				break;
 			}
 
+			case 'load-malformed': {
+				metrics.countControlEvent('worker-load-malformed');
+				break;
+			}
+
 			case 'leaving': {
 				if (instance !== undefined) {
 					this.announceDeparture(instance, startedAt);
--- a/packages/redwingmill-node/src/observe/call-log.ts
+++ b/packages/redwingmill-node/src/observe/call-log.ts
@@ -24,6 +24,7 @@
 		this.#log.writeCall(logEvents.callFinishedAtEntry, outcome?.type !== 'ran', () => ({
 			request: call.requestId,
 			path: call.route.path,
+			workspace: call.workspace?.name,
 			service: destination,
 			version: this.#control().routing.version,
 			nodes,
@@ -46,6 +47,8 @@
 			service: request.service,
 			instance,
 			rank: request.rank,
+			workspace: request.workspace?.name,
+			workspaceRank: request.workspace?.rank,
 			outcome: outcome.type,
 			reason: outcome.type === 'ran' ? undefined : outcome.reason,
 			status: answer.payload?.status,
@@ -55,6 +58,8 @@
 			queueMs: rounded(load.waitMs),
 			limitPerSecond,
 			limitWaitMs: rounded(load.allowance?.waitMs),
+			hostTime:
+				load.hostTime === undefined ? undefined : Number(load.hostTime.toFixed(loadDecimals)),
 			waitedMs: rounded((dispatchedAt ?? now) - arrivedAt),
 			ranMs: dispatchedAt === undefined ? undefined : rounded(now - dispatchedAt),
 			leftMs: rounded(request.deadlineAt - now),
--- a/packages/redwingmill-node/src/observe/log-event.ts
+++ b/packages/redwingmill-node/src/observe/log-event.ts
@@ -101,6 +101,11 @@
 		level: 'warn',
 		message: 'worker states a limit that cannot be read',
 	},
+	workerLoadMalformed: {
+		number: 512,
+		level: 'warn',
+		message: 'worker reports a load that cannot be read',
+	},
 	workerLeaving: {
 		number: 511,
 		level: 'info',
--- a/packages/redwingmill-node/src/observe/metrics.ts
+++ b/packages/redwingmill-node/src/observe/metrics.ts
@@ -91,7 +91,8 @@
 			| 'configuration-unanswered'
 			| 'configuration-refused'
 			| 'watch-renewed'
-			| 'worker-limit-malformed',
+			| 'worker-limit-malformed'
+			| 'worker-load-malformed',
 	): void {
 		increment(this.#controlEvents, event);
 	}
--- a/packages/redwingmill-node/src/observe/worker-notice-log.ts
+++ b/packages/redwingmill-node/src/observe/worker-notice-log.ts
@@ -17,6 +17,14 @@
 			break;
 		}
 
+		case 'load-malformed': {
+			if (change.isFirst) {
+				log.write(logEvents.workerLoadMalformed, {service, instance, startedAt, text: change.text});
+			}
+
+			break;
+		}
+
 		case 'leaving': {
 			log.write(logEvents.workerLeaving, {service, instance, startedAt});
 			break;
--- a/packages/redwingmill-node/src/operators/operators-server.ts
+++ b/packages/redwingmill-node/src/operators/operators-server.ts
@@ -100,6 +100,7 @@
 			waiting: waitingCount,
 			limitPerSecond,
 			limitWaitMs: load.allowance?.waitMs,
+			hostTime: load.hostTime,
 			isWorkerLeaving: notice?.isLeaving ?? false,
 		};
 	}
--- a/packages/redwingmill-protocol/src/__tests__/unit/datagram-codec.test.ts
+++ b/packages/redwingmill-protocol/src/__tests__/unit/datagram-codec.test.ts
@@ -48,6 +48,7 @@
 			runMs: 64.5,
 			failureShare: 0.25,
 			allowance: {perSecond: 20.6, waitMs: -250},
+			hostTime: 2.35,
 		},
 	},
 	{
@@ -64,7 +65,10 @@
 				id: 1,
 				stamp: 4_000_000_000,
 				ageMs: 0,
-				load: {load: {callsPerSlot: 0.5, waitMs: 10, runMs: 60, failureShare: 0}, ageMs: 300},
+				load: {
+					load: {callsPerSlot: 0.5, waitMs: 10, runMs: 60, failureShare: 0, hostTime: 0.75},
+					ageMs: 300,
+				},
 			},
 			{id: 2, stamp: 3, ageMs: 120},
 		],
--- a/packages/redwingmill-protocol/src/datagram-codec.ts
+++ b/packages/redwingmill-protocol/src/datagram-codec.ts
@@ -215,6 +215,7 @@
 	runMs,
 	failureShare,
 	allowance,
+	hostTime = 0,
 }: WorkerLoad): MessageInitShape<typeof wire.LoadSchema> {
 	return {
 		callsPerHundredSlots: Math.round(callsPerSlot * hundredthsPerUnit),
@@ -223,6 +224,7 @@
 		failuresPerHundred: Math.round(failureShare * hundredthsPerUnit),
 		limitPerTenSeconds: Math.round((allowance?.perSecond ?? 0) * limitSeconds),
 		limitWaitMs: Math.round(allowance?.waitMs ?? 0),
+		hostTimeHundredths: Math.round(hostTime * hundredthsPerUnit),
 	};
 }
 
@@ -233,6 +235,7 @@
 	failuresPerHundred,
 	limitPerTenSeconds,
 	limitWaitMs,
+	hostTimeHundredths,
 }: wire.Load): WorkerLoad {
 	const allowance = {perSecond: limitPerTenSeconds / limitSeconds, waitMs: limitWaitMs};
 	return {
@@ -241,5 +244,6 @@
 		runMs: runTenthsMs / tenthsPerMs,
 		failureShare: failuresPerHundred / hundredthsPerUnit,
 		...(limitPerTenSeconds > 0 && {allowance}),
+		...(hostTimeHundredths > 0 && {hostTime: hostTimeHundredths / hundredthsPerUnit}),
 	};
 }
