--- a/packages/redwingmill-core/src/call/gate-admission.ts
+++ b/packages/redwingmill-core/src/call/gate-admission.ts
@@ -4,8 +4,8 @@
 import {type Dispatcher} from './dispatcher.js';
 import {type GateCall} from './gate-call.js';
 import {type GateLimits} from './gate-limits.js';
-import {type GroupMeans} from './group-means.js';
 import {type NotRunReason} from './outcome.js';
+import {type RunTimes} from './run-times.js';
 
 /** Longest wait, besides its own run time, of a call that can no longer meet its target. */
 const maximumLateWaitMs = 160;
@@ -22,7 +22,7 @@
 	readonly limits: GateLimits;
 	readonly crashes: CrashTracker;
 	readonly dispatcher: Dispatcher;
-	readonly runTimes: GroupMeans;
+	readonly runTimes: RunTimes;
 };
 
 /** Decides whether a call may wait for the worker, and for how long. */
@@ -65,19 +65,25 @@
 	decide(call: GateCall, now: number): AdmissionDecision {
 		const {limits, dispatcher, runTimes} = this.#parts;
 		const dueAt = this.dueAtOf(call, now);
-		const limitWaitMs = dispatcher.limitWaitMs(call.rank, dueAt, now);
+		const limitWaitMs = dispatcher.limitWaitMs(call, dueAt, now);
 		if (!limits.isLimiting && limitWaitMs === 0) {
 			return {type: 'admitted'};
 		}
 
-		const {deadlineAt, targetAt, group, rank} = call;
-		const waitMs = dispatcher.expectedWaitMs(rank, dueAt, now);
-		const runMs = runTimes.expected(group);
+		const {deadlineAt, targetAt, group} = call;
+		const waitMs = dispatcher.expectedWaitMs(call, dueAt, now);
+		const runMs = runTimes.expectedAt(group, now);
 		const decision = decideAdmission({now, deadlineAt, targetAt, waitMs, runMs});
+		if (decision.type === 'admitted') {
+			return decision;
+		}
+
 		const isLimited = limitWaitMs > 0 && limitWaitMs === waitMs;
-		return decision.type === 'refused' && isLimited
-			? {...decision, reason: 'worker-limited'}
-			: decision;
+		return {
+			...decision,
+			...(isLimited && {reason: 'worker-limited'}),
+			...(this.#usesForecast(call) && {retryAfterMs: dispatcher.forecastMs(call, now)}),
+		};
 	}
 
 	/** Returns the sort key within a rank: calls that can still meet their target come first. */
@@ -86,7 +92,7 @@
 			return deadlineAt;
 		}
 
-		const runMs = this.#parts.runTimes.expected(group);
+		const runMs = this.#parts.runTimes.expectedAt(group, now);
 		return isLate({now, targetAt, runMs}) ? targetAt + lateCallOffsetMs : targetAt;
 	}
 
@@ -96,7 +102,7 @@
 	 */
 	hasWaitedTooLong(call: GateCall, admittedAt: number, now: number): boolean {
 		const {deadlineAt, targetAt, group} = call;
-		const runMs = this.#parts.runTimes.expected(group);
+		const runMs = this.#parts.runTimes.expectedAt(group, now);
 		const earliestEndAt = now + runMs * minimumRunShare;
 		const latestEndAt = Math.max(targetAt ?? deadlineAt, admittedAt + maximumLateWaitMs + runMs);
 		return earliestEndAt >= deadlineAt || earliestEndAt > latestEndAt;
@@ -105,8 +111,20 @@
 	/** Returns after how many milliseconds a call that is refused now may be worth sending again. */
 	retryAfterMs(call: GateCall, reason: NotRunReason, now: number): number {
 		const {crashes, dispatcher} = this.#parts;
-		return reason === 'quarantined'
-			? crashes.remainingMs(call, now)
-			: dispatcher.expectedWaitMs(call.rank, this.dueAtOf(call, now), now);
+		if (reason === 'quarantined') {
+			return crashes.remainingMs(call, now);
+		}
+
+		return this.#usesForecast(call)
+			? dispatcher.forecastMs(call, now)
+			: dispatcher.expectedWaitMs(call, this.dueAtOf(call, now), now);
+	}
+
+	/**
+	 * Whether a retry is worthwhile only once the work of all calls as urgent is done: a single call's place
+	 * says little of that where workspaces share the worker.
+	 */
+	#usesForecast({isBulk = false}: GateCall): boolean {
+		return isBulk || this.#parts.dispatcher.hasWorkspaces;
 	}
 }
--- a/packages/redwingmill-core/src/index.ts
+++ b/packages/redwingmill-core/src/index.ts
@@ -38,6 +38,7 @@
 export {FailureMeter} from './call/failure-meter.js';
 export {GroupMeans} from './call/group-means.js';
 export {RankQueue} from './call/rank-queue.js';
+export {CallQueue, type QueuedCall} from './call/call-queue.js';
 export {ConcurrencyLimit} from './call/concurrency-limit.js';
 export {
 	choicePolicies,
@@ -55,6 +56,7 @@
 export {type WorkerLoad} from './call/worker-load.js';
 export {WorkerAllowance, type Allowance} from './call/worker-allowance.js';
 export * from './call/worker-notice.js';
+export * from './call/worker-report.js';
 export type {NoticeChange} from './call/worker-notices.js';
 export {allowanceOfNode, RetryBudget, type RetryAllowance} from './call/retry-budget.js';
 export * from './rollout/rollout.js';
