--- /dev/null
+++ b/packages/redwingmill-core/src/call/choice/choice-policy.ts
@@ -0,0 +1,48 @@
+import {type Endpoint} from '../../model/routing-table.js';
+
+/**
+ * Load-balancing policies. `least-loaded`, `random` and `round-robin` are baselines for measurements.
+ */
+export const choicePolicies = [
+	'two-choices',
+	'expected-completion',
+	'least-loaded',
+	'random',
+	'round-robin',
+] as const;
+export type ChoicePolicy = (typeof choicePolicies)[number];
+
+/** Options for choosing endpoints. */
+export type ChoiceOptions = {
+	readonly policy: ChoicePolicy;
+	/** Time over which a new endpoint ramps up to its full share; 0 gives the full share at once. */
+	readonly slowStartMs: number;
+	/** Data centre whose endpoints are preferred: the local one. */
+	readonly dataCentre: string;
+};
+
+/** Properties of a call that the choice takes into account. */
+export type CallProfile = {
+	/** Identifies calls with similar run times. */
+	readonly group: string;
+	/** Latency target in monotonic milliseconds; absent when only the deadline counts. */
+	readonly targetAt?: number;
+	/** Size of the request and its expected answer; absent when it doesn't count. */
+	readonly bytes?: number;
+};
+
+/** What a policy chooses from. */
+export type ChoiceInputs = {
+	/** Endpoints that may get the call; none if empty. */
+	readonly usable: readonly Endpoint[];
+	/** Whether the local data centre has an endpoint that isn't ejected, tried before or not. */
+	readonly hasLocal: boolean;
+	/** Current time in monotonic milliseconds. */
+	readonly now: number;
+	readonly profile: CallProfile;
+};
+
+/** Chooses between endpoints that are all fit to get a call. */
+export type ChoiceStrategy = {
+	choose: (inputs: ChoiceInputs) => Endpoint | undefined;
+};
--- /dev/null
+++ b/packages/redwingmill-core/src/call/choice/earliest-answer.ts
@@ -0,0 +1,131 @@
+import {type Endpoint} from '../../model/routing-table.js';
+import {expectedCompletionMs} from '../expected-completion.js';
+import {type GroupMeans} from '../group-means.js';
+import {type WorkerLoad} from '../worker-load.js';
+import {type ChoiceInputs, type ChoiceStrategy} from './choice-policy.js';
+import {type EndpointStates} from './endpoint-state.js';
+
+/** An endpoint and the milliseconds until it is expected to answer. */
+export type Candidate = {readonly endpoint: Endpoint; readonly expectedMs: number};
+
+/** A local endpoint is preferred if expected to answer within this share of the time to the target. */
+const localTimeShare = 0.8;
+/** Additional wait that is accepted to avoid sending one kilobyte to another data centre. */
+const remoteCostPerKbMs = 12;
+const bytesPerKb = 1024;
+/** Bounds of a worker's run time relative to the mean. */
+const relativeRunTimeBounds = {least: 0.2, most: 8} as const;
+
+/** Chooses the endpoint that is expected to answer first: policy `expected-completion`. */
+export class EarliestAnswer implements ChoiceStrategy {
+	readonly #dataCentre: string;
+	readonly #states: EndpointStates;
+	readonly #runTimes: GroupMeans;
+
+	/** @param runTimes - run times by group, scaled to a worker of the service's mean speed. */
+	constructor(dataCentre: string, states: EndpointStates, runTimes: GroupMeans) {
+		this.#dataCentre = dataCentre;
+		this.#states = states;
+		this.#runTimes = runTimes;
+	}
+
+	choose(inputs: ChoiceInputs): Endpoint | undefined {
+		const {usable, now, profile} = inputs;
+		const meanRunMs = meanRunMsOf(usable, this.#states);
+		const groupRunMs = this.#runTimes.expected(profile.group);
+		const baseFailureShare = commonFailureShare(usable, this.#states);
+		let earliest: Candidate | undefined;
+		let earliestLocal: Candidate | undefined;
+		for (const endpoint of usable) {
+			const state = this.#states.of(endpoint);
+			const {completion, inFlight} = state;
+			const isLocal = endpoint.dataCentre === this.#dataCentre;
+			state.relativeRunTime = relativeRunTimeOf(completion.load, meanRunMs);
+			const runMs = groupRunMs * state.relativeRunTime;
+			const excessFailureShare =
+				(completion.load?.failureShare ?? baseFailureShare) - baseFailureShare;
+			const {slots} = endpoint;
+			const estimate = {slots, inFlight, isLocal, excessFailureShare, runMs, now};
+			const expectedMs = expectedCompletionMs(completion, estimate);
+			if (earliest === undefined || expectedMs < earliest.expectedMs) {
+				earliest = {endpoint, expectedMs};
+			}
+
+			if (isLocal && (earliestLocal === undefined || expectedMs < earliestLocal.expectedMs)) {
+				earliestLocal = {endpoint, expectedMs};
+			}
+		}
+
+		return localOrEarliest(earliest, earliestLocal, inputs);
+	}
+}
+
+/**
+ * Decides between the endpoint with the earliest expected answer and the earliest local one. A local
+ * one is preferred while it can answer in time, since a call to another data centre costs bytes on the
+ * links between them. A remote one is chosen only if it is expected to answer in time, and earlier by a
+ * margin that grows with the call's size: under overload everywhere, calls refused by one data centre
+ * after another would load the links for nothing. Without a local endpoint, the earliest one is chosen.
+ */
+export function localOrEarliest(
+	earliest: Candidate | undefined,
+	earliestLocal: Candidate | undefined,
+	{hasLocal, now, profile: {targetAt, bytes = 0}}: ChoiceInputs,
+): Endpoint | undefined {
+	const leftMs = targetAt === undefined ? Number.POSITIVE_INFINITY : targetAt - now;
+	if (earliestLocal && earliestLocal.expectedMs <= leftMs * localTimeShare) {
+		return earliestLocal.endpoint;
+	}
+
+	const marginMs = (bytes / bytesPerKb) * remoteCostPerKbMs;
+	const isInTime = earliest !== undefined && earliest.expectedMs <= leftMs;
+	const isEarlierEnough =
+		earliestLocal === undefined || isEarlier(earliest, earliestLocal, marginMs);
+	return (!hasLocal || (isInTime && isEarlierEnough) ? earliest : earliestLocal)?.endpoint;
+}
+
+/** Returns the failure share that all workers have in common; its cause lies elsewhere. */
+export function commonFailureShare(endpoints: readonly Endpoint[], states: EndpointStates): number {
+	let least = Number.POSITIVE_INFINITY;
+	for (const endpoint of endpoints) {
+		least = Math.min(least, states.of(endpoint).completion.load?.failureShare ?? 0);
+	}
+
+	return least;
+}
+
+/** Returns the mean run time over the endpoints whose load is known; undefined if none is. */
+export function meanRunMsOf(
+	endpoints: readonly Endpoint[],
+	states: EndpointStates,
+): number | undefined {
+	let sumMs = 0;
+	let count = 0;
+	for (const endpoint of endpoints) {
+		const {load} = states.of(endpoint).completion;
+		sumMs += load?.runMs ?? 0;
+		count += load ? 1 : 0;
+	}
+
+	return count === 0 ? undefined : sumMs / count;
+}
+
+/** Returns a worker's run time relative to the mean of its service; 1 when it is unknown. */
+export function relativeRunTimeOf(
+	load: WorkerLoad | undefined,
+	meanRunMs: number | undefined,
+): number {
+	if (load === undefined || meanRunMs === undefined || meanRunMs <= 0) {
+		return 1;
+	}
+
+	return Math.min(
+		relativeRunTimeBounds.most,
+		Math.max(relativeRunTimeBounds.least, load.runMs / meanRunMs),
+	);
+}
+
+/** Whether `one` is expected to answer more than `marginMs` before `other`. */
+function isEarlier(one: Candidate | undefined, other: Candidate, marginMs: number): boolean {
+	return one !== undefined && one.expectedMs + marginMs < other.expectedMs;
+}
--- a/packages/redwingmill-core/src/index.ts
+++ b/packages/redwingmill-core/src/index.ts
@@ -41,11 +41,11 @@
 export {ConcurrencyLimit} from './call/concurrency-limit.js';
 export {
 	choicePolicies,
-	EndpointChooser,
 	type ChoiceOptions,
 	type CallProfile,
 	type ChoicePolicy,
-} from './call/endpoint-chooser.js';
+} from './call/choice/choice-policy.js';
+export {EndpointChooser} from './call/endpoint-chooser.js';
 export * from './call/entry-call.js';
 export * from './call/gate.js';
 export type * from './call/gate-call.js';
