Policy even-load: choose by weights in place of the lowest estimate

Entries that hold the same reports all chose the replica with the lowest estimate, so replicas were overloaded in turn while others had free slots. The policy draws at random by what replicas can run; reports in answers and the node's own calls, which no other node knows, shift the weights most, and lose their effect at the rate at which the reported calls end. It is in use with calls.choice even-load, and in place of two-choices and expected-completion where the reported load has a host time.

--- a/packages/redwingmill-core/src/call/choice/choice-policy.ts
+++ b/packages/redwingmill-core/src/call/choice/choice-policy.ts
@@ -6,6 +6,7 @@
 export const choicePolicies = [
 	'two-choices',
 	'expected-completion',
+	'even-load',
 	'least-loaded',
 	'random',
 	'round-robin',
@@ -19,6 +20,11 @@
 	readonly slowStartMs: number;
 	/** Data centre whose endpoints are preferred: the local one. */
 	readonly dataCentre: string;
+	/**
+	 * Whether `even-load` takes the place of `two-choices` and `expected-completion` for services whose
+	 * workers say how long work takes on their hosts. By default yes; simulations compare policies without it.
+	 */
+	readonly followsHostTimes?: boolean;
 };
 
 /** Properties of a call that the choice takes into account. */
--- a/packages/redwingmill-core/src/call/choice/earliest-answer.ts
+++ b/packages/redwingmill-core/src/call/choice/earliest-answer.ts
@@ -119,10 +119,12 @@
 		return 1;
 	}
 
-	return Math.min(
-		relativeRunTimeBounds.most,
-		Math.max(relativeRunTimeBounds.least, load.runMs / meanRunMs),
-	);
+	return boundedRunTime(load.runMs / meanRunMs);
+}
+
+/** Bounds a worker's run time relative to the mean of its service. */
+export function boundedRunTime(relative: number): number {
+	return Math.min(relativeRunTimeBounds.most, Math.max(relativeRunTimeBounds.least, relative));
 }
 
 /** Whether `one` is expected to answer more than `marginMs` before `other`. */
--- a/packages/redwingmill-core/src/call/choice/endpoint-state.ts
+++ b/packages/redwingmill-core/src/call/choice/endpoint-state.ts
@@ -1,5 +1,6 @@
 import {type Endpoint} from '../../model/routing-table.js';
 import {initialCompletion, type CompletionState} from '../expected-completion.js';
+import {LoadHistory} from './load-history.js';
 
 /** State of an endpoint, from this node's calls and the gate's reports. */
 export type EndpointState = {
@@ -7,11 +8,15 @@
 	readonly addedAt: number;
 	inFlight: number;
 	completion: CompletionState;
+	/** Means of the reports, only where the policy `even-load` is in use. */
+	readonly history: LoadHistory;
 	/** Run time relative to the mean of the service's workers, at the last choice. */
 	relativeRunTime: number;
 	/** Running and waiting calls per slot, as the gate last reported. */
 	reportedCallsPerSlot: number;
 	loadAt: number;
+	/** Time at which it last reported its load with an answer to this node, in monotonic milliseconds. */
+	answeredAt: number;
 	/** Time at which this node last sent an attempt there. */
 	sentAt: number;
 	/** Consecutive failures. */
@@ -61,9 +66,11 @@
 		addedAt,
 		inFlight: 0,
 		completion: initialCompletion,
+		history: new LoadHistory(),
 		relativeRunTime: 1,
 		reportedCallsPerSlot: 0,
 		loadAt: 0,
+		answeredAt: Number.NEGATIVE_INFINITY,
 		sentAt: Number.NEGATIVE_INFINITY,
 		failures: 0,
 		ejections: 0,
--- a/packages/redwingmill-core/src/call/choice/own-load.ts
+++ b/packages/redwingmill-core/src/call/choice/own-load.ts
@@ -51,6 +51,7 @@
 			}
 
 			case 'expected-completion':
+			case 'even-load':
 			case 'two-choices': {
 				const first = this.#random.below(endpoints.length);
 				const step = 1 + this.#random.below(endpoints.length - 1);
--- a/packages/redwingmill-core/src/call/endpoint-chooser.ts
+++ b/packages/redwingmill-core/src/call/endpoint-chooser.ts
@@ -2,6 +2,7 @@
 import {type Endpoint} from '../model/routing-table.js';
 import {type CallProfile, type ChoiceOptions, type ChoiceStrategy} from './choice/choice-policy.js';
 import {EarliestAnswer} from './choice/earliest-answer.js';
+import {EvenLoad} from './choice/even-load.js';
 import {EndpointStates} from './choice/endpoint-state.js';
 import {OwnLoad} from './choice/own-load.js';
 import {type CompletionState} from './expected-completion.js';
@@ -26,10 +27,16 @@
 	readonly #runTimes = new GroupMeans(initialRunMs);
 	readonly #notices = new ReportedNotices();
 	readonly #strategy: ChoiceStrategy;
+	/** For services whose workers say how long work takes on their hosts. */
+	readonly #evenLoad: ChoiceStrategy;
+	/** Whether any worker has said so. */
+	#hasHostTimes = false;
 
-	constructor(options: ChoiceOptions, random: Random) {
+	/** @param newStrategy - by default that of the policy; simulations compare others. */
+	constructor(options: ChoiceOptions, random: Random, newStrategy = strategyOf) {
 		this.#options = options;
-		this.#strategy = strategyOf(options, this.#states, this.#runTimes, random);
+		this.#strategy = newStrategy(options, this.#states, this.#runTimes, random);
+		this.#evenLoad = new EvenLoad(options.dataCentre, this.#states, this.#runTimes, random);
 	}
 
 	/** Removes the state of endpoints that are gone and begins the slow start of new ones. */
@@ -61,7 +68,8 @@
 			(endpoint) =>
 				this.#isLocal(endpoint) && (excluded.has(endpoint.node) || usable.includes(endpoint)),
 		);
-		return this.#strategy.choose({usable, hasLocal, now, profile});
+		const strategy = this.#knowsHostTimes(usable) ? this.#evenLoad : this.#strategy;
+		return strategy.choose({usable, hasLocal, now, profile});
 	}
 
 	/** Records that an attempt was sent to the endpoint. */
@@ -84,6 +92,11 @@
 			return;
 		}
 
+		this.#hasHostTimes ||= load.hostTime !== undefined && this.#mayFollowHostTimes;
+		if (this.#hasHostTimes || this.#options.policy === 'even-load') {
+			state.history.record(load, reportedAt);
+		}
+
 		const sentSinceReport = state.sentAt > reportedAt ? state.completion.sentSinceReport : 0;
 		state.reportedCallsPerSlot = load.callsPerSlot;
 		state.loadAt = reportedAt;
@@ -99,6 +112,7 @@
 		const state = this.#states.of(endpoint);
 		state.inFlight = Math.max(0, state.inFlight - 1);
 		if (load !== undefined) {
+			state.answeredAt = now;
 			this.onLoad(endpoint, load, now);
 		}
 	}
@@ -158,6 +172,22 @@
 		return ejected > total * maximumEjectedShare ? open : usable;
 	}
 
+	/**
+	 * Whether workers of the service say how long work takes on their hosts, which the policies
+	 * `two-choices` and `expected-completion` leave to `even-load`.
+	 */
+	#knowsHostTimes(usable: readonly Endpoint[]): boolean {
+		return (
+			this.#hasHostTimes &&
+			usable.some((endpoint) => this.#states.of(endpoint).completion.load?.hostTime !== undefined)
+		);
+	}
+
+	get #mayFollowHostTimes(): boolean {
+		const {policy, followsHostTimes = true} = this.#options;
+		return followsHostTimes && (policy === 'two-choices' || policy === 'expected-completion');
+	}
+
 	#isLocal({dataCentre}: Endpoint): boolean {
 		return dataCentre === this.#options.dataCentre;
 	}
@@ -174,6 +204,10 @@
 			return new EarliestAnswer(options.dataCentre, states, runTimes);
 		}
 
+		case 'even-load': {
+			return new EvenLoad(options.dataCentre, states, runTimes, random);
+		}
+
 		case 'two-choices':
 		case 'least-loaded':
 		case 'random':
--- a/packages/redwingmill-core/src/call/expected-completion.ts
+++ b/packages/redwingmill-core/src/call/expected-completion.ts
@@ -31,7 +31,7 @@
 export const initialCompletion: CompletionState = {loadAt: 0, sentSinceReport: 0, failureShare: 0};
 
 /** Round trip to another data centre of the region, plus a penalty for the bytes on the link. */
-const remoteCostMs = 10;
+export const remoteCostMs = 10;
 /** Cost of a failed attempt: another one, at a worker that isn't informed of the call's urgency. */
 const failureCostMs = 400;
 /** Share of the elapsed time by which a reported queue shrinks; new calls make up for the rest. */
@@ -46,7 +46,7 @@
  * the distance and the risk of a failure.
  */
 export function expectedCompletionMs(state: CompletionState, inputs: CompletionInputs): number {
-	const {load, loadAt, sentSinceReport, failureShare} = state;
+	const {load, loadAt, sentSinceReport} = state;
 	const {slots, inFlight, isLocal, runMs, now, excessFailureShare} = inputs;
 	const processedMs = (now - loadAt) * processedShare;
 	const queueMs = Math.max(0, (load?.waitMs ?? 0) - processedMs);
@@ -54,13 +54,25 @@
 	const addedMs = busyShare > 1 ? (sentSinceReport * runMs) / slots : 0;
 	const loadedRunMs = runMs * (1 + fullLoadSlowdown * Math.min(1, busyShare));
 	const distanceMs = isLocal ? 0 : remoteCostMs;
-	const failureMs = (failureShare + excessFailureShare) * failureCostMs;
+	const failureMs = failureMsOf(state, excessFailureShare);
 	const waitMs = Math.max(queueMs + addedMs, limitedWaitMs(state, now));
 	return waitMs + loadedRunMs + distanceMs + failureMs;
 }
 
+/**
+ * Returns the time that the risk of a failure costs.
+ *
+ * @param excessFailureShare - share of the worker's runs that failed, less that of the most reliable one.
+ */
+export function failureMsOf({failureShare}: CompletionState, excessFailureShare: number): number {
+	return (failureShare + excessFailureShare) * failureCostMs;
+}
+
 /** Returns the time until the worker's limit allows a new call, with those that this node has added. */
-function limitedWaitMs({load, loadAt, sentSinceReport}: CompletionState, now: number): number {
+export function limitedWaitMs(
+	{load, loadAt, sentSinceReport}: CompletionState,
+	now: number,
+): number {
 	if (load?.allowance === undefined) {
 		return 0;
 	}
--- a/packages/redwingmill-core/src/index.ts
+++ b/packages/redwingmill-core/src/index.ts
@@ -41,10 +41,22 @@
 export {ConcurrencyLimit} from './call/concurrency-limit.js';
 export {
 	choicePolicies,
+	type ChoiceInputs,
 	type ChoiceOptions,
+	type ChoiceStrategy,
 	type CallProfile,
 	type ChoicePolicy,
 } from './call/choice/choice-policy.js';
+export {
+	EarliestAnswer,
+	localOrEarliest,
+	relativeRunTimeOf,
+	meanRunMsOf,
+	commonFailureShare,
+} from './call/choice/earliest-answer.js';
+export {forecastLoad} from './call/choice/load-forecast.js';
+export {EndpointStates, type EndpointState} from './call/choice/endpoint-state.js';
+export {expectedCompletionMs} from './call/expected-completion.js';
 export {EndpointChooser} from './call/endpoint-chooser.js';
 export * from './call/entry-call.js';
 export * from './call/gate.js';
