Simulation of even load: bench even-load

Many entries choose between replicas of uneven speed by reports of some age, around the real chooser, entry call and gate on virtual time. It reports how long replicas queue while another of the same data centre has a free slot, late and refused calls, percentiles, the busiest replica, bytes between data centres and attempts per call.

--- a/packages/redwingmill-bench/src/main.ts
+++ b/packages/redwingmill-bench/src/main.ts
@@ -6,6 +6,7 @@
 import {capacityCommand} from './commands/capacity-command.js';
 import {convergenceCommand} from './commands/convergence-command.js';
 import {demoCommand} from './commands/demo-command.js';
+import {evenLoadCommand} from './commands/even-load-command.js';
 import {limitsCommand} from './commands/limits-command.js';
 import {policiesCommand} from './commands/policies-command.js';
 
@@ -20,6 +21,7 @@
 		'capacity-page': capacityPageCommand,
 		policies: policiesCommand,
 		limits: limitsCommand,
+		'even-load': evenLoadCommand,
 	},
 });
 
--- a/packages/redwingmill-core/src/call/choice/choice-policy.ts
+++ b/packages/redwingmill-core/src/call/choice/choice-policy.ts
@@ -1,4 +1,7 @@
+import {type Random} from 'redwingmill-shared';
 import {type Endpoint} from '../../model/routing-table.js';
+import {type GroupMeans} from '../group-means.js';
+import {type EndpointStates} from './endpoint-state.js';
 
 /**
  * Load-balancing policies. `least-loaded`, `random` and `round-robin` are baselines for measurements.
@@ -48,6 +51,15 @@
 	readonly profile: CallProfile;
 };
 
+/** Creates the strategy of a policy. */
+export type StrategyFactory = (
+	options: ChoiceOptions,
+	states: EndpointStates,
+	/** Run times by group, scaled to a worker of the service's mean speed. */
+	runTimes: GroupMeans,
+	random: Random,
+) => ChoiceStrategy;
+
 /** Chooses between endpoints that are all fit to get a call. */
 export type ChoiceStrategy = {
 	choose: (inputs: ChoiceInputs) => Endpoint | undefined;
--- a/packages/redwingmill-core/src/call/endpoint-chooser.ts
+++ b/packages/redwingmill-core/src/call/endpoint-chooser.ts
@@ -1,6 +1,11 @@
 import {type Random} from 'redwingmill-shared';
 import {type Endpoint} from '../model/routing-table.js';
-import {type CallProfile, type ChoiceOptions, type ChoiceStrategy} from './choice/choice-policy.js';
+import {
+	type CallProfile,
+	type ChoiceOptions,
+	type ChoiceStrategy,
+	type StrategyFactory,
+} from './choice/choice-policy.js';
 import {EarliestAnswer} from './choice/earliest-answer.js';
 import {EvenLoad} from './choice/even-load.js';
 import {EndpointStates} from './choice/endpoint-state.js';
@@ -33,7 +38,7 @@
 	#hasHostTimes = false;
 
 	/** @param newStrategy - by default that of the policy; simulations compare others. */
-	constructor(options: ChoiceOptions, random: Random, newStrategy = strategyOf) {
+	constructor(options: ChoiceOptions, random: Random, newStrategy: StrategyFactory = strategyOf) {
 		this.#options = options;
 		this.#strategy = newStrategy(options, this.#states, this.#runTimes, random);
 		this.#evenLoad = new EvenLoad(options.dataCentre, this.#states, this.#runTimes, random);
--- a/packages/redwingmill-core/src/index.ts
+++ b/packages/redwingmill-core/src/index.ts
@@ -44,15 +44,15 @@
 	type ChoiceInputs,
 	type ChoiceOptions,
 	type ChoiceStrategy,
+	type StrategyFactory,
 	type CallProfile,
 	type ChoicePolicy,
 } from './call/choice/choice-policy.js';
 export {
-	EarliestAnswer,
 	localOrEarliest,
-	relativeRunTimeOf,
 	meanRunMsOf,
-	commonFailureShare,
+	relativeRunTimeOf,
+	type Candidate,
 } from './call/choice/earliest-answer.js';
 export {forecastLoad} from './call/choice/load-forecast.js';
 export {EndpointStates, type EndpointState} from './call/choice/endpoint-state.js';
