--- a/packages/redwingmill-core/src/index.ts
+++ b/packages/redwingmill-core/src/index.ts
@@ -42,11 +42,23 @@
 export {ConcurrencyLimit} from './call/concurrency-limit.js';
 export {
 	choicePolicies,
-	EndpointChooser,
+	type ChoiceInputs,
 	type ChoiceOptions,
+	type ChoiceStrategy,
+	type StrategyFactory,
 	type CallProfile,
 	type ChoicePolicy,
-} from './call/endpoint-chooser.js';
+} from './call/choice/choice-policy.js';
+export {
+	localOrEarliest,
+	meanRunMsOf,
+	relativeRunTimeOf,
+	type Candidate,
+} from './call/choice/earliest-answer.js';
+export {forecastLoad} from './call/choice/load-forecast.js';
+export {EndpointStates, type EndpointState} from './call/choice/endpoint-state.js';
+export {expectedCompletionMs} from './call/expected-completion.js';
+export {EndpointChooser} from './call/endpoint-chooser.js';
 export * from './call/entry-call.js';
 export * from './call/gate.js';
 export type * from './call/gate-call.js';
