--- a/packages/redwingmill-core/src/call/worker-load.ts
+++ b/packages/redwingmill-core/src/call/worker-load.ts
@@ -10,8 +10,6 @@
 	readonly runMs: number;
 	/** Moving average of the share of the worker's runs that failed, from 0 to 1. */
 	readonly failureShare: number;
-	/** How long work takes on the worker's host now; 1 as usual. Absent when the worker doesn't say. */
-	readonly hostTime?: number;
 	/** Absent when the worker states no limit. */
 	readonly allowance?: Allowance;
 	/**
