--- /dev/null
+++ b/packages/redwingmill-bench/src/commands/quotas-command.ts
@@ -0,0 +1,44 @@
+import process from 'node:process';
+import {command, flag, number, oneOf, option} from 'cmd-ts';
+import {compareQuotas} from '../quotas/compare-quotas.js';
+import {plotQuotas} from '../quotas/plot-quotas.js';
+import {quotaConditions, type QuotaCondition} from '../quotas/quota-conditions.js';
+
+const conditions = Object.keys(quotaConditions) as QuotaCondition[];
+
+export const quotasCommand = command({
+	name: 'quotas',
+	description: 'Simulate ways to keep quotas of workspaces over all nodes.',
+	args: {
+		condition: option({
+			type: oneOf([...conditions, 'all']),
+			long: 'condition',
+			description: `Condition to simulate: ${conditions.join(', ')}, or all.`,
+			defaultValue: () => 'all' as const,
+		}),
+		seeds: option({
+			type: number,
+			long: 'seeds',
+			description: 'Number of simulations of each condition.',
+			defaultValue: () => 3,
+		}),
+		workspaces: flag({long: 'workspaces', description: 'Print a line for each workspace.'}),
+		json: flag({long: 'json', description: 'Print one line of JSON for each condition.'}),
+	},
+	handler({condition, seeds, workspaces, json}) {
+		const seedNumbers = Array.from({length: seeds}, (_, index) => index + 1);
+		for (const name of conditions.filter((each) => condition === 'all' || each === condition)) {
+			const comparisons = compareQuotas(name, seedNumbers);
+			process.stdout.write(
+				json
+					? `${JSON.stringify(
+							comparisons.map((each) => ({
+								...each,
+								workspaces: Object.fromEntries(each.workspaces),
+							})),
+						)}\n`
+					: `== ${name}\n${plotQuotas(comparisons, workspaces)}\n`,
+			);
+		}
+	},
+});
--- a/packages/redwingmill-core/src/index.ts
+++ b/packages/redwingmill-core/src/index.ts
@@ -57,6 +57,7 @@
 export * from './call/worker-notice.js';
 export type {NoticeChange} from './call/worker-notices.js';
 export {allowanceOfNode, RetryBudget, type RetryAllowance} from './call/retry-budget.js';
+export * from './quota/index.js';
 export * from './rollout/rollout.js';
 export {matchRoute} from './call/route-matcher.js';
 export {WorkspaceIndex, workspaceIndexOf, type Authorization} from './call/workspace-index.js';
