--- a/packages/redwingmill-bench/src/quotas/quota-conditions.ts
+++ b/packages/redwingmill-bench/src/quotas/quota-conditions.ts
@@ -29,8 +29,7 @@
 }
 
 function hot(quota: Quota): (now: number) => number {
-	return (now) =>
-		quota.perSecond * usualShare * (now >= hotFrom && now < hotUntil ? hotFactor : 1);
+	return (now) => quota.perSecond * usualShare * (now >= hotFrom && now < hotUntil ? hotFactor : 1);
 }
 
 function workspacesWith(
@@ -74,9 +73,7 @@
 export const quotaConditions = {
 	usual: plan(usualWorkspaces),
 	hot: plan(hotWorkspaces),
-	'near-limit': plan(
-		workspacesWith(({perSecond}) => ({demandAt: () => perSecond * 0.95})),
-	),
+	'near-limit': plan(workspacesWith(({perSecond}) => ({demandAt: () => perSecond * 0.95}))),
 	skewed: plan(
 		workspacesWith((quota) => ({
 			demandAt: hot(quota),
--- a/packages/redwingmill-bench/src/quotas/quota-mesh.ts
+++ b/packages/redwingmill-bench/src/quotas/quota-mesh.ts
@@ -85,7 +85,7 @@
 		const first = this.#indexAt(false);
 		this.#nodes = Array.from({length: plan.nodes}, (_, index) => ({
 			index,
-			address: addressOf(index),
+			address: String(index),
 			participant: undefined,
 			incarnation: 0,
 			quotaIndex: first,
@@ -124,7 +124,7 @@
 			incarnation: incarnation * 1000,
 			bounds: this.#plan.bounds,
 			random: new Random(this.#random.below(1_000_000_000)),
-			owner: addressOf(0),
+			owner: String(0),
 		});
 		node.participant = participant;
 		const tick = () => {
@@ -323,10 +323,6 @@
 	}
 }
 
-function addressOf(index: number): string {
-	return String(index);
-}
-
 function workspaceOf(name: string, quota: Quota | undefined): Workspace {
 	return {name, keys: [], rank: 0, quota};
 }
--- a/packages/redwingmill-bench/src/quotas/quota-meter.ts
+++ b/packages/redwingmill-bench/src/quotas/quota-meter.ts
@@ -130,7 +130,8 @@
 		const valid = this.#phases.filter(
 			({from}, index) =>
 				from <= now &&
-				(this.#phases.at(index + 1)?.from ?? Number.POSITIVE_INFINITY) + loweringMs + windowMs > now,
+				(this.#phases.at(index + 1)?.from ?? Number.POSITIVE_INFINITY) + loweringMs + windowMs >
+					now,
 		);
 		const bound = Math.max(...valid.map(({quota}) => windowBound(quota, this.#bounds)));
 		const share = this.#admitted.count / bound;
--- a/packages/redwingmill-core/src/model/datagram.ts
+++ b/packages/redwingmill-core/src/model/datagram.ts
@@ -1,5 +1,6 @@
 import {type CrashReport} from '../call/crash-tracker.js';
 import {type WorkerLoad} from '../call/worker-load.js';
+import {type QuotaDatagram} from '../quota/quota-message.js';
 import {type NodeRecord} from './node-record.js';
 import {type DataCentreSummary, type NodeStatus} from './node-status.js';
 
@@ -60,4 +61,6 @@
 	 */
 	| {readonly type: 'departure'; readonly instance: string; readonly startedAt?: number}
 	/** Crashes of workers on a request, or the success of one that was suspected of them. */
-	| {readonly type: 'suspicion'; readonly report: CrashReport};
+	| {readonly type: 'suspicion'; readonly report: CrashReport}
+	/** Counts of workspaces' calls, and what may be admitted of them. */
+	| QuotaDatagram;
--- a/packages/redwingmill-core/src/quota/node-use.ts
+++ b/packages/redwingmill-core/src/quota/node-use.ts
@@ -6,21 +6,19 @@
 
 /** What a server knows of a workspace's calls at one node. */
 export class NodeUse {
+	/** Last grant, and when it was sent; undefined if none was. */
+	granted: {readonly grant: QuotaGrant; readonly at: number} | undefined;
+	/** Calls counted for the node while it is silent, until it reports. */
+	reserved = 0;
 	readonly #demand: RateMeter;
 	#incarnation = 0;
 	#sequence = 0;
 	#epoch = 0;
 	#asked = 0;
 	#admitted = 0;
-	/** Last grant, and when it was sent; undefined if none was. */
-	granted: {readonly grant: QuotaGrant; readonly at: number} | undefined;
-	/** Calls counted for the node while it is silent, until it reports. */
-	reserved = 0;
-	heardAt: number;
 
 	constructor(now: number) {
 		this.#demand = new RateMeter(demandTimeConstantMs, now);
-		this.heardAt = now;
 	}
 
 	get epoch(): number {
@@ -52,7 +50,6 @@
 		this.#epoch = use.epoch;
 		this.#asked = use.asked;
 		this.#admitted = use.admitted;
-		this.heardAt = now;
 		this.#demand.record(asked, now);
 		return {asked, admitted};
 	}
--- a/packages/redwingmill-core/src/quota/peer-uses.ts
+++ b/packages/redwingmill-core/src/quota/peer-uses.ts
@@ -70,7 +70,15 @@
 			return undefined;
 		}
 
-		const use = {incarnation, sequence, entry, at: now, part: 0, reserved: 0, isLevelReserved: false};
+		const use = {
+			incarnation,
+			sequence,
+			entry,
+			at: now,
+			part: 0,
+			reserved: 0,
+			isLevelReserved: false,
+		};
 		this.#uses.set(server, use);
 		const {own: ownPart} = this.parts(own, reach, now);
 		const part = (ownPart * (entry.askedPerSecond + own.least)) / (own.perSecond + own.least);
@@ -99,11 +107,7 @@
 	}
 
 	/** Returns the parts of the quota by demand. */
-	parts(
-		{perSecond, least}: OwnDemand,
-		{peerAge, missingPart}: PeerReach,
-		now: number,
-	): QuotaParts {
+	parts({perSecond, least}: OwnDemand, {peerAge, missingPart}: PeerReach, now: number): QuotaParts {
 		const own = perSecond + least;
 		let heard = own;
 		let silentPart = missingPart;
--- a/packages/redwingmill-core/src/quota/quota-bounds.ts
+++ b/packages/redwingmill-core/src/quota/quota-bounds.ts
@@ -31,7 +31,5 @@
 
 /** Largest number of calls that may run in a window. */
 export function windowBound(quota: Quota, bounds: QuotaBounds): number {
-	return (
-		(quota.perSecond * bounds.windowMs) / 1000 + quota.burst + toleratedExcess(quota, bounds)
-	);
+	return (quota.perSecond * bounds.windowMs) / 1000 + quota.burst + toleratedExcess(quota, bounds);
 }
--- a/packages/redwingmill-core/src/quota/quota-keeper.ts
+++ b/packages/redwingmill-core/src/quota/quota-keeper.ts
@@ -67,6 +67,11 @@
 		return this.#index.byId.size > 0;
 	}
 
+	/** Control address of the data centre's quota server; undefined if none is known. */
+	get serverAddress(): string | undefined {
+		return this.#serverAddress;
+	}
+
 	/** Applies a version of the configuration, and changed knowledge of the mesh. */
 	update(index: QuotaIndex, view: QuotaView, now: number): void {
 		if (index === this.#index && view === this.#view) {
--- a/packages/redwingmill-core/src/quota/quota-ledger.ts
+++ b/packages/redwingmill-core/src/quota/quota-ledger.ts
@@ -6,8 +6,7 @@
 
 /** Decision on a call. */
 export type QuotaDecision =
-	| {readonly type: 'admitted'}
-	| {readonly type: 'refused'; readonly retryAfterMs: number};
+	{readonly type: 'admitted'} | {readonly type: 'refused'; readonly retryAfterMs: number};
 
 /** A workspace as the status page shows it. */
 export type QuotaLine = {
--- a/packages/redwingmill-core/src/quota/quota-view.ts
+++ b/packages/redwingmill-core/src/quota/quota-view.ts
@@ -25,13 +25,15 @@
 	readonly isIsolated: boolean;
 };
 
-const views = new WeakMap<MembersSection['alive'], QuotaView>();
+type KnownView = {readonly records: MembersSection['records']; readonly view: QuotaView};
 
-/** Returns the quota servers, computed once for each list of alive nodes. */
+const views = new WeakMap<MembersSection['alive'], KnownView>();
+
+/** Returns the quota servers. Computed once for each list of nodes. */
 export function quotaViewOf(members: MembersSection, limits: DirectoryLimits): QuotaView {
 	const known = views.get(members.alive);
-	if (known) {
-		return known;
+	if (known?.records === members.records) {
+		return known.view;
 	}
 
 	const isSmall = isSmallMesh(members, limits);
@@ -65,10 +67,11 @@
 		nodeCount,
 		isIsolated: localNodes.length * 2 < (counts.get(dataCentre) ?? 0),
 	};
-	views.set(members.alive, view);
+	views.set(members.alive, {records: members.records, view});
 	return view;
 }
 
 function lowestOf(addresses: readonly string[]): string {
-	return addresses.reduce((lowest, address) => (address < lowest ? address : lowest));
+	const [lowest] = addresses.toSorted();
+	return lowest;
 }
--- a/packages/redwingmill-core/src/quota/server-account.ts
+++ b/packages/redwingmill-core/src/quota/server-account.ts
@@ -144,7 +144,12 @@
 	}
 
 	/** Counts what the server of another data centre has counted. */
-	recordPeer(server: string, demand: QuotaDemand, entry: QuotaDemandEntry, context: Silence & {readonly now: number}): void {
+	recordPeer(
+		server: string,
+		demand: QuotaDemand,
+		entry: QuotaDemandEntry,
+		context: Silence & {readonly now: number},
+	): void {
 		const {now} = context;
 		const state = {own: this.#ownDemand(now), reach: context, now};
 		const difference = this.peers.record(server, demand, entry, state);
@@ -195,7 +200,7 @@
 
 	/** Whether a node needs a new grant. */
 	isGrantDue({granted, epoch, admitted}: NodeUse, now: number): boolean {
-		if (granted === undefined || granted.grant.isOpen !== this.isOpen) {
+		if (granted?.grant.isOpen !== this.isOpen) {
 			return true;
 		}
 
--- a/packages/redwingmill-node/src/call/entry-server.ts
+++ b/packages/redwingmill-node/src/call/entry-server.ts
@@ -177,8 +177,22 @@
 			request.resume();
 			this.#sendTicket(response, lookup.route);
 		} else {
+			this.#admit(arrival, lookup, startedAt);
+		}
+	}
+
+	/** Forwards a call within its workspace's quota, and refuses any other before its body is read. */
+	#admit(arrival: Arrival, lookup: Extract<RouteLookup, {type: 'found'}>, startedAt: number): void {
+		const decision = this.#service.admitToQuota(lookup.workspace);
+		if (decision.type === 'admitted') {
 			this.#forward(arrival, lookup, startedAt);
+			return;
 		}
+
+		const {retryAfterMs} = decision;
+		const outcome = refusalOf(arrival.request, 'quota-exceeded');
+		arrival.request.resume();
+		this.#respond(arrival, {outcome, retryAfterMs, isRetried: false}, startedAt);
 	}
 
 	/** Refuses a call during a stop and asks the caller to retry after {@link restartRetryMs}. */
@@ -229,6 +243,7 @@
 
 				case 'too-large': {
 					const outcome = refusalOf(request, 'body-too-large');
+					this.#service.refundQuota(workspace);
 					// The rest of the body is never read, so nothing can follow on this connection.
 					arrival.open.closeConnection();
 					response.setHeader('connection', 'close');
@@ -237,6 +252,7 @@
 				}
 
 				case 'broken': {
+					this.#service.refundQuota(workspace);
 					request.destroy();
 					break;
 				}
--- a/packages/redwingmill-node/src/call/entry-service.ts
+++ b/packages/redwingmill-node/src/call/entry-service.ts
@@ -13,6 +13,7 @@
 	type AttemptResult,
 	type Endpoint,
 	type NotRunReason,
+	type QuotaDecision,
 	type ReportedLoad,
 	type RoutingTable,
 	type Ticket,
@@ -70,6 +71,7 @@
 	  }
 	| {readonly type: 'refused'; readonly reason: NotRunReason; readonly retryAfterMs?: number};
 
+const withinQuota: QuotaDecision = {type: 'admitted'};
 const routeRetryMs = 1000;
 /** Long enough to fetch the newer version from another node. */
 const behindRetryMs = 300;
@@ -212,6 +214,21 @@
 			: {type: 'refused', reason: 'route-inactive', retryAfterMs: routeRetryMs};
 	}
 
+	/** Takes a call from its workspace's quota. The call that is refused has not run. */
+	admitToQuota(workspace: Workspace | undefined): QuotaDecision {
+		const {quotas} = this.#control;
+		return workspace?.quota === undefined || quotas === undefined
+			? withinQuota
+			: quotas.admit(workspace);
+	}
+
+	/** Gives the credit of a call back that was admitted and ended before an attempt began. */
+	refundQuota(workspace: Workspace | undefined): void {
+		if (workspace?.quota !== undefined) {
+			this.#control.quotas?.refund(workspace);
+		}
+	}
+
 	/**
 	 * Returns the time at which the caller first sent a request, in monotonic milliseconds, and forgets
 	 * an earlier refusal of it.
@@ -333,6 +350,7 @@
 		}
 
 		if (answer?.outcome.type === 'not-run') {
+			this.refundQuota(call.workspace);
 			this.#refusedCalls.recordRefusal(call.requestKey, call.firstTryAt, performance.now());
 		}
 
--- a/packages/redwingmill-node/src/control/control-plane.ts
+++ b/packages/redwingmill-node/src/control/control-plane.ts
@@ -1,6 +1,7 @@
 import {
 	type CrashReport,
 	type NodeRecord,
+	type QuotaDecision,
 	type ReportedLoad,
 	type RoutingTable,
 	type SuspicionReport,
@@ -8,6 +9,7 @@
 	type WorkerLoad,
 } from 'redwingmill-core';
 import {type Teardown} from 'redwingmill-shared';
+import {type Workspace} from 'redwingmill-text';
 import {type Log} from '../observe/log.js';
 import {type Metrics} from '../observe/metrics.js';
 import {type Settings} from '../settings/settings.js';
@@ -36,11 +38,20 @@
 /** Handles a node that has become unresponsive. */
 export type UnresponsiveNodeHandler = (node: string) => void;
 
+/** Decides which calls are within their workspace's quota. */
+export type QuotaGate = {
+	admit: (workspace: Workspace) => QuotaDecision;
+	/** Gives the credit of a call back that wasn't run. */
+	refund: (workspace: Workspace) => void;
+};
+
 /** Control plane, as the rest of the node uses it. */
 export type ControlPlane = {
 	/** Record of this node, as other nodes see it. */
 	readonly self: NodeRecord;
 	readonly routing: RoutingTable;
+	/** Absent where no quotas are kept. */
+	readonly quotas?: QuotaGate;
 	/** Whether this node accepts calls. */
 	readonly isServing: boolean;
 	/**
--- a/packages/redwingmill-node/src/control/store-control-plane.ts
+++ b/packages/redwingmill-node/src/control/store-control-plane.ts
@@ -8,6 +8,7 @@
 	knownNodeCount,
 	longPollMs,
 	mergeStoredCrashes,
+	quotaViewOf,
 	reportsOfStored,
 	type SuspicionReport,
 	type ConfigurationDocument,
@@ -20,6 +21,7 @@
 	type Worker,
 	type WorkerLoad,
 	type CrashReport,
+	type Datagram,
 } from 'redwingmill-core';
 import {Random, type Teardown} from 'redwingmill-shared';
 import {exchange, type ExchangeResult} from '../call/exchange.js';
@@ -38,9 +40,11 @@
 	type CrashReportSource,
 	type DepartureHandler,
 	type LoadHandler,
+	type QuotaGate,
 	type UnresponsiveNodeHandler,
 } from './control-plane.js';
 import {DatagramSocket} from './datagram-socket.js';
+import {QuotaPlane} from './quota-plane.js';
 import {type StorePorts} from './store-ports.js';
 
 const tickIntervalMs = 100;
@@ -66,6 +70,7 @@
 	readonly #log: Log;
 	readonly #metrics: Metrics;
 	readonly #socket: DatagramSocket;
+	readonly #quotas: QuotaPlane | undefined;
 	readonly #history = new ConfigurationHistory();
 	readonly #random: Random;
 	readonly #documentListeners = new Set<(document: ConfigurationDocument) => void>();
@@ -95,12 +100,24 @@
 		});
 		this.#socket = new DatagramSocket({
 			onDatagram: (from, datagram) => {
-				this.#dispatch({type: 'datagram', from, datagram});
+				this.#onDatagram(from, datagram);
 			},
 			onMalformed(from) {
 				log.write(logEvents.malformedDatagram, {from});
 			},
 		});
+		this.#quotas =
+			settings.quotas &&
+			new QuotaPlane({
+				bounds: settings.quotas,
+				self,
+				random,
+				log,
+				metrics,
+				send: (to, datagram) => {
+					this.#socket.send(to, datagram);
+				},
+			});
 	}
 
 	get self(): NodeRecord {
@@ -111,6 +128,10 @@
 		return this.#state.routing;
 	}
 
+	get quotas(): QuotaGate | undefined {
+		return this.#quotas;
+	}
+
 	/** Stays true during a graceful shutdown, so that callers have time to switch to other nodes. */
 	get isServing(): boolean {
 		const {serving, adoption} = this.#state;
@@ -157,6 +178,7 @@
 		});
 		this.#timer = setInterval(() => {
 			this.#dispatch({type: 'tick'});
+			this.#quotas?.tick(this.routing, quotaViewOf(this.#state.members, defaultDirectoryLimits));
 		}, tickIntervalMs);
 		this.#dispatch({type: 'tick'});
 		if (this.#settings.seeds.length > 0) {
@@ -167,6 +189,7 @@
 	async stop(): Promise<void> {
 		this.#isStopped = true;
 		clearInterval(this.#timer);
+		this.#quotas?.close();
 		this.#stopWatch?.();
 		this.#stopEraListener?.();
 		this.#socket.close();
@@ -220,6 +243,7 @@
 			isRegistryKnown: registry.hasBeenListed,
 			storeEra: store.era,
 			routes: routing.routes.length,
+			quotas: this.#quotas?.status,
 			nodes: [...members.records.values()].map((record) => ({
 				...record,
 				lapsedAt: members.peers.get(record.address)?.lapsedAt,
@@ -278,6 +302,21 @@
 		};
 	}
 
+	#onDatagram(from: string, datagram: Datagram): void {
+		switch (datagram.type) {
+			case 'quota-report':
+			case 'quota-reply':
+			case 'quota-demand': {
+				this.#quotas?.receive(from, datagram);
+				break;
+			}
+
+			default: {
+				this.#dispatch({type: 'datagram', from, datagram});
+			}
+		}
+	}
+
 	#dispatch(event: DirectoryEvent): void {
 		if (this.#isStopped) {
 			return;
--- a/packages/redwingmill-node/src/observe/log-event.ts
+++ b/packages/redwingmill-node/src/observe/log-event.ts
@@ -106,6 +106,16 @@
 		level: 'info',
 		message: 'worker says in its responses that it leaves',
 	},
+	quotaServerChanged: {
+		number: 409,
+		level: 'info',
+		message: 'another node keeps the quotas of this data centre',
+	},
+	workspaceLimited: {
+		number: 512,
+		level: 'info',
+		message: 'workspace has used up its quota, its calls are limited',
+	},
 	callFinishedAtEntry: {number: 600, level: 'info', message: 'call finished at the entry node'},
 	callFinishedAtGate: {number: 601, level: 'info', message: 'call finished at the gate'},
 	linesDropped: {number: 602, level: 'warn', message: 'log lines dropped'},
--- a/packages/redwingmill-node/src/observe/metrics.ts
+++ b/packages/redwingmill-node/src/observe/metrics.ts
@@ -91,7 +91,9 @@
 			| 'configuration-unanswered'
 			| 'configuration-refused'
 			| 'watch-renewed'
-			| 'worker-limit-malformed',
+			| 'worker-limit-malformed'
+			| 'quota-limited'
+			| 'quota-opened',
 	): void {
 		increment(this.#controlEvents, event);
 	}
--- a/packages/redwingmill-protocol/src/__tests__/unit/datagram-codec.test.ts
+++ b/packages/redwingmill-protocol/src/__tests__/unit/datagram-codec.test.ts
@@ -1,5 +1,5 @@
 import {expect} from 'chai';
-import {type Datagram} from 'redwingmill-core';
+import {quotaEntriesPerDatagram, type Datagram} from 'redwingmill-core';
 import {decodeDatagram, encodeDatagram, ProtocolError} from '../../index.js';
 
 const datagrams: readonly Datagram[] = [
@@ -106,6 +106,39 @@
 		},
 	},
 	{type: 'suspicion', report: {isCleared: true, fingerprint: 'GET /codes/1'}},
+	{
+		type: 'quota-report',
+		report: {
+			incarnation: 1_764_000_000_000_123,
+			sequence: 7,
+			serverIncarnation: 1_764_000_000_000_124,
+			uses: [
+				{id: 0xff_ff_ff_ff, epoch: 1, asked: 10, admitted: 9},
+				{id: 0, epoch: 70_000, asked: 5_000_000, admitted: 0},
+			],
+		},
+	},
+	{
+		type: 'quota-reply',
+		reply: {
+			incarnation: 3,
+			sequence: 8,
+			grants: [
+				{id: 5, isOpen: true, epoch: 2, admitted: 3, credit: 2.25, perSecond: 0.125},
+				{id: 6, isOpen: false, epoch: 0, admitted: 0, credit: 0, perSecond: 1000},
+			],
+		},
+	},
+	{
+		type: 'quota-demand',
+		demand: {
+			incarnation: 4,
+			sequence: 9,
+			entries: [
+				{id: 7, epoch: 1, admitted: -3, askedPerSecond: 12.5, admittedPerSecond: 3, level: -40},
+			],
+		},
+	},
 ];
 
 describe('datagram codec', () => {
@@ -131,6 +164,56 @@
 		expect(encodeDatagram({...digest, statuses} as Datagram).length).to.be.below(1400);
 	});
 
+	it('encodes as many entries of quotas as fit in one datagram in fewer than 1,200 bytes', () => {
+		const incarnation = 1_764_000_000_000_123;
+		const of = <Entry>(create: (id: number) => Entry) =>
+			Array.from({length: quotaEntriesPerDatagram}, (_, id) => create(id));
+		const datagrams: Datagram[] = [
+			{
+				type: 'quota-report',
+				report: {
+					incarnation,
+					sequence: 100_000,
+					serverIncarnation: incarnation,
+					uses: of((id) => ({id, epoch: 100_000, asked: 1_000_000, admitted: 1_000_000})),
+				},
+			},
+			{
+				type: 'quota-reply',
+				reply: {
+					incarnation,
+					sequence: 100_000,
+					grants: of((id) => ({
+						id,
+						isOpen: true,
+						epoch: 100_000,
+						admitted: 1_000_000,
+						credit: 20_000,
+						perSecond: 2000,
+					})),
+				},
+			},
+			{
+				type: 'quota-demand',
+				demand: {
+					incarnation,
+					sequence: 100_000,
+					entries: of((id) => ({
+						id,
+						epoch: 100_000,
+						admitted: 1_000_000,
+						askedPerSecond: 1600,
+						admittedPerSecond: 1600,
+						level: -8000,
+					})),
+				},
+			},
+		];
+		for (const datagram of datagrams) {
+			expect(encodeDatagram(datagram).length).to.be.below(1200);
+		}
+	});
+
 	it('rejects truncated, malformed and empty datagrams', () => {
 		const bytes = encodeDatagram(datagrams[0]);
 		for (const malformed of [bytes.slice(0, 9), new Uint8Array([1, 2, 3]), new Uint8Array()]) {
--- a/packages/redwingmill-protocol/src/datagram-codec.ts
+++ b/packages/redwingmill-protocol/src/datagram-codec.ts
@@ -3,6 +3,14 @@
 import {decodeCrashReport, encodeCrashReport} from './crash-report-codec.js';
 import {ProtocolError} from './errors.js';
 import * as wire from './generated/redwingmill/v1/datagram_pb.js';
+import {
+	decodeQuotaDemand,
+	decodeQuotaReply,
+	decodeQuotaReport,
+	encodeQuotaDemand,
+	encodeQuotaReply,
+	encodeQuotaReport,
+} from './quota-codec.js';
 import {decodeRecord, encodeRecord} from './record-codec.js';
 
 const hundredthsPerUnit = 100;
@@ -84,6 +92,18 @@
 			return {type: 'suspicion', report: decodeCrashReport(body.value)};
 		}
 
+		case 'quotaReport': {
+			return {type: 'quota-report', report: decodeQuotaReport(body.value)};
+		}
+
+		case 'quotaReply': {
+			return {type: 'quota-reply', reply: decodeQuotaReply(body.value)};
+		}
+
+		case 'quotaDemand': {
+			return {type: 'quota-demand', demand: decodeQuotaDemand(body.value)};
+		}
+
 		case undefined: {
 			throw new ProtocolError('datagram has no body or one of an unknown type');
 		}
@@ -150,6 +170,18 @@
 		case 'suspicion': {
 			return {case: 'suspicion', value: encodeCrashReport(datagram.report)};
 		}
+
+		case 'quota-report': {
+			return {case: 'quotaReport', value: encodeQuotaReport(datagram.report)};
+		}
+
+		case 'quota-reply': {
+			return {case: 'quotaReply', value: encodeQuotaReply(datagram.reply)};
+		}
+
+		case 'quota-demand': {
+			return {case: 'quotaDemand', value: encodeQuotaDemand(datagram.demand)};
+		}
 	}
 }
 
