--- a/packages/redwingmill-bench/src/index.ts
+++ b/packages/redwingmill-bench/src/index.ts
@@ -18,6 +18,11 @@
 export {compareLimits, type LimitComparison} from './simulation/compare-limits.js';
 export {limitLoads, type LimitLoad} from './simulation/limit-loads.js';
 export {type LimitResult} from './simulation/limit-meter.js';
+export {compareQuotas, type QuotaComparison} from './quotas/compare-quotas.js';
+export {countsScheme} from './quotas/counts-scheme.js';
+export {quotaConditions, type QuotaCondition} from './quotas/quota-conditions.js';
+export {QuotaMesh, type QuotaFault, type QuotaPlan} from './quotas/quota-mesh.js';
+export {sumResults, type QuotaResult} from './quotas/quota-meter.js';
 export {plotPolicies} from './simulation/plot-policies.js';
 export {measureNodeCost, type NodeCost, type NodeCostOptions} from './experiments/node-cost.js';
 export {measureNodeStops, type NodeStops, type NodeStopsOptions} from './experiments/node-stops.js';
--- a/packages/redwingmill-core/src/quota/node-use.ts
+++ b/packages/redwingmill-core/src/quota/node-use.ts
@@ -29,7 +29,10 @@
 		return this.#admitted;
 	}
 
-	/** Returns how many calls were asked for and admitted since the last report; undefined for an old one. */
+	/**
+	 * Returns how many calls were asked for and admitted since the last report, less what was set aside
+	 * for a silent node; undefined for an old report.
+	 */
 	onUse(
 		use: QuotaUse,
 		{incarnation, sequence}: {readonly incarnation: number; readonly sequence: number},
@@ -44,7 +47,9 @@
 		}
 
 		const asked = Math.max(0, use.asked - (isSame ? this.#asked : 0));
-		const admitted = use.admitted - (isSame ? this.#admitted : 0);
+		// A node that begins to count anew may have reported to another server what it used meanwhile.
+		const admitted = use.admitted - (isSame ? this.#admitted + this.reserved : 0);
+		this.reserved = 0;
 		this.#incarnation = incarnation;
 		this.#sequence = sequence;
 		this.#epoch = use.epoch;
--- a/packages/redwingmill-core/src/quota/peer-uses.ts
+++ b/packages/redwingmill-core/src/quota/peer-uses.ts
@@ -15,6 +15,9 @@
  */
 const majority = 0.6;
 
+/** Factor by which parts of silent data centres are counted higher, as each side knows the demand inexactly. */
+const partMargin = 1.1;
+
 /** What is known of the reach of the other servers. */
 export type PeerReach = {
 	/** Time since the last message of another server, in milliseconds. */
@@ -117,7 +120,7 @@
 			if (ageMs < cutOffAfterMs) {
 				heard += demandOf(use, now) + least;
 			} else {
-				silentPart += use.part;
+				silentPart += use.part * partMargin;
 				latePart += ageMs > shareHeldMs ? use.part : 0;
 			}
 		}
--- a/packages/redwingmill-core/src/quota/quota-account.ts
+++ b/packages/redwingmill-core/src/quota/quota-account.ts
@@ -16,6 +16,8 @@
 /** A change is reported twice, so that the loss of one datagram doesn't hide it until the next call. */
 const reportsOfChange = 2;
 
+const nothingCounted = {asked: 0, admitted: 0};
+
 /** State of one workspace's quota at an entry: a token bucket that grants of the server refill. */
 export class QuotaAccount {
 	readonly id: number;
@@ -24,6 +26,8 @@
 	asked = 0;
 	admitted = 0;
 	usedAt: number;
+	/** Whether each call has to be reported promptly. */
+	isPrompt = false;
 	/** Sequence of the last reply with a grant for this account. */
 	grantSequence = 0;
 	refused = 0;
@@ -33,8 +37,13 @@
 	#perSecond: number;
 	#at: number;
 	#reportsLeft = 0;
+	/** Capacity before the account was limited for lack of answers. */
+	#openCapacity: number | undefined;
 	/** Counts in the last report. */
-	#reported = {asked: 0, admitted: 0};
+	#reported = nothingCounted;
+	/** Counts in the last report before the last answer, which came in round `#round`. */
+	#answered = nothingCounted;
+	#round = 0;
 
 	constructor(
 		{id, epoch, quota}: {readonly id: number; readonly epoch: number; readonly quota: Quota},
@@ -49,9 +58,10 @@
 		this.#at = now;
 	}
 
-	/** Whether more than half of the credit of an open workspace is used, so that a report is urgent. */
+	/** Whether so much of an open workspace's credit is used that a report is urgent. */
 	get isLow(): boolean {
-		return this.#isOpen && this.#tokens < this.#capacity / 2;
+		const usedUp = this.isPrompt ? 1 : this.#capacity / 2;
+		return this.#isOpen && this.#capacity - this.#tokens >= Math.min(usedUp, this.#capacity / 2);
 	}
 
 	get isOpen(): boolean {
@@ -84,6 +94,28 @@
 		return true;
 	}
 
+	/**
+	 * Reduces what an open account may take at once, while the server doesn't answer. The sum over all
+	 * nodes is otherwise more than a small quota tolerates.
+	 */
+	limit(): void {
+		if (this.#isOpen) {
+			this.#isOpen = false;
+			this.#openCapacity = this.#capacity;
+			this.#capacity = 1 + this.#perSecond * savingSeconds;
+			this.#tokens = Math.min(this.#tokens, this.#capacity);
+		}
+	}
+
+	/** Ends {@link limit}, as the server answers again. */
+	resume(): void {
+		if (this.#openCapacity !== undefined) {
+			this.#isOpen = true;
+			this.#capacity = this.#openCapacity;
+			this.#openCapacity = undefined;
+		}
+	}
+
 	refund(): void {
 		if (this.admitted > 0) {
 			this.admitted -= 1;
@@ -98,19 +130,31 @@
 		return perSecond > 0 ? (Math.max(0, 1 - this.#tokens) * 1000) / perSecond : Infinity;
 	}
 
-	/** Starts to count anew, for a server that lacks the old counts. Calls in no report yet are kept. */
-	restart(epoch: number): void {
+	/**
+	 * Starts to count anew, for a server that lacks the old counts. Calls are kept that no answered report
+	 * has counted.
+	 *
+	 * @param round - number of the last answer of a server.
+	 */
+	restart(epoch: number, round: number): void {
+		const counted = this.#round === round ? this.#answered : this.#reported;
 		this.epoch = epoch;
 		this.grantSequence = 0;
 		this.repeatReport();
-		this.asked -= this.#reported.asked;
-		this.admitted = Math.max(0, this.admitted - this.#reported.admitted);
-		this.#reported = {asked: 0, admitted: 0};
+		this.asked -= counted.asked;
+		this.admitted = Math.max(0, this.admitted - counted.admitted);
+		this.#reported = nothingCounted;
+		this.#answered = nothingCounted;
 	}
 
 	/** Returns the counts for a report. */
-	takeUse(): QuotaUse {
+	takeUse(round: number): QuotaUse {
 		const {id, epoch, asked, admitted} = this;
+		if (round !== this.#round) {
+			this.#round = round;
+			this.#answered = this.#reported;
+		}
+
 		this.#reportsLeft -= 1;
 		this.#reported = {asked, admitted};
 		return {id, epoch, asked, admitted};
@@ -120,6 +164,7 @@
 	applyGrant(grant: QuotaGrant, fraction: number, now: number): void {
 		this.#refill(now, 1);
 		this.#perSecond = grant.perSecond;
+		this.#openCapacity = undefined;
 		if (grant.isOpen) {
 			const used = grant.epoch === this.epoch ? this.admitted - grant.admitted : 0;
 			this.#capacity = grant.credit;
--- a/packages/redwingmill-core/src/quota/quota-bounds.ts
+++ b/packages/redwingmill-core/src/quota/quota-bounds.ts
@@ -33,3 +33,19 @@
 export function windowBound(quota: Quota, bounds: QuotaBounds): number {
 	return (quota.perSecond * bounds.windowMs) / 1000 + quota.burst + toleratedExcess(quota, bounds);
 }
+
+/** Interval of regular reports. */
+const reportIntervalSeconds = 0.1;
+/** Demand that a hot workspace may rise to at once, as a multiple of the quota's rate. */
+export const largestSuddenRate = 5;
+/** Share of the tolerated excess that calls between two regular reports may use. */
+const unreportedShare = 0.4;
+
+/**
+ * Whether every call has to be reported promptly: between two regular reports the demand could rise by
+ * more than the bounds tolerate. So it is with high rates and small bursts.
+ */
+export function needsPromptReports(quota: Quota, bounds: QuotaBounds): boolean {
+	const unreported = largestSuddenRate * quota.perSecond * reportIntervalSeconds;
+	return unreported > unreportedShare * toleratedExcess(quota, bounds) + quota.burst / 2;
+}
--- a/packages/redwingmill-core/src/quota/quota-keeper.ts
+++ b/packages/redwingmill-core/src/quota/quota-keeper.ts
@@ -54,7 +54,7 @@
 		this.#address = address;
 		this.#incarnation = incarnation;
 		this.#bounds = bounds;
-		this.#ledger = new QuotaLedger({incarnation, random});
+		this.#ledger = new QuotaLedger({incarnation, bounds, random});
 	}
 
 	/** Whether a report should be sent soon by {@link report}, before the next tick. */
@@ -93,7 +93,9 @@
 			this.#server = new QuotaServer({incarnation, bounds: this.#bounds}, now);
 		}
 
-		this.#server.setLimits(index, {nodes: view.localNodes.length, peers: view.peers});
+		const nodes = view.localNodes.length;
+		const lapsedShare = (view.localCount - Math.min(nodes, view.localCount)) / view.nodeCount;
+		this.#server.setLimits(index, {nodes, lapsedShare, peers: view.peers});
 	}
 
 	admit(workspace: Workspace, now: number): QuotaDecision {
@@ -166,8 +168,8 @@
 	 * instead of taking itself for the server.
 	 */
 	#followServer(view: QuotaView, now: number): void {
-		const isKept = view.isIsolated || view.server === undefined;
-		if (!isKept && view.server !== this.#serverAddress) {
+		const isIsolated = view.localNodes.length * 2 < view.localCount;
+		if (!isIsolated && view.server !== undefined && view.server !== this.#serverAddress) {
 			this.#serverAddress = view.server;
 			this.#ledger.onServerChange(now);
 		}
--- a/packages/redwingmill-core/src/quota/quota-ledger.ts
+++ b/packages/redwingmill-core/src/quota/quota-ledger.ts
@@ -1,6 +1,7 @@
 import {type Random} from 'redwingmill-shared';
 import {type Workspace} from 'redwingmill-text';
 import {lateShare, QuotaAccount, shareHeldMs} from './quota-account.js';
+import {needsPromptReports, type QuotaBounds} from './quota-bounds.js';
 import {emptyQuotaIndex, type QuotaIndex} from './quota-index.js';
 import {partsOf, type QuotaReply, type QuotaReport} from './quota-message.js';
 
@@ -23,15 +24,25 @@
 const ungrantedShare = 0.5;
 /** Sign of life to the server while accounts exist, so that it keeps a share free only for silent nodes. */
 const aliveIntervalMs = 500;
-/** Time without an answer after which reports count as lost and are repeated. Servers answer after 500 ms. */
-const lostAfterMs = 1000;
+/**
+ * Time without an answer after which open accounts are limited, and their reports are repeated when the
+ * server answers again. It answers within 150 ms.
+ */
+const limitedAfterMs = 400;
 const shortestRetryMs = 200;
 const longestRetryMs = 5000;
 const admitted: QuotaDecision = {type: 'admitted'};
 
+export type QuotaLedgerOptions = {
+	readonly incarnation: number;
+	readonly bounds: QuotaBounds;
+	readonly random: Random;
+};
+
 /** Decides at an entry which calls are within their workspace's quota. */
 export class QuotaLedger {
 	readonly #incarnation: number;
+	readonly #bounds: QuotaBounds;
 	readonly #random: Random;
 	#accounts = new Map<string, QuotaAccount>();
 	#index: QuotaIndex = emptyQuotaIndex;
@@ -42,10 +53,13 @@
 	#reportedAt = Number.NEGATIVE_INFINITY;
 	/** Since when reports are unanswered, in monotonic milliseconds; undefined if none is. */
 	#unansweredSince: number | undefined;
+	/** Number of answers. */
+	#round = 0;
 	#isUrgent = false;
 
-	constructor({incarnation, random}: {readonly incarnation: number; readonly random: Random}) {
+	constructor({incarnation, bounds, random}: QuotaLedgerOptions) {
 		this.#incarnation = incarnation;
+		this.#bounds = bounds;
 		this.#random = random;
 	}
 
@@ -80,6 +94,7 @@
 			const entry = index.byName.get(name);
 			if (entry?.id === account.id) {
 				account.applyQuota(entry.quota);
+				account.isPrompt = needsPromptReports(entry.quota, this.#bounds);
 			} else {
 				this.#accounts.delete(name);
 			}
@@ -93,7 +108,7 @@
 		this.#serverIncarnation = 0;
 		for (const [name, account] of previous) {
 			if (now - account.usedAt < shareHeldMs) {
-				account.restart(this.#nextEpoch());
+				account.restart(this.#nextEpoch(), this.#round);
 				this.#accounts.set(name, account);
 			}
 		}
@@ -134,19 +149,25 @@
 		const changed = [];
 		for (const [name, account] of this.#accounts) {
 			if (account.isReportDue) {
-				changed.push(account.takeUse());
+				changed.push(account.takeUse(this.#round));
 			} else if (now - account.usedAt > accountIdleMs) {
 				this.#accounts.delete(name);
 			}
 		}
 
-		const isAliveDue = this.#accounts.size > 0 && now - this.#reportedAt >= aliveIntervalMs;
-		if (changed.length === 0 && !isAliveDue) {
+		const isAliveDue =
+			this.#unansweredSince !== undefined || now - this.#reportedAt >= aliveIntervalMs;
+		if (changed.length === 0 && (!isAliveDue || this.#accounts.size === 0)) {
 			return [];
 		}
 
 		this.#reportedAt = now;
 		this.#unansweredSince ??= now;
+		if (now - this.#unansweredSince >= limitedAfterMs) {
+			for (const account of this.#accounts.values()) {
+				account.limit();
+			}
+		}
 
 		return partsOf(changed).map((uses) => {
 			this.#sequence += 1;
@@ -169,13 +190,14 @@
 		}
 
 		this.#serverIncarnation = incarnation;
-		if (this.#unansweredSince !== undefined && now - this.#unansweredSince > lostAfterMs) {
-			for (const account of this.#accounts.values()) {
-				account.repeatReport();
-			}
+		const unansweredMs = now - (this.#unansweredSince ?? now);
+		for (const account of unansweredMs >= limitedAfterMs ? this.#accounts.values() : []) {
+			account.resume();
+			account.repeatReport();
 		}
 
 		this.#unansweredSince = undefined;
+		this.#round += 1;
 		for (const grant of grants) {
 			const entry = this.#index.byId.get(grant.id);
 			const account = entry && (this.#accounts.get(entry.name) ?? this.#open(entry.name, now));
@@ -194,6 +216,7 @@
 
 		const perSecond = (entry.quota.perSecond / this.#nodeCount) * ungrantedShare;
 		const account = new QuotaAccount({...entry, epoch: this.#nextEpoch()}, perSecond, now);
+		account.isPrompt = needsPromptReports(entry.quota, this.#bounds);
 		this.#accounts.set(name, account);
 		return account;
 	}
--- a/packages/redwingmill-core/src/quota/quota-server.ts
+++ b/packages/redwingmill-core/src/quota/quota-server.ts
@@ -1,4 +1,5 @@
 import {capacityOf, type QuotaBounds} from './quota-bounds.js';
+import {shareHeldMs} from './quota-account.js';
 import {emptyQuotaIndex, type QuotaIndex} from './quota-index.js';
 import {
 	partsOf,
@@ -21,6 +22,8 @@
 const aliveIntervalMs = 500;
 /** A node or server that is silent for longer is forgotten. */
 const forgottenAfterMs = 60_000;
+/** A node that gets no reply for longer limits itself, so those that report get one at least this often. */
+const replyIntervalMs = 150;
 /** Grants of a limited workspace are repeated to all nodes, as some may have missed them. */
 const repeatPushMs = 1000;
 
@@ -30,6 +33,8 @@
 export type QuotaReach = {
 	/** Nodes of the data centre that are alive. */
 	readonly nodes: number;
+	/** Share of the nodes that are known in the data centre but aren't alive, in all that are known. */
+	readonly lapsedShare: number;
 	/** The other data centres by name, reachable or not. */
 	readonly peers: ReadonlyMap<string, QuotaPeer>;
 };
@@ -61,8 +66,10 @@
 	#changes: QuotaChange[] = [];
 	#index: QuotaIndex = emptyQuotaIndex;
 	#sequence = 0;
+	/** Time of the last tick. */
+	#now: number;
 	#epoch = 0;
-	#reach: QuotaReach = {nodes: 1, peers: new Map()};
+	#reach: QuotaReach = {nodes: 1, lapsedShare: 0, peers: new Map()};
 	#demandSentAt = Number.NEGATIVE_INFINITY;
 	#isDemandUrgent = false;
 
@@ -73,6 +80,7 @@
 		this.#incarnation = incarnation;
 		this.#bounds = bounds;
 		this.#startedAt = now;
+		this.#now = now;
 	}
 
 	/** Number of workspaces with recent calls. */
@@ -135,11 +143,7 @@
 		}
 
 		this.#nodes.set(node, {incarnation: report.incarnation, heardAt: now});
-		if (this.#silentNodes.delete(node)) {
-			for (const account of this.#accounts.values()) {
-				account.release(node);
-			}
-		}
+		this.#silentNodes.delete(node);
 
 		// Counts that the node began for an earlier start of this server may be old.
 		const {serverIncarnation} = report;
@@ -189,7 +193,7 @@
 		}
 
 		const repliedAt = this.#repliedAt.get(node) ?? Number.NEGATIVE_INFINITY;
-		return grants.length > 0 || now - repliedAt >= aliveIntervalMs
+		return grants.length > 0 || now - repliedAt >= replyIntervalMs
 			? this.#repliesTo(node, grants, now)
 			: [];
 	}
@@ -225,6 +229,12 @@
 
 	/** Advances all accounts. To be called every 100 ms. */
 	tick(now: number): void {
+		const wasSettled = this.#isSettled;
+		this.#now = now;
+		if (wasSettled !== this.#isSettled) {
+			this.#updateMissingPart();
+		}
+
 		for (const [node, {heardAt}] of this.#nodes) {
 			if (now - heardAt > forgottenAfterMs) {
 				this.#forget(node);
@@ -318,9 +328,15 @@
 		}
 	}
 
+	/** Whether the server has been there for longer than nodes keep their whole share without it. */
+	get #isSettled(): boolean {
+		return this.#now - this.#startedAt > shareHeldMs;
+	}
+
 	#updateMissingPart(): void {
 		const heard = new Set([...this.#peers.keys()].map((server) => this.#dataCentres.get(server)));
-		this.#missingPart = 0;
+		// Of nodes that lapsed before this server started it doesn't know what they may use.
+		this.#missingPart = this.#isSettled ? 0 : this.#reach.lapsedShare;
 		for (const [dataCentre, {share}] of this.#reach.peers) {
 			this.#missingPart += heard.has(dataCentre) ? 0 : share;
 		}
--- a/packages/redwingmill-core/src/quota/quota-view.ts
+++ b/packages/redwingmill-core/src/quota/quota-view.ts
@@ -19,10 +19,10 @@
 	readonly peers: ReadonlyMap<string, QuotaPeer>;
 	/** Nodes of the data centre that are alive. */
 	readonly localNodes: readonly string[];
+	/** Number of nodes known in the data centre, also of those that are cut off. */
+	readonly localCount: number;
 	/** Number of nodes known in the whole mesh, also of those that are cut off. */
 	readonly nodeCount: number;
-	/** Whether most of the nodes known in the data centre are unreachable, so that this one may be cut off. */
-	readonly isIsolated: boolean;
 };
 
 type KnownView = {readonly records: MembersSection['records']; readonly view: QuotaView};
@@ -65,7 +65,7 @@
 		peers,
 		localNodes,
 		nodeCount,
-		isIsolated: localNodes.length * 2 < (counts.get(dataCentre) ?? 0),
+		localCount: counts.get(dataCentre) ?? 1,
 	};
 	views.set(members.alive, {records: members.records, view});
 	return view;
--- a/packages/redwingmill-core/src/quota/server-account.ts
+++ b/packages/redwingmill-core/src/quota/server-account.ts
@@ -1,6 +1,6 @@
 import {type Quota} from 'redwingmill-text';
 import {lateShare, shareHeldMs} from './quota-account.js';
-import {capacityOf, toleratedExcess, type QuotaBounds} from './quota-bounds.js';
+import {capacityOf, largestSuddenRate, toleratedExcess, type QuotaBounds} from './quota-bounds.js';
 import {type QuotaDemand, type QuotaDemandEntry, type QuotaGrant} from './quota-message.js';
 import {NodeUse} from './node-use.js';
 import {PeerUses, type OwnDemand, type QuotaParts} from './peer-uses.js';
@@ -13,16 +13,14 @@
 const admittedTimeConstantMs = 500;
 /** Demand may rise by this factor at once: a hot workspace asks for 7.5 times its usual rate. */
 const largestRise = 8;
-/** Largest demand that is expected while there is no sign of it, as a multiple of the quota's rate. */
-const largestSuddenRate = 5;
 /** Demand that is expected while there is a sign of it, as a multiple of the present one. */
 const riseMargin = 1.5;
 /** Time from a call at an entry until all entries of its data centre know that the workspace is limited. */
 const reactionSeconds = 0.06;
 /** Share of the tolerated excess by which an open workspace may be overdrawn within the reaction time. */
-const overdraftShare = 0.45;
+const overdraftShare = 0.4;
 /** The same share at which a limited workspace opens again; the difference prevents fast alternation. */
-const reopeningShare = 0.35;
+const reopeningShare = 0.3;
 const shortestLimitedMs = 300;
 /** Level that the rates of a limited workspace aim at, as a share of the tolerated excess. */
 const targetShare = -0.1;
@@ -134,15 +132,6 @@
 		this.#admittedRate.record(Math.max(0, admitted), now);
 	}
 
-	/** Gives back what was set aside for a node that is heard from again: its own counts follow. */
-	release(node: string): void {
-		const use = this.nodes.get(node);
-		if (use) {
-			this.#level += use.reserved;
-			use.reserved = 0;
-		}
-	}
-
 	/** Counts what the server of another data centre has counted. */
 	recordPeer(
 		server: string,
