--- a/packages/redwingmill-bench/src/main.ts
+++ b/packages/redwingmill-bench/src/main.ts
@@ -9,6 +9,7 @@
 import {evenLoadCommand} from './commands/even-load-command.js';
 import {limitsCommand} from './commands/limits-command.js';
 import {policiesCommand} from './commands/policies-command.js';
+import {quotasCommand} from './commands/quotas-command.js';
 
 const tool = subcommands({
 	name: 'redwingmill-bench',
@@ -22,6 +23,7 @@
 		policies: policiesCommand,
 		limits: limitsCommand,
 		'even-load': evenLoadCommand,
+		quotas: quotasCommand,
 	},
 });
 
--- a/packages/redwingmill-core/src/index.ts
+++ b/packages/redwingmill-core/src/index.ts
@@ -71,6 +71,7 @@
 export * from './call/worker-report.js';
 export type {NoticeChange} from './call/worker-notices.js';
 export {allowanceOfNode, RetryBudget, type RetryAllowance} from './call/retry-budget.js';
+export * from './quota/index.js';
 export * from './rollout/rollout.js';
 export {matchRoute} from './call/route-matcher.js';
 export {WorkspaceIndex, workspaceIndexOf, type Authorization} from './call/workspace-index.js';
--- a/packages/redwingmill-node/src/observe/log-event.ts
+++ b/packages/redwingmill-node/src/observe/log-event.ts
@@ -85,6 +85,11 @@
 		level: 'info',
 		message: 'poll of the configuration store abandoned',
 	},
+	quotaServerChanged: {
+		number: 409,
+		level: 'info',
+		message: 'another node keeps the quotas of this data centre',
+	},
 	workerUnreachable: {
 		number: 504,
 		level: 'warn',
@@ -101,15 +106,20 @@
 		level: 'warn',
 		message: 'worker states a limit that cannot be read',
 	},
+	workerLeaving: {
+		number: 511,
+		level: 'info',
+		message: 'worker says in its responses that it leaves',
+	},
 	workerLoadMalformed: {
 		number: 512,
 		level: 'warn',
 		message: 'worker reports a load that cannot be read',
 	},
-	workerLeaving: {
-		number: 511,
+	workspaceLimited: {
+		number: 513,
 		level: 'info',
-		message: 'worker says in its responses that it leaves',
+		message: 'workspace has used up its quota, its calls are limited',
 	},
 	callFinishedAtEntry: {number: 600, level: 'info', message: 'call finished at the entry node'},
 	callFinishedAtGate: {number: 601, level: 'info', message: 'call finished at the gate'},
--- a/packages/redwingmill-node/src/observe/metrics.ts
+++ b/packages/redwingmill-node/src/observe/metrics.ts
@@ -92,7 +92,9 @@
 			| 'configuration-refused'
 			| 'watch-renewed'
 			| 'worker-limit-malformed'
-			| 'worker-load-malformed',
+			| 'worker-load-malformed'
+			| 'quota-limited'
+			| 'quota-opened',
 	): void {
 		increment(this.#controlEvents, event);
 	}
