A rollout's decider stays until it hears of another one

Seen in the simulated mesh of 9 nodes: with the store down, a version stayed in use for more than 300 ms after its verdict. Cause: while the long polls of the nodes ended one after the other, each node took another one for the first that still reached the store, so none decided. Change: the node that announced the stage in force goes on until it receives one of another node. Tests of rollouts in the simulated mesh of 9 and 60 nodes: deciders killed, store down, answers lost, data centre cut off, two deciders, orders removed, replaced and repeated, era changes, crossed final states, and random faults. Tests of the choice of versions.

--- a/packages/redwingmill-core/src/directory/rollout-role.ts
+++ b/packages/redwingmill-core/src/directory/rollout-role.ts
@@ -30,11 +30,14 @@
 		return false;
 	}
 
+	// Continues until it receives a stage from another one, so that a change of roles leaves no gap.
+	if (held.stage.decider === address) {
+		return true;
+	}
+
 	const summaryMs = scaledByDataCentre(limits.summaryIntervalMs, members, limits);
 	const timeoutMs = Math.max(limits.rolloutDeciderTimeoutMs, summaryMs * missedSummaries);
-	const isSilent =
-		now - held.heldAt > limits.rolloutAnnouncementIntervalMs * missedAnnouncements &&
-		held.stage.decider !== address;
+	const isSilent = now - held.heldAt > limits.rolloutAnnouncementIntervalMs * missedAnnouncements;
 	const candidates = rankingOf(members, limits).filter(
 		(candidate) => !(isSilent && candidate === held.stage.decider),
 	);
--- a/test/support/fake-directory-mesh.ts
+++ b/test/support/fake-directory-mesh.ts
@@ -9,15 +9,20 @@
 	type SuspicionReport,
 	type ConfigurationDocument,
 	type CrashReport,
+	type CreateDecider,
 	type Datagram,
 	type Directory,
 	type DirectoryEffect,
 	type DirectoryEvent,
 	type NodeRecord,
+	type RolloutBounds,
+	type StoredRollout,
+	type StoredStatus,
 	type WorkerState,
 } from 'redwingmill-core';
 import {Random} from 'redwingmill-shared';
 import {VirtualClock} from 'redwingmill-bench';
+import {FakeRolloutStore, type RolloutObject, type StatusFault} from './fake-rollout-store.js';
 
 /** One incarnation of a node in the simulated mesh. */
 export type DirectoryNode = {
@@ -29,6 +34,8 @@
 	isPaused: boolean;
 	/** Long poll in progress, or the read before it; absent while the node doesn't watch the store. */
 	poll?: {isSilenced: boolean; readonly waitsForChange: boolean};
+	/** Notices for operators in this incarnation. */
+	readonly notices: Array<Extract<DirectoryEffect, {type: 'notify'}>['notice']>;
 };
 
 /** Crash report as the directory passes it to its node. */
@@ -64,6 +71,7 @@
 	readonly registry: ReadonlyMap<string, NodeRecord>;
 	readonly document: ConfigurationDocument | undefined;
 	readonly crashes: readonly StoredCrashes[];
+	readonly rollouts: ReadonlyMap<string, RolloutObject>;
 };
 
 /** Which nodes can reach each other and the store. */
@@ -106,6 +114,15 @@
 	crashStoreCalls = 0;
 	/** Number of attempts to read the configuration from the store. */
 	configurationReads = 0;
+	/** Bounds on rollouts in the settings of nodes that start; absent where none are ordered. */
+	rolloutBounds: RolloutBounds | undefined;
+	/** Decides on the stages of rollouts at nodes that start. */
+	createDecider: CreateDecider | undefined;
+	/** Number of attempts to list orders or write their status. */
+	rolloutStoreCalls = 0;
+	/** What becomes of the writes of a status that reach the store. */
+	statusFault: StatusFault = {type: 'none'};
+	readonly #rollouts = new FakeRolloutStore();
 	/** Reachability in force; tests replace it to partition the mesh. */
 	reachability: Reachability = fullReachability;
 	readonly #random: Random;
@@ -143,12 +160,17 @@
 		};
 		const node: DirectoryNode = {
 			address,
-			directory: createDirectory(initialDirectoryState(self, this.clock.now), {
-				limits: defaultDirectoryLimits,
-				seeds,
-				random: new Random(incarnation + address.length),
-			}),
+			directory: createDirectory(
+				initialDirectoryState(self, this.clock.now, this.rolloutBounds),
+				{
+					limits: defaultDirectoryLimits,
+					seeds,
+					random: new Random(incarnation + address.length),
+				},
+				this.createDecider,
+			),
 			versions: [],
+			notices: [],
 			isUp: true,
 			isPaused: false,
 		};
@@ -166,8 +188,15 @@
 		this.#node(address).isUp = false;
 	}
 
-	announceWorker(address: string, state: WorkerState, service = 'coding'): void {
-		const worker = {service, address: `worker of ${address}`, slots, state, instance: address};
+	announceWorker(address: string, state: WorkerState, service = 'coding', version?: string): void {
+		const worker = {
+			service,
+			address: `worker of ${address}`,
+			slots,
+			state,
+			instance: address,
+			...(version !== undefined && {version}),
+		};
 		this.dispatch(this.#node(address), {type: 'worker-changed', worker});
 	}
 
@@ -197,6 +226,7 @@
 			registry: new Map(this.#registry),
 			document: this.storedState,
 			crashes: this.#storedCrashes,
+			rollouts: this.#rollouts.copy(),
 		};
 	}
 
@@ -205,13 +235,15 @@
 	 * their polls waiting for changes that the new history doesn't have.
 	 */
 	returnFrom(
-		{registry, document, crashes}: StoreCopy,
+		{registry, document, crashes, rollouts}: StoreCopy,
 		{leavesPolls = false}: {leavesPolls?: boolean} = {},
 	): void {
 		this.storeEra += 1;
 		this.#registry = new Map(registry);
 		this.storedState = document;
 		this.#storedCrashes = crashes;
+		this.#rollouts.restore(rollouts);
+		this.#notifyOfRollouts();
 		for (const node of this.nodes.values()) {
 			if (leavesPolls && node.poll) {
 				node.poll.isSilenced = true;
@@ -221,6 +253,23 @@
 		}
 	}
 
+	/** Orders a rollout as an operator does. */
+	orderRollout(service: string, targetVersion: string, durationMs: number): void {
+		this.#rollouts.order(service, targetVersion, durationMs, this.clock.now);
+		this.#notifyOfRollouts();
+	}
+
+	/** Removes the order of a service. */
+	withdrawRollout(service: string): void {
+		this.#rollouts.remove(service);
+		this.#notifyOfRollouts();
+	}
+
+	/** Returns the status of a service's order in the store. */
+	storedStatus(service: string): StoredStatus | undefined {
+		return this.#rollouts.read(service, this.storeEra, this.clock.now)?.status;
+	}
+
 	/** Control addresses of the nodes whose records the store has, sorted. */
 	get registeredNodes(): string[] {
 		return [...this.#registry.keys()].toSorted();
@@ -339,6 +388,7 @@
 				node.poll = undefined;
 				if (effect.isOn) {
 					this.#readStore(node);
+					this.#listRollouts(node, true);
 				}
 
 				break;
@@ -373,9 +423,23 @@
 				break;
 			}
 
-			case 'loads-heard':
-			case 'node-silent':
+			case 'list-rollouts': {
+				this.#listRollouts(node, false);
+				break;
+			}
+
+			case 'write-rollout-status': {
+				this.#writeStatus(node, effect.rollout, effect.status);
+				break;
+			}
+
 			case 'notify': {
+				node.notices.push(effect.notice);
+				break;
+			}
+
+			case 'loads-heard':
+			case 'node-silent': {
 				break;
 			}
 		}
@@ -410,6 +474,72 @@
 		});
 	}
 
+	/** Has the nodes that watch the store list the orders. */
+	#notifyOfRollouts(): void {
+		for (const node of this.nodes.values()) {
+			if (node.directory.blackboard.watch.isOn) {
+				this.#listRollouts(node, true);
+			}
+		}
+	}
+
+	/** Lists the orders for a node, until that succeeds if `isRetried` is set. */
+	#listRollouts(node: DirectoryNode, isRetried: boolean): void {
+		if (node.directory.blackboard.rollouts.bounds === undefined || !node.isUp) {
+			return;
+		}
+
+		this.rolloutStoreCalls += 1;
+		const isReached = this.reachability.canReachStore(node.address);
+		this.clock.after(storeLatencyMs, () => {
+			if (isReached) {
+				const {now} = this.clock;
+				this.dispatch(node, {type: 'store-era', era: this.storeEra});
+				this.dispatch(node, {
+					type: 'rollouts-listed',
+					era: this.storeEra,
+					revision: this.#rollouts.revision,
+					rollouts: this.#rollouts.list(this.storeEra, now),
+				});
+			} else if (isRetried) {
+				this.clock.after(retryMs, () => {
+					this.#listRollouts(node, node.directory.blackboard.watch.isOn);
+				});
+			}
+		});
+	}
+
+	#writeStatus(node: DirectoryNode, rollout: StoredRollout, status: StoredStatus): void {
+		this.rolloutStoreCalls += 1;
+		const isReached = this.reachability.canReachStore(node.address);
+		const {statusFault} = this;
+		const write = () => {
+			const isCurrent = rollout.order.era === this.storeEra;
+			const result = isCurrent
+				? this.#rollouts.writeStatus(rollout, status, this.clock.now)
+				: ({type: 'conflict'} as const);
+			if (result.type === 'written') {
+				this.#notifyOfRollouts();
+			}
+
+			return result;
+		};
+
+		this.clock.after(storeLatencyMs, () => {
+			if (!isReached) {
+				const result = {type: 'failed'} as const;
+				this.dispatch(node, {type: 'rollout-status-written', rollout, status, result});
+			} else if (statusFault.type === 'none') {
+				const result = write();
+				this.dispatch(node, {type: 'rollout-status-written', rollout, status, result});
+			} else {
+				this.clock.after(statusFault.delayMs, write);
+				const result = {type: 'failed'} as const;
+				this.dispatch(node, {type: 'rollout-status-written', rollout, status, result});
+			}
+		});
+	}
+
 	/** Reads the configuration for a node that watches the store, and begins its next poll. */
 	#readStore(node: DirectoryNode): void {
 		const isReached = this.reachability.canReachStore(node.address);
