--- a/packages/redwingmill-core/src/directory/rollout-decision-controller.ts
+++ b/packages/redwingmill-core/src/directory/rollout-decision-controller.ts
@@ -66,7 +66,12 @@
 	#run(update: DirectoryUpdate, held: HeldRollout, context: DirectoryContext): void {
 		const {service} = held.stage.order;
 		if (isSettled(update, held, context) || !isDecider(update.pending, held, context)) {
-			this.#deciding.delete(service);
+			if (this.#deciding.delete(service) && !isFinal(held.stage.state)) {
+				const totals = new Map(update.pending.rollouts.totals);
+				totals.delete(service);
+				update.set('rollouts', {totals});
+			}
+
 			return;
 		}
 
@@ -170,7 +175,14 @@
 		}
 
 		const {stage, isWithdrawn} = held;
-		const {address} = update.pending.members.self;
+		const {service} = stage.order;
+		const {rollouts, members} = update.pending;
+		const {address} = members.self;
+		const totals = this.#deciding.get(service)?.evidence.totals();
+		if (totals) {
+			update.set('rollouts', {totals: new Map(rollouts.totals).set(service, totals)});
+		}
+
 		const repeated = {
 			...stage,
 			elapsedMs: elapsedMsOf(held, now),
--- a/packages/redwingmill-core/src/directory/rollout-evidence-parts.ts
+++ b/packages/redwingmill-core/src/directory/rollout-evidence-parts.ts
@@ -1,4 +1,5 @@
 import {type RouteRuns, type WorkerEvidence} from '../rollout/rollout.js';
+import {type VersionTotals} from './rollouts-section.js';
 
 /** Puts together the evidence of workers whose routes arrive in several datagrams. */
 export class EvidenceParts {
@@ -25,4 +26,33 @@
 		this.#byWorker.set(key, merged);
 		return merged;
 	}
+
+	/** Returns the sums over all workers of each version, by version. */
+	totals(): VersionTotals[] {
+		const evidence = [...this.#byWorker.values()];
+		return [...new Set(evidence.map(({version}) => version))]
+			.map((version) =>
+				totalsOf(
+					version,
+					evidence.filter((each) => each.version === version),
+				),
+			)
+			.toSorted((a, b) => (a.version < b.version ? -1 : 1));
+	}
+}
+
+function totalsOf(version: string, evidence: readonly WorkerEvidence[]): VersionTotals {
+	let runs = 0;
+	let failures = 0;
+	let logSum = 0;
+	for (const route of evidence.flatMap(({routes}) => routes)) {
+		runs += route.runs;
+		failures += route.failures;
+		logSum += route.logSum;
+	}
+
+	const successes = runs - failures;
+	const meanMs = successes > 0 ? Math.exp(logSum / successes) : 0;
+	const workers = new Set(evidence.map(({worker}) => worker)).size;
+	return {version, workers, runs, failures, meanMs};
 }
--- a/packages/redwingmill-core/src/directory/rollouts-section.ts
+++ b/packages/redwingmill-core/src/directory/rollouts-section.ts
@@ -49,6 +49,16 @@
 	readonly wholeSentAt: number;
 };
 
+/** Runs of all workers of one version since an order, as its decider knows them. */
+export type VersionTotals = {
+	readonly version: string;
+	readonly workers: number;
+	readonly runs: number;
+	readonly failures: number;
+	/** Geometric mean of the run times of successful runs in milliseconds; 0 without any. */
+	readonly meanMs: number;
+};
+
 /** Rollouts that this node knows of, by service. */
 export type RolloutsSection = {
 	/** Absent where operators order no rollouts; the section is then not used. */
@@ -61,6 +71,8 @@
 	/** Revisions of the objects whose orders were refused, each of which is reported once. */
 	readonly refused: ReadonlyMap<string, number>;
 	readonly sent?: SentEvidence;
+	/** Evidence by version; only on the node that decides. */
+	readonly totals: ReadonlyMap<string, readonly VersionTotals[]>;
 };
 
 export const emptyRollouts: RolloutsSection = {
@@ -68,6 +80,7 @@
 	stored: new Map(),
 	writing: new Map(),
 	refused: new Map(),
+	totals: new Map(),
 };
 
 export function isFinal(state: RolloutState): boolean {
@@ -134,3 +147,41 @@
 		(!rollout.isWithdrawn || rollout.stage.state === rolloutStates.rolledBack);
 	return isInForce ? rollout.stage : undefined;
 }
+
+/** A rollout as operators see it on a node. */
+export type RolloutView = {
+	readonly service: string;
+	readonly targetVersion: string;
+	readonly state: RolloutState;
+	readonly isWithdrawn: boolean;
+	readonly share: number;
+	readonly elapsedMs: number;
+	readonly durationMs: number;
+	/** Time since the state last changed. */
+	readonly changedMsAgo: number;
+	readonly decider: string;
+	readonly reason: string;
+	/** Empty on nodes other than the decider. */
+	readonly evidence: readonly VersionTotals[];
+};
+
+/** Returns the rollouts that a node knows of, for operators. */
+export function rolloutViews({held, totals}: RolloutsSection, now: number): RolloutView[] {
+	return [...held].map(([service, rollout]) => {
+		const {stage, isWithdrawn, changedAt} = rollout;
+		const {order, state, share, decider, reason} = stage;
+		return {
+			service,
+			targetVersion: order.targetVersion,
+			state,
+			isWithdrawn,
+			share,
+			elapsedMs: Math.round(elapsedMsOf(rollout, now)),
+			durationMs: order.durationMs,
+			changedMsAgo: Math.round(now - changedAt),
+			decider,
+			reason,
+			evidence: totals.get(service) ?? [],
+		};
+	});
+}
--- a/packages/redwingmill-core/src/index.ts
+++ b/packages/redwingmill-core/src/index.ts
@@ -76,9 +76,11 @@
 export {createDirectory, type Directory} from './directory/create-directory.js';
 export {type CreateDecider, type Decider} from './directory/rollout-decisions.js';
 export {
+	rolloutViews,
 	routingStageOf,
 	type HeldRollout,
 	type RolloutsSection,
+	type RolloutView,
 	type StoredRollout,
 	type StoredStatus,
 } from './directory/rollouts-section.js';
--- a/packages/redwingmill-ctl/src/commands/node-commands.ts
+++ b/packages/redwingmill-ctl/src/commands/node-commands.ts
@@ -5,6 +5,7 @@
 import {jsonFlag, nodeAddress, nodeOption, print, printJson} from './common.js';
 
 type RouteStatus = NodeStatus['routes'][number];
+type RolloutStatus = NonNullable<NodeStatus['rollouts']>[number];
 
 export const routesCommand = command({
 	name: 'routes',
@@ -75,6 +76,25 @@
 	},
 });
 
+export const rolloutsCommand = command({
+	name: 'rollouts',
+	description: 'Show the rollouts that a node knows of, with the evidence if it decides on them.',
+	args: {json: jsonFlag, node: nodeOption},
+	async handler({json, node}) {
+		const {rollouts} = await readNodeStatus(nodeAddress(node));
+		if (rollouts === undefined) {
+			throw new CommandError('the settings of the node have no bounds on rollouts');
+		}
+
+		if (json) {
+			printJson(rollouts);
+			return;
+		}
+
+		print(formatRollouts(rollouts));
+	},
+});
+
 export const explainCommand = command({
 	name: 'explain',
 	description: 'Show which routes match a path and to which nodes their calls go.',
@@ -117,3 +137,34 @@
 function endpointsOf({endpoints}: RouteStatus): string {
 	return endpoints.map(({node, dataCentre}) => `  ${dataCentre}  ${node}`).join('\n');
 }
+
+const msPerSecond = 1000;
+const percent = 100;
+
+/** Formats rollouts as a table, and below it the reason and the evidence of each. */
+export function formatRollouts(rollouts: readonly RolloutStatus[]): string {
+	const rows = rollouts.map((each) => [
+		each.service,
+		each.targetVersion,
+		each.isWithdrawn ? `${each.state}, removed` : each.state,
+		`${(each.share * percent).toFixed(1)} %`,
+		`${seconds(each.elapsedMs)} of ${seconds(each.durationMs)}`,
+		`${seconds(each.changedMsAgo)} ago`,
+		each.decider === '' ? '-' : each.decider,
+	]);
+	const heading = ['service', 'version', 'state', 'share', 'time', 'state since', 'decided by'];
+	const details = rollouts.flatMap(({service, reason, evidence}) => [
+		'',
+		`${service}: ${reason}`,
+		...evidence.map(
+			({version, workers, runs, failures, meanMs}) =>
+				`  ${version === '' ? '(no version)' : version}: ${workers} workers, ${runs} runs, ` +
+				`${failures} failures, mean ${meanMs.toFixed(1)} ms`,
+		),
+	]);
+	return [formatTable(heading, rows), ...details].join('\n');
+}
+
+function seconds(ms: number): string {
+	return `${(ms / msPerSecond).toFixed(1)} s`;
+}
--- a/packages/redwingmill-ctl/src/main.ts
+++ b/packages/redwingmill-ctl/src/main.ts
@@ -5,6 +5,7 @@
 	explainCommand,
 	gateCommand,
 	nodesCommand,
+	rolloutsCommand,
 	routesCommand,
 } from './commands/node-commands.js';
 import {statusCommand} from './commands/status-command.js';
@@ -29,6 +30,7 @@
 		routes: routesCommand,
 		nodes: nodesCommand,
 		gate: gateCommand,
+		rollouts: rolloutsCommand,
 		explain: explainCommand,
 	},
 });
--- a/packages/redwingmill-ctl/src/node-status.ts
+++ b/packages/redwingmill-ctl/src/node-status.ts
@@ -16,6 +16,29 @@
 		readonly limitWaitMs?: number;
 		readonly isWorkerLeaving: boolean;
 	};
+	/** Absent where operators order no rollouts. */
+	readonly rollouts?: ReadonlyArray<{
+		readonly service: string;
+		readonly targetVersion: string;
+		readonly state: string;
+		readonly isWithdrawn: boolean;
+		readonly share: number;
+		readonly elapsedMs: number;
+		readonly durationMs: number;
+		/** Time since the state last changed. */
+		readonly changedMsAgo: number;
+		/** Control address of the node that decides. */
+		readonly decider: string;
+		readonly reason: string;
+		/** Runs by version; empty on nodes other than the decider. */
+		readonly evidence: ReadonlyArray<{
+			readonly version: string;
+			readonly workers: number;
+			readonly runs: number;
+			readonly failures: number;
+			readonly meanMs: number;
+		}>;
+	}>;
 	readonly routes: ReadonlyArray<{
 		readonly path: string;
 		readonly methods: readonly string[];
--- a/packages/redwingmill-node/src/__tests__/unit/metrics-page.test.ts
+++ b/packages/redwingmill-node/src/__tests__/unit/metrics-page.test.ts
@@ -15,6 +15,7 @@
 		workerLimitPerSecond: Number.POSITIVE_INFINITY,
 		isRelay: false,
 		isServing: true,
+		rolloutShares: new Map([['coding', 0.03]]),
 	}));
 }
 
@@ -40,6 +41,7 @@
 			'redwingmill_configuration_behind_seconds 1.5',
 			'redwingmill_stopping_seconds 0.5',
 			'redwingmill_is_serving 1',
+			'redwingmill_rollout_share{service="coding"} 0.03',
 		]);
 	});
 
--- a/packages/redwingmill-node/src/call/gate-service.ts
+++ b/packages/redwingmill-node/src/call/gate-service.ts
@@ -65,6 +65,8 @@
 	readonly answer: Answer<Payload>;
 	/** Instance of the worker at the time of the answer; absent when the worker announces none. */
 	readonly instance?: string;
+	/** Version of the worker's software; absent when the worker announces none. */
+	readonly workerVersion?: string;
 	/** Load of the worker at the time of the answer. */
 	readonly load: WorkerLoad;
 	/** Calls a second that the worker takes; absent when it states no limit. */
@@ -353,9 +355,16 @@
 	#reportAnswer(key: string, answer: Answer<Payload>): void {
 		const pending = this.#requests.get(key);
 		if (pending) {
-			const {instance} = this.#worker ?? {};
+			const {instance, version: workerVersion} = this.#worker ?? {};
 			const {load, limitPerSecond} = this;
-			this.#options.onAnswered?.({...pending, answer, instance, load, limitPerSecond});
+			this.#options.onAnswered?.({
+				...pending,
+				answer,
+				instance,
+				workerVersion,
+				load,
+				limitPerSecond,
+			});
 		}
 	}
 
--- a/packages/redwingmill-node/src/control/control-plane.ts
+++ b/packages/redwingmill-node/src/control/control-plane.ts
@@ -3,6 +3,7 @@
 	type NodeRecord,
 	type ReportedLoad,
 	type RolloutStage,
+	type RolloutView,
 	type RoutingTable,
 	type SuspicionReport,
 	type Worker,
@@ -59,6 +60,8 @@
 	readonly isRelay: boolean;
 	/** Returns the configuration in force for another node, or a patch to it from version `since`. */
 	readonly configurationSince: (since: number | undefined) => ConfigurationReply;
+	/** Rollouts that this node knows of, for operators. */
+	readonly rollouts: readonly RolloutView[];
 	/** Returns the stage by which calls to a service are routed; undefined if no rollout is in force. */
 	rolloutStageOf: (service: string) => RolloutStage | undefined;
 	/** Reports the runs of this node's worker since the order of its service. */
--- a/packages/redwingmill-node/src/control/relay-control-plane.ts
+++ b/packages/redwingmill-node/src/control/relay-control-plane.ts
@@ -130,6 +130,10 @@
 		return {type: 'none'};
 	}
 
+	get rollouts(): readonly [] {
+		return [];
+	}
+
 	/** Rollouts are ordered through the store, which this control plane doesn't use. */
 	rolloutStageOf(): undefined {
 		return undefined;
--- a/packages/redwingmill-node/src/control/store-control-plane.ts
+++ b/packages/redwingmill-node/src/control/store-control-plane.ts
@@ -9,7 +9,9 @@
 	longPollMs,
 	mergeStoredCrashes,
 	reportsOfStored,
+	rolloutViews,
 	routingStageOf,
+	type RolloutView,
 	type RolloutStage,
 	type SuspicionReport,
 	type WorkerEvidence,
@@ -32,6 +34,7 @@
 import {logEvents} from '../observe/log-event.js';
 import {type Log} from '../observe/log.js';
 import {type Metrics} from '../observe/metrics.js';
+import {countRolloutNotice} from '../observe/rollout-metrics.js';
 import {type Settings} from '../settings/settings.js';
 import {ConfigurationHistory, type ConfigurationReply} from './configuration-history.js';
 import {ConfigurationWatch} from './configuration-watch.js';
@@ -168,6 +171,10 @@
 		return this.#directory.blackboard;
 	}
 
+	get rollouts(): readonly RolloutView[] {
+		return rolloutViews(this.#state.rollouts, performance.now());
+	}
+
 	rolloutStageOf(service: string): RolloutStage | undefined {
 		return routingStageOf(this.#state.rollouts, service);
 	}
@@ -252,6 +259,7 @@
 			isRegistryKnown: registry.hasBeenListed,
 			storeEra: store.era,
 			routes: routing.routes.length,
+			...(this.#settings.rollouts && {rollouts: this.rollouts}),
 			nodes: [...members.records.values()].map((record) => ({
 				...record,
 				lapsedAt: members.peers.get(record.address)?.lapsedAt,
@@ -409,6 +417,7 @@
 
 			case 'notify': {
 				logDirectoryNotice(this.#log, effect.notice);
+				countRolloutNotice(this.#metrics, effect.notice);
 				break;
 			}
 		}
--- a/packages/redwingmill-node/src/daemon.ts
+++ b/packages/redwingmill-node/src/daemon.ts
@@ -387,7 +387,7 @@
 	}
 
 	#readGauges(): GaugeValues {
-		const {routing, controlBytes, isRelay, isServing} = this.#control;
+		const {routing, controlBytes, isRelay, isServing, rollouts} = this.#control;
 		const counts = [...routing.endpoints.values()].map((endpoints) => endpoints.length);
 		return {
 			versionInForce: routing.version,
@@ -402,6 +402,7 @@
 			workerLimitPerSecond: this.#gate.limitPerSecond ?? Number.POSITIVE_INFINITY,
 			isRelay,
 			isServing,
+			rolloutShares: new Map(rollouts.map(({service, share}) => [service, share])),
 		};
 	}
 }
--- a/packages/redwingmill-node/src/observe/call-log.ts
+++ b/packages/redwingmill-node/src/observe/call-log.ts
@@ -37,7 +37,16 @@
 	}
 
 	writeGateCall(record: GateCallRecord): void {
-		const {request, answer, instance, load, limitPerSecond, arrivedAt, dispatchedAt} = record;
+		const {
+			request,
+			answer,
+			instance,
+			workerVersion,
+			load,
+			limitPerSecond,
+			arrivedAt,
+			dispatchedAt,
+		} = record;
 		const now = performance.now();
 		const {outcome, retryAfterMs} = answer;
 		this.#log.writeCall(logEvents.callFinishedAtGate, outcome.type !== 'ran', () => ({
@@ -45,6 +54,7 @@
 			attempt: request.id,
 			service: request.service,
 			instance,
+			workerVersion,
 			rank: request.rank,
 			outcome: outcome.type,
 			reason: outcome.type === 'ran' ? undefined : outcome.reason,
--- a/packages/redwingmill-node/src/observe/log-event.ts
+++ b/packages/redwingmill-node/src/observe/log-event.ts
@@ -32,18 +32,6 @@
 	memberLapsed: {number: 304, level: 'warn', message: 'node declared unresponsive'},
 	servingChanged: {number: 305, level: 'info', message: 'serving state changed'},
 	pauseDetected: {number: 306, level: 'warn', message: 'this process was paused'},
-	rolloutStage: {number: 700, level: 'info', message: 'rollout has another stage'},
-	rolloutRefused: {number: 701, level: 'warn', message: 'order of a rollout refused'},
-	rolloutStatusWritten: {
-		number: 702,
-		level: 'info',
-		message: 'status of a rollout written, or not',
-	},
-	rolloutVerdictsDiffer: {
-		number: 703,
-		level: 'warn',
-		message: 'store has another verdict on a rollout than this node',
-	},
 	platformLost: {number: 400, level: 'warn', message: 'platform watch lost'},
 	platformCurrent: {number: 401, level: 'info', message: 'platform watch is up to date'},
 	workerChanged: {number: 500, level: 'info', message: 'worker state changed'},
@@ -136,6 +124,18 @@
 		level: 'error',
 		message: 'too many unexpected errors, the process ends',
 	},
+	rolloutStage: {number: 700, level: 'info', message: 'stage of a rollout changed'},
+	rolloutRefused: {number: 701, level: 'warn', message: 'order of a rollout refused'},
+	rolloutStatusWritten: {
+		number: 702,
+		level: 'info',
+		message: 'write of the status of a rollout ended',
+	},
+	rolloutVerdictsDiffer: {
+		number: 703,
+		level: 'warn',
+		message: 'store has another verdict on a rollout than this node',
+	},
 } as const;
 
 export type LogEvent = (typeof logEvents)[keyof typeof logEvents];
--- a/packages/redwingmill-node/src/observe/metrics-page.ts
+++ b/packages/redwingmill-node/src/observe/metrics-page.ts
@@ -41,6 +41,7 @@
 		});
 		this.#addLatency(metrics);
 		this.#addGauges(metrics.readGauges);
+		this.#addRolloutShares(metrics.readGauges);
 	}
 
 	get contentType(): string {
@@ -107,6 +108,23 @@
 		this.#registry.registerMetric(histogram as unknown as Metric);
 	}
 
+	#addRolloutShares(readGauges: () => GaugeValues): void {
+		this.#registry.registerMetric(
+			new Gauge({
+				name: 'redwingmill_rollout_share',
+				help: "Share of a service's calls for the target version of its rollout.",
+				labelNames: ['service'],
+				registers: [],
+				collect() {
+					this.reset();
+					for (const [service, share] of readGauges().rolloutShares) {
+						this.set({service}, share);
+					}
+				},
+			}),
+		);
+	}
+
 	#addGauges(readGauges: () => GaugeValues): void {
 		const gauges: ReadonlyArray<readonly [string, string, (values: GaugeValues) => number]> = [
 			[
--- a/packages/redwingmill-node/src/observe/metrics.ts
+++ b/packages/redwingmill-node/src/observe/metrics.ts
@@ -14,6 +14,8 @@
 	readonly workerLimitPerSecond: number;
 	readonly isRelay: boolean;
 	readonly isServing: boolean;
+	/** Share of a service's calls for the target version of its rollout, by service. */
+	readonly rolloutShares: ReadonlyMap<string, number>;
 };
 
 /** Calls with one outcome and reason. */
@@ -91,7 +93,14 @@
 			| 'configuration-unanswered'
 			| 'configuration-refused'
 			| 'watch-renewed'
-			| 'worker-limit-malformed',
+			| 'worker-limit-malformed'
+			| 'rollout-stage'
+			| 'rollout-completed'
+			| 'rollout-rolled-back'
+			| 'rollout-withdrawn'
+			| 'rollout-refused'
+			| 'rollout-verdicts-differ'
+			| 'rollout-status-unwritten',
 	): void {
 		increment(this.#controlEvents, event);
 	}
--- a/packages/redwingmill-protocol/src/__tests__/unit/datagram-codec.test.ts
+++ b/packages/redwingmill-protocol/src/__tests__/unit/datagram-codec.test.ts
@@ -106,6 +106,40 @@
 		},
 	},
 	{type: 'suspicion', report: {isCleared: true, fingerprint: 'GET /codes/1'}},
+	{
+		type: 'rollout',
+		stage: {
+			order: {
+				service: 'coding',
+				targetVersion: 'v2',
+				durationMs: 30_000,
+				era: 3,
+				revision: 1_234_567,
+			},
+			state: 'rolled-back',
+			share: 0.03,
+			elapsedMs: 4321,
+			decider: '10.0.0.1:7300',
+			sequence: 17,
+			reason: '9 of 12 runs failed',
+		},
+		isWithdrawn: true,
+	},
+	{
+		type: 'rollout-evidence',
+		targetVersion: 'v2',
+		revision: 1_234_567,
+		evidence: {
+			node: '10.0.0.1:7300',
+			incarnation: 1_775_726_659_321_288,
+			worker: 'i-1/1775726659321',
+			service: 'coding',
+			version: 'v1',
+			inProgress: 4,
+			dispatched: 130,
+			routes: [{group: '/codes/', runs: 120, failures: 2, logSum: 410.25, logSquareSum: 1500.5}],
+		},
+	},
 ];
 
 describe('datagram codec', () => {
--- a/test/support/fake-directory-mesh.ts
+++ b/test/support/fake-directory-mesh.ts
@@ -122,9 +122,9 @@
 	rolloutStoreCalls = 0;
 	/** What becomes of the writes of a status that reach the store. */
 	statusFault: StatusFault = {type: 'none'};
-	readonly #rollouts = new FakeRolloutStore();
 	/** Reachability in force; tests replace it to partition the mesh. */
 	reachability: Reachability = fullReachability;
+	readonly #rollouts = new FakeRolloutStore();
 	readonly #random: Random;
 	#registry = new Map<string, NodeRecord>();
 	#storedCrashes: readonly StoredCrashes[] = [];
@@ -533,7 +533,9 @@
 				const result = write();
 				this.dispatch(node, {type: 'rollout-status-written', rollout, status, result});
 			} else {
-				this.clock.after(statusFault.delayMs, write);
+				this.clock.after(statusFault.delayMs, () => {
+					write();
+				});
 				const result = {type: 'failed'} as const;
 				this.dispatch(node, {type: 'rollout-status-written', rollout, status, result});
 			}
