An order with an invalid duration gives its version no calls

Callers would have reached the new version after 3,000 ms, as without any order. Cause: a malformed order was left out of the list. Change: one whose only fault is its duration is held at a share of 0 until it is mended; the warning is given as before.

--- a/packages/redwingmill-core/src/directory/rollout-decision-controller.ts
+++ b/packages/redwingmill-core/src/directory/rollout-decision-controller.ts
@@ -75,7 +75,7 @@
 			return;
 		}
 
-		if (!held.isWithdrawn && !isFinal(held.stage.state)) {
+		if (!held.isWithdrawn && !isFinal(held.stage.state) && isValid(held)) {
 			this.#decide(update, held, context);
 		}
 
@@ -142,6 +142,7 @@
 		const request = rollouts.writing.get(order.service) ?? scheduledAt(now);
 		if (
 			held.isWithdrawn ||
+			!isValid(held) ||
 			stored === undefined ||
 			!isSameOrder(stored.order, order) ||
 			!isDue(request, now)
@@ -208,3 +209,8 @@
 		!(stored.status && isFinal(stored.status.state));
 	return hasEnded && !needsWrite && now - changedAt > limits.rolloutFinalAnnouncementMs;
 }
+
+/** Whether an order can be carried out. The version of another one keeps its share of 0. */
+function isValid({stage}: HeldRollout): boolean {
+	return stage.order.durationMs > 0;
+}
--- a/packages/redwingmill-core/src/directory/rollout-store-controller.ts
+++ b/packages/redwingmill-core/src/directory/rollout-store-controller.ts
@@ -103,7 +103,9 @@
 			},
 		});
 	} else if (order.durationMs !== stage.order.durationMs || order.era !== stage.order.era) {
-		holdStage(update, {...advanced(held, now), order}, false, now);
+		// Nobody decides on an order whose duration has become invalid.
+		const share = order.durationMs > 0 || isFinal(stage.state) ? stage.share : 0;
+		holdStage(update, {...advanced(held, now), order, share}, false, now);
 	}
 }
 
--- a/packages/redwingmill-core/src/rollout/rollout.ts
+++ b/packages/redwingmill-core/src/rollout/rollout.ts
@@ -2,7 +2,7 @@
 export type RolloutOrder = {
 	readonly service: string;
 	readonly targetVersion: string;
-	/** Time in which the rollout should be completed, from the order on. */
+	/** Time in which the rollout should be completed, from the order on; 0 if the order's is invalid. */
 	readonly durationMs: number;
 	/** Identifies the order: era of the store, and the revision at which the order was created. */
 	readonly era: number;
--- a/packages/redwingmill-node/src/control/store-ports.ts
+++ b/packages/redwingmill-node/src/control/store-ports.ts
@@ -89,6 +89,7 @@
 export type RolloutsReadResult =
 	| {
 			readonly type: 'listed';
+			/** Has those with an invalid duration too, as one of 0. */
 			readonly rollouts: readonly StoredRollout[];
 			readonly malformed: readonly MalformedRollout[];
 			readonly position: StorePosition;
--- a/test/matrix/rollout.test.ts
+++ b/test/matrix/rollout.test.ts
@@ -428,6 +428,21 @@
 			expect(mesh.storedStatus(service)?.state).to.equal('running');
 		});
 
+		it('gives no calls to a version whose order has an invalid duration, and starts once it is mended', () => {
+			const mesh = create();
+			mesh.orderRollout(service, 'v2', 0);
+			mesh.run(5000);
+			expect(mesh.stageAt(last)).to.deep.include({state: 'running', share: 0});
+			expect(mesh.storedStatus(service)).to.equal(undefined);
+			mesh.orderRollout(service, 'v2', durationMs);
+			mesh.run(1000);
+			expect(mesh.stageAt(last)?.share).to.equal(0.03);
+			expect(mesh.storedStatus(service)?.state).to.equal('running');
+			mesh.orderRollout(service, 'v2', 0);
+			mesh.run(1000);
+			expect(mesh.stageAt(last)?.share).to.equal(0);
+		});
+
 		it('costs nothing where the settings have no bounds on rollouts', () => {
 			const mesh = new FakeDirectoryMesh(1);
 			mesh.writeConfiguration(documentOf(1));
