--- a/packages/redwingmill-core/src/directory/digest-controller.ts
+++ b/packages/redwingmill-core/src/directory/digest-controller.ts
@@ -83,7 +83,9 @@
 		case 'departure':
 		case 'inquiry':
 		case 'outdated':
-		case 'suspicion': {
+		case 'suspicion':
+		case 'rollout':
+		case 'rollout-evidence': {
 			break;
 		}
 	}
--- a/packages/redwingmill-core/src/directory/peers-controller.ts
+++ b/packages/redwingmill-core/src/directory/peers-controller.ts
@@ -106,7 +106,9 @@
 		case 'status-request':
 		case 'record-request':
 		case 'records':
-		case 'suspicion': {
+		case 'suspicion':
+		case 'rollout':
+		case 'rollout-evidence': {
 			// Other controllers handle them.
 			break;
 		}
