--- a/packages/redwingmill-core/src/model/datagram.ts
+++ b/packages/redwingmill-core/src/model/datagram.ts
@@ -1,6 +1,7 @@
 import {type CrashReport} from '../call/crash-tracker.js';
 import {type WorkerLoad} from '../call/worker-load.js';
 import {type QuotaDatagram} from '../quota/quota-message.js';
+import {type RolloutStage, type WorkerEvidence} from '../rollout/rollout.js';
 import {type NodeRecord} from './node-record.js';
 import {type DataCentreSummary, type NodeStatus} from './node-status.js';
 
@@ -63,4 +64,19 @@
 	/** Crashes of workers on a request, or the success of one that was suspected of them. */
 	| {readonly type: 'suspicion'; readonly report: CrashReport}
 	/** Counts of workspaces' calls, and what may be admitted of them. */
-	| QuotaDatagram;
+	| QuotaDatagram
+	/** Stage of a rollout in force. */
+	| {
+			readonly type: 'rollout';
+			readonly stage: RolloutStage;
+			/** Whether the operators have removed the order. */
+			readonly isWithdrawn: boolean;
+	  }
+	/** Runs that a gate has counted since an order; a long list of routes is split over several. */
+	| {
+			readonly type: 'rollout-evidence';
+			/** Identifies the order, with the service of the evidence. */
+			readonly targetVersion: string;
+			readonly revision: number;
+			readonly evidence: WorkerEvidence;
+	  };
--- a/packages/redwingmill-node/src/control/store-control-plane.ts
+++ b/packages/redwingmill-node/src/control/store-control-plane.ts
@@ -9,8 +9,14 @@
 	mergeStoredCrashes,
 	quotaViewOf,
 	reportsOfStored,
+	rolloutViews,
+	routingStageOf,
+	type RolloutView,
+	type RolloutStage,
 	type SuspicionReport,
+	type WorkerEvidence,
 	type ConfigurationDocument,
+	type CreateDecider,
 	type Directory,
 	type DirectoryEffect,
 	type DirectoryEvent,
@@ -29,6 +35,7 @@
 import {logEvents} from '../observe/log-event.js';
 import {type Log} from '../observe/log.js';
 import {type Metrics} from '../observe/metrics.js';
+import {countRolloutNotice} from '../observe/rollout-metrics.js';
 import {type Settings} from '../settings/settings.js';
 import {ConfigurationFetcher} from './configuration-fetcher.js';
 import {ConfigurationHistory, type ConfigurationReply} from './configuration-history.js';
@@ -46,6 +53,7 @@
 } from './control-plane.js';
 import {DatagramSocket} from './datagram-socket.js';
 import {QuotaPlane} from './quota-plane.js';
+import {RolloutOrders} from './rollout-orders.js';
 import {type StorePorts} from './store-ports.js';
 
 const tickIntervalMs = 100;
@@ -58,7 +66,11 @@
 const randomSeedModulus = 0x7f_ff_ff_ff;
 
 /** Options of a {@link StoreControlPlane}. */
-export type StoreControlPlaneOptions = ControlPlaneOptions & {readonly ports: StorePorts};
+export type StoreControlPlaneOptions = ControlPlaneOptions & {
+	readonly ports: StorePorts;
+	/** Decides on the stages of rollouts; replaced in tests. */
+	readonly createRolloutDecider?: CreateDecider;
+};
 
 /**
  * Control plane that discovers other nodes and reads the configuration through the store. Passes
@@ -85,22 +97,36 @@
 	/** Undefined while this node relies on other nodes' watches. */
 	#watch: ConfigurationWatch | undefined;
 	#stopWatch: Teardown | undefined;
+	/** Undefined where operators order no rollouts. */
+	readonly #rolloutOrders: RolloutOrders | undefined;
 	#stopEraListener: Teardown | undefined;
 	#timer: NodeJS.Timeout | undefined;
 	#isStopped = false;
 
-	constructor({settings, self, ports, log, metrics}: StoreControlPlaneOptions) {
+	constructor(options: StoreControlPlaneOptions) {
+		const {settings, self, ports, log, metrics, createRolloutDecider} = options;
 		const random = new Random(self.incarnation % randomSeedModulus);
 		this.#settings = settings;
 		this.#ports = ports;
 		this.#random = random;
 		this.#log = log;
 		this.#metrics = metrics;
-		this.#directory = createDirectory(initialDirectoryState(self, performance.now()), {
-			limits: defaultDirectoryLimits,
-			seeds: settings.seeds,
-			random,
-		});
+		this.#directory = createDirectory(
+			initialDirectoryState(self, performance.now(), settings.rollouts),
+			{limits: defaultDirectoryLimits, seeds: settings.seeds, random},
+			createRolloutDecider,
+		);
+		this.#rolloutOrders =
+			settings.rollouts &&
+			new RolloutOrders({
+				store: ports.rollouts,
+				log,
+				random,
+				longPollMs: () => longPollMs(this.#state, defaultDirectoryLimits, false),
+				dispatch: (event) => {
+					this.#dispatch(event);
+				},
+			});
 		this.#fetcher = new ConfigurationFetcher({
 			readStore: async (signal) => ports.configuration.readRecent(signal),
 			askNode: async (gateAddress, since) => this.#askNode(gateAddress, since),
@@ -175,6 +201,18 @@
 		return this.#directory.blackboard;
 	}
 
+	get rollouts(): readonly RolloutView[] {
+		return rolloutViews(this.#state.rollouts, performance.now());
+	}
+
+	rolloutStageOf(service: string): RolloutStage | undefined {
+		return routingStageOf(this.#state.rollouts, service);
+	}
+
+	reportEvidence(evidence: WorkerEvidence): void {
+		this.#dispatch({type: 'evidence-counted', evidence});
+	}
+
 	findNode(_dataCentre: string, address: string): NodeRecord | undefined {
 		return this.#state.members.reachable.find((record) => record.address === address);
 	}
@@ -200,6 +238,7 @@
 		clearInterval(this.#timer);
 		this.#quotas?.close();
 		this.#stopWatch?.();
+		this.#rolloutOrders?.setWatch(false);
 		this.#stopEraListener?.();
 		this.#socket.close();
 		await this.#ports.close();
@@ -253,6 +292,7 @@
 			storeEra: store.era,
 			routes: routing.routes.length,
 			quotas: this.#quotas?.status,
+			...(this.#settings.rollouts && {rollouts: this.rollouts}),
 			nodes: [...members.records.values()].map((record) => ({
 				...record,
 				lapsedAt: members.peers.get(record.address)?.lapsedAt,
@@ -369,6 +409,7 @@
 
 			case 'renew-watch': {
 				this.#watch?.renew();
+				this.#rolloutOrders?.renew();
 				this.#metrics.countControlEvent('watch-renewed');
 				break;
 			}
@@ -416,8 +457,15 @@
 				break;
 			}
 
+			case 'list-rollouts':
+			case 'write-rollout-status': {
+				this.#rolloutOrders?.perform(effect);
+				break;
+			}
+
 			case 'notify': {
 				logDirectoryNotice(this.#log, effect.notice);
+				countRolloutNotice(this.#metrics, effect.notice);
 				break;
 			}
 		}
@@ -466,6 +514,7 @@
 		this.#stopWatch?.();
 		this.#watch = isOn ? this.#createWatch() : undefined;
 		this.#stopWatch = this.#watch?.start();
+		this.#rolloutOrders?.setWatch(isOn);
 	}
 
 	#createWatch(): ConfigurationWatch {
--- a/packages/redwingmill-node/src/observe/call-log.ts
+++ b/packages/redwingmill-node/src/observe/call-log.ts
@@ -38,7 +38,16 @@
 	}
 
 	writeGateCall(record: GateCallRecord): void {
-		const {request, answer, instance, load, limitPerSecond, arrivedAt, dispatchedAt} = record;
+		const {
+			request,
+			answer,
+			instance,
+			workerVersion,
+			load,
+			limitPerSecond,
+			arrivedAt,
+			dispatchedAt,
+		} = record;
 		const now = performance.now();
 		const {outcome, retryAfterMs} = answer;
 		this.#log.writeCall(logEvents.callFinishedAtGate, outcome.type !== 'ran', () => ({
@@ -46,6 +55,7 @@
 			attempt: request.id,
 			service: request.service,
 			instance,
+			workerVersion,
 			rank: request.rank,
 			workspace: request.workspace?.name,
 			workspaceRank: request.workspace?.rank,
--- a/packages/redwingmill-node/src/observe/log-event.ts
+++ b/packages/redwingmill-node/src/observe/log-event.ts
@@ -139,6 +139,18 @@
 		level: 'error',
 		message: 'too many unexpected errors, the process ends',
 	},
+	rolloutStage: {number: 700, level: 'info', message: 'stage of a rollout changed'},
+	rolloutRefused: {number: 701, level: 'warn', message: 'order of a rollout refused'},
+	rolloutStatusWritten: {
+		number: 702,
+		level: 'info',
+		message: 'write of the status of a rollout ended',
+	},
+	rolloutVerdictsDiffer: {
+		number: 703,
+		level: 'warn',
+		message: 'store has another verdict on a rollout than this node',
+	},
 } as const;
 
 export type LogEvent = (typeof logEvents)[keyof typeof logEvents];
--- a/packages/redwingmill-protocol/src/datagram-codec.ts
+++ b/packages/redwingmill-protocol/src/datagram-codec.ts
@@ -12,6 +12,12 @@
 	encodeQuotaReport,
 } from './quota-codec.js';
 import {decodeRecord, encodeRecord} from './record-codec.js';
+import {
+	decodeRollout,
+	decodeRolloutEvidence,
+	encodeRollout,
+	encodeRolloutEvidence,
+} from './rollout-codec.js';
 
 const hundredthsPerUnit = 100;
 /** Seconds over which the calls that a worker takes are given. */
@@ -104,6 +110,14 @@
 			return {type: 'quota-demand', demand: decodeQuotaDemand(body.value)};
 		}
 
+		case 'rollout': {
+			return decodeRollout(body.value);
+		}
+
+		case 'rolloutEvidence': {
+			return decodeRolloutEvidence(body.value);
+		}
+
 		case undefined: {
 			throw new ProtocolError('datagram has no body or one of an unknown type');
 		}
@@ -182,6 +196,14 @@
 		case 'quota-demand': {
 			return {case: 'quotaDemand', value: encodeQuotaDemand(datagram.demand)};
 		}
+
+		case 'rollout': {
+			return {case: 'rollout', value: encodeRollout(datagram)};
+		}
+
+		case 'rollout-evidence': {
+			return {case: 'rolloutEvidence', value: encodeRolloutEvidence(datagram)};
+		}
 	}
 }
 
