--- a/packages/redwingmill-core/src/directory/digest-controller.ts
+++ b/packages/redwingmill-core/src/directory/digest-controller.ts
@@ -85,7 +85,10 @@
 		case 'outdated':
 		case 'suspicion':
 		case 'rollout':
-		case 'rollout-evidence': {
+		case 'rollout-evidence':
+		case 'quota-report':
+		case 'quota-reply':
+		case 'quota-demand': {
 			break;
 		}
 	}
--- a/packages/redwingmill-core/src/directory/peers-controller.ts
+++ b/packages/redwingmill-core/src/directory/peers-controller.ts
@@ -108,7 +108,10 @@
 		case 'records':
 		case 'suspicion':
 		case 'rollout':
-		case 'rollout-evidence': {
+		case 'rollout-evidence':
+		case 'quota-report':
+		case 'quota-reply':
+		case 'quota-demand': {
 			// Other controllers handle them.
 			break;
 		}
