--- a/packages/redwingmill-bench/src/commands/quotas-command.ts
+++ b/packages/redwingmill-bench/src/commands/quotas-command.ts
@@ -1,6 +1,6 @@
 import process from 'node:process';
 import {command, flag, number, oneOf, option} from 'cmd-ts';
-import {compareQuotas} from '../quotas/compare-quotas.js';
+import {compareQuotas, quotaSchemes} from '../quotas/compare-quotas.js';
 import {plotQuotas} from '../quotas/plot-quotas.js';
 import {quotaConditions, type QuotaCondition} from '../quotas/quota-conditions.js';
 
@@ -22,13 +22,20 @@
 			description: 'Number of simulations of each condition.',
 			defaultValue: () => 3,
 		}),
+		scheme: option({
+			type: oneOf([...quotaSchemes.map(({name}) => name), 'all']),
+			long: 'scheme',
+			description: 'Way to keep quotas to simulate, or all.',
+			defaultValue: () => 'all',
+		}),
 		workspaces: flag({long: 'workspaces', description: 'Print a line for each workspace.'}),
 		json: flag({long: 'json', description: 'Print one line of JSON for each condition.'}),
 	},
-	handler({condition, seeds, workspaces, json}) {
+	handler({condition, seeds, scheme, workspaces, json}) {
+		const schemes = quotaSchemes.filter(({name}) => scheme === 'all' || name === scheme);
 		const seedNumbers = Array.from({length: seeds}, (_, index) => index + 1);
 		for (const name of conditions.filter((each) => condition === 'all' || each === condition)) {
-			const comparisons = compareQuotas(name, seedNumbers);
+			const comparisons = compareQuotas(name, seedNumbers, schemes);
 			process.stdout.write(
 				json
 					? `${JSON.stringify(
--- a/packages/redwingmill-bench/src/quotas/compare-quotas.ts
+++ b/packages/redwingmill-bench/src/quotas/compare-quotas.ts
@@ -1,10 +1,16 @@
+import {batchOwnerScheme} from './batch-owner-scheme.js';
 import {countsScheme} from './counts-scheme.js';
+import {leasedSharesScheme} from './leased-shares-scheme.js';
 import {quotaConditions, type QuotaCondition} from './quota-conditions.js';
 import {QuotaMesh} from './quota-mesh.js';
 import {sumResults, type QuotaResult} from './quota-meter.js';
 import {type QuotaScheme} from './quota-scheme.js';
 
-export const quotaSchemes: readonly QuotaScheme[] = [countsScheme];
+export const quotaSchemes: readonly QuotaScheme[] = [
+	leasedSharesScheme,
+	batchOwnerScheme,
+	countsScheme,
+];
 
 /** Result of a scheme under a condition, over all seeds. */
 export type QuotaComparison = {
--- a/packages/redwingmill-bench/src/quotas/quota-mesh.ts
+++ b/packages/redwingmill-bench/src/quotas/quota-mesh.ts
@@ -57,7 +57,7 @@
 };
 
 const tickMs = 100;
-const reportDelayMs = 20;
+const reportDelayMs = 10;
 const localDelayMs = 1;
 const remoteDelayMs = 15;
 /** Part of the delay that varies. */
--- a/packages/redwingmill-core/src/__tests__/unit/peer-uses.test.ts
+++ b/packages/redwingmill-core/src/__tests__/unit/peer-uses.test.ts
@@ -32,7 +32,7 @@
 
 	it('sets aside what a silent data centre may use, and replaces it by what it counted', () => {
 		const {peers, reach} = createPeers(2000);
-		const state = {elapsedMs: 1000, perSecond: 40, level: 0};
+		const state = {elapsedMs: 1000, perSecond: 40, level: 0, isOpen: false};
 		const reserved = peers.reserve(state, own, reach, 2000);
 		expect(reserved).to.be.within(30, 33.1);
 		const counted = {...entry, admitted: 12};
--- a/packages/redwingmill-core/src/quota/peer-uses.ts
+++ b/packages/redwingmill-core/src/quota/peer-uses.ts
@@ -43,6 +43,16 @@
 	readonly heard: number;
 };
 
+/** State of a workspace's bucket before calls are set aside. */
+export type BucketState = {
+	/** Time since calls were last set aside, in milliseconds. */
+	readonly elapsedMs: number;
+	readonly level: number;
+	/** Rate of the quota. */
+	readonly perSecond: number;
+	readonly isOpen: boolean;
+};
+
 type PeerUse = {
 	readonly incarnation: number;
 	readonly sequence: number;
@@ -136,7 +146,7 @@
 
 	/** Returns the calls to set aside for the time that has elapsed, by which the level sinks. */
 	reserve(
-		{elapsedMs, level, perSecond}: Record<'elapsedMs' | 'level' | 'perSecond', number>,
+		{elapsedMs, level, perSecond, isOpen}: BucketState,
 		own: OwnDemand,
 		reach: PeerReach,
 		now: number,
@@ -146,7 +156,10 @@
 		for (const [server, use] of this.#uses) {
 			if (reach.peerAge(server) < cutOffAfterMs) {
 				const decay = Math.exp(-(now - use.at) / extrapolationMs);
-				const reserved = (use.entry.admittedPerSecond * decay * own.rise * elapsedMs) / 1000;
+				const {askedPerSecond, admittedPerSecond} = use.entry;
+				// A workspace that has just opened again here is or will be open there, too.
+				const used = isOpen ? Math.max(askedPerSecond, admittedPerSecond) : admittedPerSecond;
+				const reserved = (used * decay * own.rise * elapsedMs) / 1000;
 				use.reserved += reserved;
 				sum += reserved;
 			} else {
--- a/packages/redwingmill-core/src/quota/quota-bounds.ts
+++ b/packages/redwingmill-core/src/quota/quota-bounds.ts
@@ -13,7 +13,7 @@
  * Share of the tolerated excess that is added to the bucket, without which a burst of 0 refuses calls
  * that come unevenly.
  */
-const burstShare = 0.4;
+const burstShare = 0.38;
 
 /** Calls that the bounds tolerate over a quota in a window. */
 export function toleratedExcess(
--- a/packages/redwingmill-core/src/quota/quota-server.ts
+++ b/packages/redwingmill-core/src/quota/quota-server.ts
@@ -18,7 +18,7 @@
 const startingMs = 3000;
 const demandIntervalMs = 300;
 /** Shortest time between two messages to another data centre. */
-const urgentDemandIntervalMs = 50;
+const urgentDemandIntervalMs = 30;
 const aliveIntervalMs = 500;
 /** A node or server that is silent for longer is forgotten. */
 const forgottenAfterMs = 60_000;
--- a/packages/redwingmill-core/src/quota/server-account.ts
+++ b/packages/redwingmill-core/src/quota/server-account.ts
@@ -18,9 +18,9 @@
 /** Time from a call at an entry until all entries of its data centre know that the workspace is limited. */
 const reactionSeconds = 0.06;
 /** Share of the tolerated excess by which an open workspace may be overdrawn within the reaction time. */
-const overdraftShare = 0.4;
+const overdraftShare = 0.35;
 /** The same share at which a limited workspace opens again; the difference prevents fast alternation. */
-const reopeningShare = 0.3;
+const reopeningShare = 0.25;
 const shortestLimitedMs = 300;
 /** Level that the rates of a limited workspace aim at, as a share of the tolerated excess. */
 const targetShare = -0.1;
@@ -68,6 +68,8 @@
 	/** Calls left in the bucket of the whole mesh. */
 	#level: number;
 	readonly #startedAt: number;
+	/** Whether the account began with an empty bucket because its server has just started. */
+	readonly #isLevelAssumed: boolean;
 	#at: number;
 	/** Undefined before the first decision. */
 	#isOpen: boolean | undefined;
@@ -75,7 +77,7 @@
 	#sendsLeft = 0;
 	#sentAt = Number.NEGATIVE_INFINITY;
 
-	/** @param level - calls in the bucket at the start. */
+	/** @param level - calls in the bucket at the start; 0 where that isn't known. */
 	constructor(
 		{id, quota}: {readonly id: number; readonly quota: Quota},
 		{
@@ -93,6 +95,7 @@
 		this.#at = now;
 		this.#bounds = bounds;
 		this.#level = level;
+		this.#isLevelAssumed = level === 0;
 		this.#startedAt = now;
 		this.#slow = new RateMeter(slowTimeConstantMs, now);
 		this.#fast = new RateMeter(fastTimeConstantMs, now);
@@ -160,7 +163,7 @@
 		this.#at = Math.max(now, this.#at);
 		const {perSecond} = this.#quota;
 		this.#level += (perSecond * elapsedMs) / 1000;
-		const state = {elapsedMs, perSecond, level: this.#level};
+		const state = {elapsedMs, perSecond, level: this.#level, isOpen: this.isOpen};
 		this.#level -= this.peers.reserve(state, this.#ownDemand(now), silence, now);
 		this.#level -= this.#reserveForNodes(elapsedMs, now, silence);
 		const lowest = -this.#capacity - this.#excess;
@@ -288,6 +291,11 @@
 
 	/** Factor by which the demand in this data centre has just risen. */
 	#rise(now: number): number {
+		// An account of a server that has just started has no usual demand to compare with yet.
+		if (this.#isLevelAssumed && now - this.#startedAt < slowTimeConstantMs) {
+			return 1;
+		}
+
 		const fast = this.#fast.perSecond(now) - fastNoisePerSecond;
 		const slow = Math.max(this.#slow.perSecond(now), 1);
 		return Math.min(largestRise, Math.max(1, fast / slow));
--- a/packages/redwingmill-node/src/call/entry-server.ts
+++ b/packages/redwingmill-node/src/call/entry-server.ts
@@ -190,8 +190,17 @@
 		}
 
 		const {retryAfterMs} = decision;
-		const outcome = refusalOf(arrival.request, 'quota-exceeded');
-		arrival.request.resume();
+		const {log, protocol} = this.#options;
+		const {request} = arrival;
+		const outcome = refusalOf(request, 'quota-exceeded');
+		request.resume();
+		log.writeCall(logEvents.callOverQuota, true, () => ({
+			request: textHeader(request.headers, protocol.requestIdHeader),
+			workspace: lookup.workspace?.name,
+			path: lookup.route.path,
+			reason: 'quota-exceeded',
+			retryAfterMs: Math.round(retryAfterMs),
+		}));
 		this.#respond(arrival, {outcome, retryAfterMs, isRetried: false}, startedAt);
 	}
 
--- a/packages/redwingmill-node/src/control/quota-plane.ts
+++ b/packages/redwingmill-node/src/control/quota-plane.ts
@@ -21,7 +21,7 @@
 import {type QuotaGate} from './control-plane.js';
 
 /** Delay of a report after a call that calls for one, in which further calls are counted in. */
-const urgentReportDelayMs = 20;
+const urgentReportDelayMs = 10;
 const msPerSecond = 1000;
 /** Shortest time between two log lines about one workspace. */
 const logIntervalMs = 10_000;
--- a/packages/redwingmill-node/src/observe/call-log.ts
+++ b/packages/redwingmill-node/src/observe/call-log.ts
@@ -24,6 +24,7 @@
 		this.#log.writeCall(logEvents.callFinishedAtEntry, outcome?.type !== 'ran', () => ({
 			request: call.requestId,
 			path: call.route.path,
+			workspace: call.workspace?.name,
 			service: destination,
 			version: this.#control().routing.version,
 			nodes,
--- a/packages/redwingmill-node/src/observe/log-event.ts
+++ b/packages/redwingmill-node/src/observe/log-event.ts
@@ -118,6 +118,11 @@
 	},
 	callFinishedAtEntry: {number: 600, level: 'info', message: 'call finished at the entry node'},
 	callFinishedAtGate: {number: 601, level: 'info', message: 'call finished at the gate'},
+	callOverQuota: {
+		number: 603,
+		level: 'info',
+		message: 'call refused at the entry node, over the quota of its workspace',
+	},
 	linesDropped: {number: 602, level: 'warn', message: 'log lines dropped'},
 	settingsReloaded: {number: 104, level: 'info', message: 'settings reloaded'},
 	settingsRefused: {number: 105, level: 'error', message: 'changed settings refused'},
