--- a/packages/redwingmill-core/src/__tests__/unit/quota-server.test.ts
+++ b/packages/redwingmill-core/src/__tests__/unit/quota-server.test.ts
@@ -43,10 +43,11 @@
 		expect(server.stateOf(id)?.level).to.equal(level + 3);
 	});
 
-	it('starts with an empty bucket, and ignores counts for an earlier start of it', () => {
+	it('starts with an overdrawn bucket, and ignores counts for an earlier start of it', () => {
 		const server = createServer();
 		server.onReport('n', {...reportOf(1, 5000), serverIncarnation: 99}, 0);
-		expect(server.stateOf(id)?.level).to.equal(0);
+		// A quarter of the 80 calls that are tolerated over the quota of 600 in a window.
+		expect(server.stateOf(id)?.level).to.equal(-20);
 	});
 
 	it('tells all nodes at once when a workspace becomes limited', () => {
--- a/packages/redwingmill-core/src/quota/quota-server.ts
+++ b/packages/redwingmill-core/src/quota/quota-server.ts
@@ -290,7 +290,7 @@
 		}
 
 		const isStarting = now - this.#startedAt < startingMs;
-		const level = isStarting ? 0 : capacityOf(entry.quota, this.#bounds);
+		const level = isStarting ? undefined : capacityOf(entry.quota, this.#bounds);
 		this.#epoch += 1;
 		const account = new ServerAccount(
 			entry,
--- a/packages/redwingmill-core/src/quota/server-account.ts
+++ b/packages/redwingmill-core/src/quota/server-account.ts
@@ -21,6 +21,8 @@
 const overdraftShare = 0.35;
 /** The same share at which a limited workspace opens again; the difference prevents fast alternation. */
 const reopeningShare = 0.25;
+/** Share of the tolerated excess by which the bucket may have been overdrawn before its server started. */
+const unknownUseShare = 0.25;
 const shortestLimitedMs = 300;
 /** Level that the rates of a limited workspace aim at, as a share of the tolerated excess. */
 const targetShare = -0.1;
@@ -77,14 +79,14 @@
 	#sendsLeft = 0;
 	#sentAt = Number.NEGATIVE_INFINITY;
 
-	/** @param level - calls in the bucket at the start; 0 where that isn't known. */
+	/** @param level - calls in the bucket at the start; undefined if the server has just started. */
 	constructor(
 		{id, quota}: {readonly id: number; readonly quota: Quota},
 		{
 			bounds,
 			level,
 			epoch,
-		}: {readonly bounds: QuotaBounds; readonly level: number; readonly epoch: number},
+		}: {readonly bounds: QuotaBounds; readonly level?: number; readonly epoch: number},
 		now: number,
 	) {
 		this.id = id;
@@ -94,8 +96,8 @@
 		this.#quota = quota;
 		this.#at = now;
 		this.#bounds = bounds;
-		this.#level = level;
-		this.#isLevelAssumed = level === 0;
+		this.#level = level ?? -unknownUseShare * this.#excess;
+		this.#isLevelAssumed = level === undefined;
 		this.#startedAt = now;
 		this.#slow = new RateMeter(slowTimeConstantMs, now);
 		this.#fast = new RateMeter(fastTimeConstantMs, now);
