Merge quotas: estimates of admitted calls are whole numbers on the wire

Cause: a server that estimates what was admitted before it started has fractions. Change: the count is rounded up when it is encoded.

--- a/packages/redwingmill-protocol/src/__tests__/unit/datagram-codec.test.ts
+++ b/packages/redwingmill-protocol/src/__tests__/unit/datagram-codec.test.ts
@@ -258,4 +258,17 @@
 			expect(() => decodeDatagram(malformed)).to.throw(ProtocolError);
 		}
 	});
+
+	it('rounds counts of calls up that are estimates, in place of failing', () => {
+		const entry = {id: 7, epoch: 1, askedPerSecond: 1, admittedPerSecond: 1, level: -3.5};
+		const datagram: Datagram = {
+			type: 'quota-demand',
+			demand: {incarnation: 4, sequence: 9, entries: [{...entry, admitted: 531.018}]},
+		};
+		const decoded = decodeDatagram(encodeDatagram(datagram));
+		expect(decoded).to.deep.equal({
+			...datagram,
+			demand: {...datagram.demand, entries: [{...entry, admitted: 532, level: -4}]},
+		});
+	});
 });
--- a/packages/redwingmill-protocol/src/quota-codec.ts
+++ b/packages/redwingmill-protocol/src/quota-codec.ts
@@ -88,7 +88,8 @@
 		sequence,
 		ids: entries.map(({id}) => id),
 		epochs: entries.map(({epoch}) => epoch),
-		admitted: entries.map(({admitted}) => BigInt(admitted)),
+		// Rounded up, so that no server takes a part of a call for none.
+		admitted: entries.map(({admitted}) => BigInt(Math.ceil(admitted))),
 		askedPerTenSeconds: entries.map(({askedPerSecond}) =>
 			Math.round(askedPerSecond * tenthsPerUnit),
 		),
