Send bulk responses one after the other on the host's link

Callers saw: during bursts of large responses all of them were late, since they shared the link, and gates admitted more than the link carries. Cause: responses were sent when they were ready, and admission knew of slots only. Event 512 stands in the order of its number, as docs/EVENTS.md has it.

--- a/packages/redwingmill-core/src/call/call-queue.ts
+++ b/packages/redwingmill-core/src/call/call-queue.ts
@@ -64,6 +64,11 @@
 			: this.#byRank.ahead(call.rank, Number.POSITIVE_INFINITY);
 	}
 
+	/** Returns all calls. */
+	all(): Iterable<GateCall> {
+		return this.upTo({rank: Number.POSITIVE_INFINITY});
+	}
+
 	/** Records that a call arrived, whether or not it is added. */
 	onAsked(call: QueuedCall): void {
 		if (call.workspace !== undefined) {
--- a/packages/redwingmill-core/src/call/dispatcher.ts
+++ b/packages/redwingmill-core/src/call/dispatcher.ts
@@ -123,6 +123,15 @@
 		return this.#waits.limitMs(call, {dueAt, ...this.#occupancyAt(now)}, now);
 	}
 
+	/** Yields the calls that run or wait. */
+	*calls(): Generator<GateCall> {
+		for (const {call} of this.#running.values()) {
+			yield call;
+		}
+
+		yield* this.#queue.all();
+	}
+
 	/** Whether the worker has calls and has stopped answering. */
 	isStalled(now: number): boolean {
 		return (
--- a/packages/redwingmill-core/src/call/gate-admission.ts
+++ b/packages/redwingmill-core/src/call/gate-admission.ts
@@ -1,4 +1,5 @@
 import {type Worker} from '../model/node-record.js';
+import {type BulkForecast} from './bulk-forecast.js';
 import {decideAdmission, isLate, type AdmissionDecision} from './admission.js';
 import {type CrashTracker} from './crash-tracker.js';
 import {type Dispatcher} from './dispatcher.js';
@@ -23,6 +24,7 @@
 	readonly crashes: CrashTracker;
 	readonly dispatcher: Dispatcher;
 	readonly runTimes: RunTimes;
+	readonly bulk: BulkForecast;
 };
 
 /** Decides whether a call may wait for the worker, and for how long. */
@@ -63,7 +65,7 @@
 
 	/** Decides by the expected wait whether a call is worth queueing. */
 	decide(call: GateCall, now: number): AdmissionDecision {
-		const {limits, dispatcher, runTimes} = this.#parts;
+		const {limits, dispatcher, runTimes, bulk} = this.#parts;
 		const dueAt = this.dueAtOf(call, now);
 		const limitWaitMs = dispatcher.limitWaitMs(call, dueAt, now);
 		if (!limits.isLimiting && limitWaitMs === 0) {
@@ -71,8 +73,11 @@
 		}
 
 		const {deadlineAt, targetAt, group} = call;
-		const waitMs = dispatcher.expectedWaitMs(call, dueAt, now);
-		const runMs = runTimes.expectedAt(group, now);
+		const slotWaitMs = dispatcher.expectedWaitMs(call, dueAt, now);
+		const workerMs = runTimes.expectedAt(group, now);
+		// The response waits for the link after the run, unless the link is free before.
+		const waitMs = Math.max(slotWaitMs, this.linkWaitMs(call, now) - workerMs);
+		const runMs = workerMs + bulk.transferMs(call);
 		const decision = decideAdmission({now, deadlineAt, targetAt, waitMs, runMs});
 		if (decision.type === 'admitted') {
 			return decision;
@@ -82,7 +87,7 @@
 		return {
 			...decision,
 			...(isLimited && {reason: 'worker-limited'}),
-			...(this.#usesForecast(call) && {retryAfterMs: dispatcher.forecastMs(call, now)}),
+			...(this.#usesForecast(call) && {retryAfterMs: this.#forecastMs(call, now)}),
 		};
 	}
 
@@ -116,10 +121,20 @@
 		}
 
 		return this.#usesForecast(call)
-			? dispatcher.forecastMs(call, now)
+			? this.#forecastMs(call, now)
 			: dispatcher.expectedWaitMs(call, this.dueAtOf(call, now), now);
 	}
 
+	/** Returns the expected time until the host's link is free for the response of a call. */
+	linkWaitMs({isBulk = false}: Pick<GateCall, 'isBulk'>, now: number): number {
+		const {bulk, dispatcher} = this.#parts;
+		return isBulk ? bulk.waitMs(dispatcher.calls(), now) : 0;
+	}
+
+	#forecastMs(call: GateCall, now: number): number {
+		return Math.max(this.#parts.dispatcher.forecastMs(call, now), this.linkWaitMs(call, now));
+	}
+
 	/**
 	 * Whether a retry is worthwhile only once the work of all calls as urgent is done: a single call's place
 	 * says little of that where workspaces share the worker.
--- a/packages/redwingmill-core/src/call/gate-answers.ts
+++ b/packages/redwingmill-core/src/call/gate-answers.ts
@@ -1,3 +1,4 @@
+import {type BulkForecast} from './bulk-forecast.js';
 import {type CallDeduplicator} from './call-deduplicator.js';
 import {type Answer} from './call-ledger.js';
 import {type CrashTracker} from './crash-tracker.js';
@@ -18,6 +19,7 @@
 	readonly dispatcher: Dispatcher;
 	readonly failures: FailureMeter;
 	readonly runTimes: RunTimes;
+	readonly bulk: BulkForecast;
 };
 
 /** Answers calls: turns a worker's results and refusals into outcomes, and retains them. */
@@ -115,13 +117,14 @@
 		result: Extract<WorkerResult<Payload>, {type: 'answered'}>,
 		now: number,
 	): Array<GateEffect<Payload>> {
-		const {crashes, dispatcher, failures, runTimes} = this.#parts;
+		const {bulk, crashes, dispatcher, failures, runTimes} = this.#parts;
 		const {payload, bytes, isFailure, isExpired = false} = result;
 		const ranMs = isFailure ? undefined : now - startedAt;
 		dispatcher.onAnswered();
 		failures.record(isFailure, now);
 		if (ranMs !== undefined) {
 			runTimes.record(call.group, ranMs, now);
+			bulk.onAnswered(call, bytes);
 		}
 
 		return [
--- a/packages/redwingmill-core/src/call/gate.ts
+++ b/packages/redwingmill-core/src/call/gate.ts
@@ -1,4 +1,5 @@
 import {type Worker} from '../model/node-record.js';
+import {BulkForecast, type ResponseLink} from './bulk-forecast.js';
 import {CallDeduplicator, type CallIdentity, type Withdrawal} from './call-deduplicator.js';
 import {CrashTracker, type CrashReport, type GateIdentity} from './crash-tracker.js';
 import {Dispatcher} from './dispatcher.js';
@@ -35,7 +36,8 @@
 	#worker: Worker | undefined;
 	#isStopping = false;
 
-	constructor(limits: GateLimits, identity: GateIdentity, now: number) {
+	/** @param link - link over which bulk responses are sent; absent if its bandwidth isn't known. */
+	constructor(limits: GateLimits, identity: GateIdentity, now: number, link?: ResponseLink) {
 		const {quarantineMs, deathsToQuarantine} = limits;
 		const crashes = new CrashTracker(
 			new SuspectedRequests(quarantineMs, deathsToQuarantine),
@@ -45,7 +47,8 @@
 		const deduplicator = new CallDeduplicator<Payload>(limits);
 		const runTimes = this.#runTimes;
 		const dispatcher = new Dispatcher({limits, crashes, runTimes, reports: this.#reports});
-		const admission = new GateAdmission({limits, crashes, dispatcher, runTimes});
+		const bulk = new BulkForecast(link);
+		const admission = new GateAdmission({limits, crashes, dispatcher, runTimes, bulk});
 		const failures = this.#failures;
 		this.#crashes = crashes;
 		this.#deduplicator = deduplicator;
@@ -58,15 +61,18 @@
 			dispatcher,
 			failures,
 			runTimes,
+			bulk,
 		});
 	}
 
 	/** Returns the load by which entry nodes choose between workers. */
 	loadAt(now: number): WorkerLoad {
+		const latest = Number.POSITIVE_INFINITY;
+		const slotWaitMs = this.#dispatcher.expectedWaitMs(leastUrgent, latest, now);
 		const hostTime = this.#reports.hostTimeAt(now);
 		return {
 			callsPerSlot: this.#dispatcher.callsPerSlotAt(now),
-			waitMs: this.#dispatcher.expectedWaitMs(leastUrgent, Number.POSITIVE_INFINITY, now),
+			waitMs: Math.max(slotWaitMs, this.#admission.linkWaitMs({isBulk: true}, now)),
 			runMs: this.#runTimes.meanAt(now),
 			failureShare: this.#failures.shareAt(now),
 			allowance: this.#dispatcher.allowanceAt(now),
--- a/packages/redwingmill-node/src/call/entry-server.ts
+++ b/packages/redwingmill-node/src/call/entry-server.ts
@@ -16,6 +16,7 @@
 	type RouteLookup,
 } from './entry-service.js';
 import {forwardedHeaders, headerNames, numberHeader, textHeader} from './headers.js';
+import {type LinkSender} from './link-sender.js';
 import {OpenRequests, type OpenRequest} from './open-requests.js';
 import {readConnectedRequest} from './read-request.js';
 
@@ -52,6 +53,8 @@
 	readonly protocol: CallerProtocol;
 	readonly metrics: Metrics;
 	readonly log: Log;
+	/** Sends bulk responses; absent if the bandwidth of the host's link isn't known. */
+	readonly link?: LinkSender;
 };
 
 /** A request that has arrived, and the response to it. */
@@ -209,6 +212,14 @@
 		const {request, response} = arrival;
 		const requestedMs = numberHeader(request.headers, this.#options.protocol.deadlineHeader);
 		const waitMs = Math.min(route.deadlineMs, requestedMs ?? route.deadlineMs);
+		const linkWaitMs = route.isBulk ? (this.#options.link?.expectedWaitMs(startedAt) ?? 0) : 0;
+		if (linkWaitMs > waitMs) {
+			const outcome = refusalOf(request, 'queue-too-slow');
+			request.resume();
+			this.#respond(arrival, {outcome, retryAfterMs: linkWaitMs, isRetried: false}, startedAt);
+			return;
+		}
+
 		const requestKey = `${request.method ?? 'GET'} ${hostOf(request) ?? ''}${request.url ?? '/'}`;
 		const firstTryAt = this.#service.firstTryAt(requestKey, startedAt);
 		const {targetMs} = route;
@@ -266,7 +277,7 @@
 				},
 			},
 			(answer) => {
-				this.#respond(arrival, answer, call.startedAt);
+				this.#respond(arrival, answer, call.startedAt, call);
 			},
 		);
 		open.onAbandoned(() => {
@@ -274,14 +285,35 @@
 		});
 	}
 
-	#respond({response, open}: Arrival, answer: EntryAnswer, startedAt: number): void {
-		const {outcome, payload, isRetried} = answer;
-		const {metrics, protocol} = this.#options;
-		metrics.countCall(outcome, (performance.now() - startedAt) / 1000);
+	/** @param call - absent for a call that this node refuses. */
+	#respond(
+		arrival: Arrival,
+		answer: EntryAnswer,
+		startedAt: number,
+		call?: Pick<CallerCall, 'route' | 'targetAt' | 'deadlineAt'>,
+	): void {
+		const {response} = arrival;
+		const {metrics, link} = this.#options;
+		metrics.countCall(answer.outcome, (performance.now() - startedAt) / 1000);
 		if (response.destroyed) {
 			return;
 		}
 
+		const bytes = answer.payload?.body.length ?? 0;
+		if (link && call?.route.isBulk) {
+			const {targetAt, deadlineAt} = call;
+			link.send(response, bytes, {dueAt: targetAt ?? deadlineAt, deadlineAt}, () => {
+				this.#write(arrival, answer);
+			});
+		} else {
+			this.#write(arrival, answer);
+		}
+	}
+
+	#write({response, open}: Arrival, answer: EntryAnswer): void {
+		const {outcome, payload, isRetried} = answer;
+		const {protocol} = this.#options;
+
 		const retryAfterMs = this.#withJitter(answer.retryAfterMs);
 		const headers = {
 			...payload?.headers,
--- a/packages/redwingmill-node/src/call/gate-server.ts
+++ b/packages/redwingmill-node/src/call/gate-server.ts
@@ -7,6 +7,7 @@
 import {parseAttempt, type AttemptHeader} from './attempt-header.js';
 import {type GateRequest, type GateService} from './gate-service.js';
 import {forwardedHeaders, headerNames, numberHeader, textHeader} from './headers.js';
+import {type LinkSender, type ResponseTimes} from './link-sender.js';
 import {OpenRequests} from './open-requests.js';
 import {type Payload} from './payload.js';
 import {readConnectedRequest} from './read-request.js';
@@ -47,6 +48,8 @@
 	readonly incarnation: () => number;
 	/** Returns the configuration held, or its change since a version, in the form that nodes exchange. */
 	readonly configurationSince: (since: number | undefined) => ConfigurationReply;
+	/** Sends bulk responses; absent if the bandwidth of the host's link isn't known. */
+	readonly link?: LinkSender;
 };
 
 /** HTTP server through which other nodes use the gate. */
@@ -138,8 +141,9 @@
 		readConnectedRequest(request, this.#bodyLimitBytes, (result) => {
 			switch (result.type) {
 				case 'complete': {
-					this.#service.submit(toGateRequest(request, result.body, attempt, now), (answer) => {
-						this.#respond(response, answer);
+					const gateRequest = toGateRequest(request, result.body, attempt, now);
+					this.#service.submit(gateRequest, (answer) => {
+						this.#respondInTurn(response, answer, gateRequest);
 					});
 					break;
 				}
@@ -197,6 +201,26 @@
 		}
 	}
 
+	/** Sends an answer; large ones of bulk calls wait for their turn on the link. */
+	#respondInTurn(
+		response: ServerResponse,
+		answer: Answer<Payload>,
+		{isBulk = false, targetAt, deadlineAt}: GateRequest,
+	): void {
+		const {link} = this.#node;
+		const write = () => {
+			this.#respond(response, answer);
+		};
+
+		if (link === undefined || !isBulk || response.destroyed) {
+			write();
+			return;
+		}
+
+		const times: ResponseTimes = {dueAt: targetAt ?? deadlineAt, deadlineAt};
+		link.send(response, answer.payload?.body.length ?? 0, times, write);
+	}
+
 	#respond(response: ServerResponse, answer: Answer<Payload>): void {
 		if (response.destroyed || response.headersSent) {
 			return;
--- a/packages/redwingmill-node/src/call/gate-service.ts
+++ b/packages/redwingmill-node/src/call/gate-service.ts
@@ -11,6 +11,7 @@
 	type GateLimits,
 	type NoticeChange,
 	type ReportedNotice,
+	type ResponseLink,
 	type SuspicionReport,
 	type Withdrawal,
 	type Worker,
@@ -41,6 +42,8 @@
 	readonly workerConnections: number;
 	readonly answerLimitBytes: number;
 	readonly identity: GateIdentity;
+	/** Link over which bulk responses are sent; absent if its bandwidth isn't known. */
+	readonly link?: ResponseLink;
 	readonly protocol: WorkerProtocol;
 	/** Called when a request is suspected of crashing the worker, or cleared of the suspicion. */
 	readonly onCrashReport: (report: CrashReport) => void;
@@ -114,7 +117,8 @@
 
 	constructor(options: GateServiceOptions) {
 		this.#options = options;
-		this.#gate = new Gate(options.limits, options.identity, performance.now());
+		const {limits, identity, link} = options;
+		this.#gate = new Gate(limits, identity, performance.now(), link);
 		this.#evictionTimer = setInterval(() => {
 			this.#perform(this.#gate.tick(performance.now()));
 		}, evictionIntervalMs);
--- a/packages/redwingmill-node/src/daemon.ts
+++ b/packages/redwingmill-node/src/daemon.ts
@@ -15,6 +15,7 @@
 import {GateClient} from './call/gate-client.js';
 import {GateServer} from './call/gate-server.js';
 import {GateService} from './call/gate-service.js';
+import {LinkSender} from './call/link-sender.js';
 import {defaultWorkerProtocol, type WorkerProtocol} from './call/worker-protocol.js';
 import {type ControlPlane, type ControlPlaneOptions} from './control/control-plane.js';
 import {CallLog} from './observe/call-log.js';
@@ -85,6 +86,8 @@
 	readonly #entryServer: EntryServer;
 	readonly #operators: OperatorsServer;
 	readonly #lease: WorkerLease;
+	/** Undefined if the bandwidth of the host's link isn't known. */
+	readonly #link: LinkSender | undefined;
 	#loadTimer: NodeJS.Timeout | undefined;
 	#workerTimer: NodeJS.Timeout | undefined;
 	/** Monotonic milliseconds; undefined while the node isn't stopping. */
@@ -105,6 +108,8 @@
 		const metrics = new Metrics(() => this.#readGauges());
 		this.#control = createControlPlane({settings, self, log, metrics});
 		const callLog = new CallLog(log, () => this.#control, callerProtocol.requestIdHeader);
+		const {linkMbps = 0} = settings.control;
+		this.#link = linkMbps > 0 ? new LinkSender(linkMbps) : undefined;
 		this.#gate = new GateService({
 			limits: {
 				...defaultGateLimits,
@@ -114,6 +119,7 @@
 			},
 			protocol: workerProtocol,
 			workerConnections: calls.workerConnections,
+			link: this.#link,
 			answerLimitBytes: calls.answerLimitBytes,
 			identity: {node: self.address, incarnation: self.incarnation},
 			onCrashReport: (report) => {
@@ -145,6 +151,7 @@
 		this.#gateServer = new GateServer(this.#gate, calls.bodyLimitBytes, {
 			incarnation: () => this.#control.self.incarnation,
 			configurationSince: (since) => this.#control.configurationSince(since),
+			link: this.#link,
 		});
 		this.#entry = new EntryService(settings, {
 			control: this.#control,
@@ -161,6 +168,7 @@
 			protocol: callerProtocol,
 			metrics,
 			log,
+			link: this.#link,
 		});
 		this.#operators = new OperatorsServer(this.#control, this.#gate, metrics, (worker) => {
 			this.announce(worker);
@@ -323,6 +331,7 @@
 		await this.#entryServer.close();
 		this.#gateServer.close();
 		this.#operators.close();
+		this.#link?.close();
 		await this.#control.stop();
 		await this.#gateClient.close();
 		await this.#gate.close();
--- a/packages/redwingmill-node/src/observe/log-event.ts
+++ b/packages/redwingmill-node/src/observe/log-event.ts
@@ -101,16 +101,16 @@
 		level: 'warn',
 		message: 'worker states a limit that cannot be read',
 	},
-	workerLoadMalformed: {
-		number: 512,
-		level: 'warn',
-		message: 'worker reports a load that cannot be read',
-	},
 	workerLeaving: {
 		number: 511,
 		level: 'info',
 		message: 'worker says in its responses that it leaves',
 	},
+	workerLoadMalformed: {
+		number: 512,
+		level: 'warn',
+		message: 'worker reports a load that cannot be read',
+	},
 	callFinishedAtEntry: {number: 600, level: 'info', message: 'call finished at the entry node'},
 	callFinishedAtGate: {number: 601, level: 'info', message: 'call finished at the gate'},
 	linesDropped: {number: 602, level: 'warn', message: 'log lines dropped'},
