Workspaces in the operators' text, and strict revocation of keys

Callers saw: a withdrawn key worked for as long as a node was cut off from the store; the product's own text knew no workspaces. Cause: `revocation` was read and not used; the parser had no fields for workspaces. Change: a node that has to confirm its configuration and couldn't for `withinMs` refuses calls with a key as `configuration-unconfirmed`; an open poll counts only as of its last answer. The text has `workspaces`, `public` and `bulk`; faults never show a key.

--- a/packages/redwingmill-core/src/call/outcome.ts
+++ b/packages/redwingmill-core/src/call/outcome.ts
@@ -4,6 +4,7 @@
 	'key-unknown',
 	'quota-exceeded',
 	'configuration-behind',
+	'configuration-unconfirmed',
 	'route-inactive',
 	'not-serving',
 	'no-endpoint',
@@ -53,6 +54,7 @@
 /** Reasons that may no longer hold later, so that the answer carries a `Retry-After`. */
 const transientReasons: ReadonlySet<NotRunReason> = new Set<NotRunReason>([
 	'configuration-behind',
+	'configuration-unconfirmed',
 	'quota-exceeded',
 	'route-inactive',
 	'not-serving',
--- a/packages/redwingmill-core/src/directory/directory-state.ts
+++ b/packages/redwingmill-core/src/directory/directory-state.ts
@@ -110,6 +110,8 @@
 	readonly isOn: boolean;
 	/** Whether the watch reaches the store. */
 	readonly isStoreReachable: boolean;
+	/** When the store last answered the watch; absent if it never did. */
+	readonly contactAt?: number;
 	/** When a version came from another node that the watch hasn't delivered yet; absent if none did. */
 	readonly overtakenAt?: number;
 	/** When a poll was last abandoned. */
--- a/packages/redwingmill-core/src/directory/watch-controller.ts
+++ b/packages/redwingmill-core/src/directory/watch-controller.ts
@@ -21,7 +21,8 @@
 	handle(update: DirectoryUpdate, event: DirectoryEvent, context: DirectoryContext): void {
 		switch (event.type) {
 			case 'store-contact': {
-				update.set('watch', {isStoreReachable: event.isStoreReachable});
+				const {isStoreReachable} = event;
+				update.set('watch', {isStoreReachable, ...(isStoreReachable && {contactAt: context.now})});
 				break;
 			}
 
--- a/packages/redwingmill-core/src/index.ts
+++ b/packages/redwingmill-core/src/index.ts
@@ -75,6 +75,7 @@
 export {mergeStoredCrashes, reportsOfStored, type StoredCrashes} from './call/stored-crashes.js';
 export {formatTicket, parseTicket, type Ticket} from './call/ticket.js';
 export {WorkerLease, type AnnouncementOrder, type Renewal} from './call/worker-lease.js';
+export {confirmingPollMs, unconfirmedMs} from './directory/confirmation.js';
 export {createDirectory, type Directory} from './directory/create-directory.js';
 export {
 	configurationBehindMs,
--- a/packages/redwingmill-node/src/call/entry-service.ts
+++ b/packages/redwingmill-node/src/call/entry-service.ts
@@ -74,6 +74,9 @@
 /** Long enough to fetch the newer version from another node. */
 const behindRetryMs = 300;
 const notServingRetryMs = 1000;
+const unconfirmedRetryMs = 1000;
+/** Interval at which the confirmation is checked: a check reads the state of all nodes. */
+const confirmationCheckMs = 50;
 /** Time after the deadline within which the gate's own answer may still arrive. */
 const deadlineGraceMs = 20;
 const msPerSecond = 1000;
@@ -105,6 +108,8 @@
 	readonly #deadlines = new DeadlineTimer();
 	readonly #exchanges = new Set<EntryExchange>();
 	readonly #idPrefix: string;
+	/** Whether the configuration was unconfirmed when that was last checked. */
+	#confirmation = {at: Number.NEGATIVE_INFINITY, isUnconfirmed: false};
 	#sequence = 0;
 
 	constructor(
@@ -202,6 +207,11 @@
 			return this.#refuseUnknown('no-route');
 		}
 
+		if (routing.workspaces && !found.route.isPublic && key !== undefined && this.#isUnconfirmed()) {
+			const reason = 'configuration-unconfirmed';
+			return {type: 'refused', reason, retryAfterMs: unconfirmedRetryMs};
+		}
+
 		const authorization = routing.workspaces?.authorize(found.route, key);
 		if (authorization?.type === 'denied') {
 			return this.#refuseUnknown('key-unknown');
@@ -346,6 +356,22 @@
 			: {type: 'refused', reason};
 	}
 
+	/** Whether a key may have been withdrawn without this node's knowledge, and must not count then. */
+	#isUnconfirmed(): boolean {
+		const {revocation} = this.#settings;
+		if (!revocation?.isStrict) {
+			return false;
+		}
+
+		const now = performance.now();
+		if (now - this.#confirmation.at >= confirmationCheckMs) {
+			const isUnconfirmed = this.#control.configurationUnconfirmedMs >= revocation.withinMs;
+			this.#confirmation = {at: now, isUnconfirmed};
+		}
+
+		return this.#confirmation.isUnconfirmed;
+	}
+
 	#newCall(
 		{request, route, targetAt, deadlineAt}: CallerCall,
 		service: string,
--- a/packages/redwingmill-node/src/control/configuration-watch.ts
+++ b/packages/redwingmill-node/src/control/configuration-watch.ts
@@ -11,6 +11,8 @@
 	readonly onSource: (source: unknown) => void;
 	/** Called when the store becomes reachable or unreachable. */
 	readonly onReachabilityChange: (isReachable: boolean, reason: string) => void;
+	/** Called each time that the store has answered. */
+	readonly onContact?: () => void;
 	/**
 	 * Returns the duration of the next long poll in milliseconds. `isFirst`: the previous request found a
 	 * configuration.
@@ -88,14 +90,14 @@
 	#handleResult(result: ConfigurationReadResult): StorePosition | undefined {
 		switch (result.type) {
 			case 'found': {
-				this.#setReachable(true, 'answered');
+				this.#onAnswered();
 				this.#handlers.onSource(result.source);
 				return result.position;
 			}
 
 			case 'missing':
 			case 'unchanged': {
-				this.#setReachable(true, 'answered');
+				this.#onAnswered();
 				return result.position;
 			}
 
@@ -127,6 +129,11 @@
 		}
 	}
 
+	#onAnswered(): void {
+		this.#setReachable(true, 'answered');
+		this.#handlers.onContact?.();
+	}
+
 	#setReachable(isReachable: boolean, reason: string): void {
 		if (isReachable !== this.#isReachable) {
 			this.#isReachable = isReachable;
--- a/packages/redwingmill-node/src/control/control-plane.ts
+++ b/packages/redwingmill-node/src/control/control-plane.ts
@@ -53,6 +53,11 @@
 	readonly controlBytes: number;
 	/** For how long this node has known of a version newer than the one in force here; 0 if of none. */
 	readonly configurationBehindMs: number;
+	/**
+	 * For how long this node couldn't confirm that its configuration is the newest; 0 unless the settings
+	 * ask for a strict revocation.
+	 */
+	readonly configurationUnconfirmedMs: number;
 	/** Whether this node is the relay of its data centre. */
 	readonly isRelay: boolean;
 	/** Returns the configuration in force for another node, or a patch to it from version `since`. */
--- a/packages/redwingmill-node/src/control/relay-control-plane.ts
+++ b/packages/redwingmill-node/src/control/relay-control-plane.ts
@@ -121,6 +121,11 @@
 		return 0;
 	}
 
+	/** Not known here; a cut-off data centre goes on with the version that it holds. */
+	get configurationUnconfirmedMs(): number {
+		return 0;
+	}
+
 	get isRelay(): boolean {
 		return this.blackboard.links.uplink.type === 'relay';
 	}
--- a/packages/redwingmill-node/src/control/store-control-plane.ts
+++ b/packages/redwingmill-node/src/control/store-control-plane.ts
@@ -2,6 +2,7 @@
 import {Client} from 'undici';
 import {
 	configurationBehindMs,
+	confirmingPollMs,
 	createDirectory,
 	defaultDirectoryLimits,
 	initialDirectoryState,
@@ -9,6 +10,7 @@
 	longPollMs,
 	mergeStoredCrashes,
 	reportsOfStored,
+	unconfirmedMs,
 	type SuspicionReport,
 	type ConfigurationDocument,
 	type Directory,
@@ -133,6 +135,17 @@
 		return configurationBehindMs(this.#state, performance.now());
 	}
 
+	get configurationUnconfirmedMs(): number {
+		const withinMs = this.#confirmWithinMs;
+		return withinMs === undefined ? 0 : unconfirmedMs(this.#state, withinMs, performance.now());
+	}
+
+	/** Time within which the configuration has to be confirmed; undefined if it needn't be. */
+	get #confirmWithinMs(): number | undefined {
+		const {revocation} = this.#settings;
+		return revocation?.isStrict ? revocation.withinMs : undefined;
+	}
+
 	get isRelay(): boolean {
 		return false;
 	}
@@ -429,7 +442,17 @@
 				this.#log.write(isReachable ? logEvents.storeRegained : logEvents.storeLost, {reason});
 				this.#dispatch({type: 'store-contact', isStoreReachable: isReachable});
 			},
-			longPollMs: (isFirst: boolean) => longPollMs(this.#state, defaultDirectoryLimits, isFirst),
+			onContact: () => {
+				// Only a strict revocation needs to know of each answer.
+				if (this.#confirmWithinMs !== undefined) {
+					this.#dispatch({type: 'store-contact', isStoreReachable: true});
+				}
+			},
+			longPollMs: (isFirst: boolean) => {
+				const pollMs = longPollMs(this.#state, defaultDirectoryLimits, isFirst);
+				const withinMs = this.#confirmWithinMs;
+				return withinMs === undefined ? pollMs : Math.min(pollMs, confirmingPollMs(withinMs));
+			},
 		};
 		return new ConfigurationWatch(this.#ports.configuration, handlers, this.#random);
 	}
--- a/packages/redwingmill-text/src/json-reader.ts
+++ b/packages/redwingmill-text/src/json-reader.ts
@@ -113,6 +113,20 @@
 		return found;
 	}
 
+	/** Returns a truth value, or undefined if the node is absent or faulty. */
+	boolean(node: Node | undefined, path: string): boolean | undefined {
+		if (node === undefined) {
+			return undefined;
+		}
+
+		if (node.type !== 'boolean') {
+			this.report(node.offset, {type: 'wrong-type', path, expected: 'true or false'});
+			return undefined;
+		}
+
+		return node.value as boolean;
+	}
+
 	/** Returns a number within the bounds, or undefined if the node is absent or faulty. */
 	number(
 		node: Node | undefined,
--- a/packages/redwingmill-text/src/parse-text.ts
+++ b/packages/redwingmill-text/src/parse-text.ts
@@ -8,6 +8,7 @@
 import {priorities, type Configuration, type Route, type Service} from './configuration.js';
 import {orderByDependency} from './dependency-order.js';
 import {JsonReader} from './json-reader.js';
+import {readWorkspaces} from './parse-workspaces.js';
 import {type TextFault} from './text-fault.js';
 
 /** Maximum size of a text. Two copies with their JSON overhead fit into one platform object. */
@@ -33,7 +34,10 @@
 	'priority',
 	'deadlineMs',
 	'retryShare',
+	'public',
+	'bulk',
 ] as const;
+const textFields = ['services', 'routes', 'workspaces'] as const;
 
 /** Result of parsing a text: the configuration it declares, or every fault found in it. */
 export type ParsedText =
@@ -108,11 +112,16 @@
 }
 
 function readConfiguration(root: Node, reader: JsonReader): Configuration {
-	const fields = reader.fields(root, '$', ['services', 'routes'], ['services', 'routes']);
+	const fields = reader.fields(root, '$', textFields, ['services', 'routes']);
 	const services = readServices(fields.get('services')?.value, reader);
 	const names = new Set(services.map((service) => service.name));
 	const routes = readRoutes(fields.get('routes')?.value, names, reader);
-	return {services: sortServices(services, root, reader), routes: sortRoutes(routes)};
+	const workspaces = readWorkspaces(fields.get('workspaces')?.value, reader);
+	return {
+		services: sortServices(services, root, reader),
+		routes: sortRoutes(routes),
+		...(workspaces && {workspaces}),
+	};
 }
 
 function readServices(node: Node | undefined, reader: JsonReader): Service[] {
@@ -224,6 +233,8 @@
 	);
 	const retryShare = reader.number(fieldValue('retryShare'), `${path}.retryShare`, 0, 1);
 	const priority = reader.choice(fieldValue('priority'), `${path}.priority`, priorities);
+	const isPublic = reader.boolean(fieldValue('public'), `${path}.public`) ?? false;
+	const isBulk = reader.boolean(fieldValue('bulk'), `${path}.bulk`) ?? false;
 	const methods = readMethods(fieldValue('methods'), `${path}.methods`, reader);
 	const idempotent = fieldValue('idempotent')
 		? readMethods(fieldValue('idempotent'), `${path}.idempotent`, reader)
@@ -256,6 +267,8 @@
 		rank: priorities.indexOf(priority ?? 'normal'),
 		deadlineMs: deadlineMs ?? defaultDeadlineMs,
 		retryShare: retryShare ?? defaultRetryShare,
+		...(isPublic && {isPublic}),
+		...(isBulk && {isBulk}),
 	};
 }
 
--- a/packages/redwingmill-text/src/text-fault.ts
+++ b/packages/redwingmill-text/src/text-fault.ts
@@ -16,6 +16,8 @@
 		| {readonly type: 'duplicate'; readonly path: string; readonly name: string}
 		| {readonly type: 'invalid-name'; readonly path: string; readonly name: string}
 		| {readonly type: 'unknown-service'; readonly path: string; readonly name: string}
+		/** A key that another entry has too; the key itself isn't shown. */
+		| {readonly type: 'repeated-key'; readonly path: string; readonly workspace: string}
 		| {readonly type: 'cycle'; readonly services: readonly string[]}
 		| {
 				readonly type: 'out-of-range';
@@ -64,6 +66,10 @@
 			return `${fault.path}: no service is named "${fault.name}"`;
 		}
 
+		case 'repeated-key': {
+			return `${fault.path}: key of workspace "${fault.workspace}" is used again`;
+		}
+
 		case 'cycle': {
 			return `services depend on each other in a cycle: ${fault.services.join(' -> ')}`;
 		}
