--- a/packages/redwingmill-core/src/index.ts
+++ b/packages/redwingmill-core/src/index.ts
@@ -69,6 +69,8 @@
 export {WorkerAllowance, type Allowance} from './call/worker-allowance.js';
 export * from './call/worker-notice.js';
 export * from './call/worker-report.js';
+export {LinkScheduler, type Transfer} from './call/link-scheduler.js';
+export {type ResponseLink} from './call/bulk-forecast.js';
 export type {NoticeChange} from './call/worker-notices.js';
 export {allowanceOfNode, RetryBudget, type RetryAllowance} from './call/retry-budget.js';
 export * from './quota/index.js';
@@ -88,6 +90,7 @@
 export {mergeStoredCrashes, reportsOfStored, type StoredCrashes} from './call/stored-crashes.js';
 export {formatTicket, parseTicket, type Ticket} from './call/ticket.js';
 export {WorkerLease, type AnnouncementOrder, type Renewal} from './call/worker-lease.js';
+export {confirmingPollMs, unconfirmedMs} from './directory/confirmation.js';
 export {createDirectory, type Directory} from './directory/create-directory.js';
 export {type CreateDecider, type Decider} from './directory/rollout-decisions.js';
 export {
--- a/packages/redwingmill-node/src/call/gate-service.ts
+++ b/packages/redwingmill-node/src/call/gate-service.ts
@@ -12,6 +12,7 @@
 	type NoticeChange,
 	type ReportedNotice,
 	type RolloutOrder,
+	type ResponseLink,
 	type SuspicionReport,
 	type Withdrawal,
 	type Worker,
@@ -44,6 +45,8 @@
 	readonly workerConnections: number;
 	readonly answerLimitBytes: number;
 	readonly identity: GateIdentity;
+	/** Link over which bulk responses are sent; absent if its bandwidth isn't known. */
+	readonly link?: ResponseLink;
 	readonly protocol: WorkerProtocol;
 	/** Called when a request is suspected of crashing the worker, or cleared of the suspicion. */
 	readonly onCrashReport: (report: CrashReport) => void;
@@ -120,8 +123,9 @@
 
 	constructor(options: GateServiceOptions) {
 		this.#options = options;
-		this.#evidence = new EvidenceCounter(options.identity);
-		this.#gate = new Gate(options.limits, options.identity, performance.now());
+		const {limits, identity, link} = options;
+		this.#evidence = new EvidenceCounter(identity);
+		this.#gate = new Gate(limits, identity, performance.now(), link);
 		this.#evictionTimer = setInterval(() => {
 			this.#perform(this.#gate.tick(performance.now()));
 		}, evictionIntervalMs);
--- a/packages/redwingmill-node/src/daemon.ts
+++ b/packages/redwingmill-node/src/daemon.ts
@@ -16,6 +16,7 @@
 import {GateClient} from './call/gate-client.js';
 import {GateServer} from './call/gate-server.js';
 import {GateService} from './call/gate-service.js';
+import {LinkSender} from './call/link-sender.js';
 import {defaultWorkerProtocol, type WorkerProtocol} from './call/worker-protocol.js';
 import {type ControlPlane, type ControlPlaneOptions} from './control/control-plane.js';
 import {CallLog} from './observe/call-log.js';
@@ -87,6 +88,8 @@
 	readonly #entryServer: EntryServer;
 	readonly #operators: OperatorsServer;
 	readonly #lease: WorkerLease;
+	/** Undefined if the bandwidth of the host's link isn't known. */
+	readonly #link: LinkSender | undefined;
 	#loadTimer: NodeJS.Timeout | undefined;
 	#evidenceTimer: NodeJS.Timeout | undefined;
 	#workerTimer: NodeJS.Timeout | undefined;
@@ -108,6 +111,8 @@
 		const metrics = new Metrics(() => this.#readGauges());
 		this.#control = createControlPlane({settings, self, log, metrics});
 		const callLog = new CallLog(log, () => this.#control, callerProtocol.requestIdHeader);
+		const {linkMbps = 0} = settings.control;
+		this.#link = linkMbps > 0 ? new LinkSender(linkMbps) : undefined;
 		this.#gate = new GateService({
 			limits: {
 				...defaultGateLimits,
@@ -117,6 +122,7 @@
 			},
 			protocol: workerProtocol,
 			workerConnections: calls.workerConnections,
+			link: this.#link,
 			answerLimitBytes: calls.answerLimitBytes,
 			identity: {node: self.address, incarnation: self.incarnation},
 			onCrashReport: (report) => {
@@ -148,6 +154,7 @@
 		this.#gateServer = new GateServer(this.#gate, calls.bodyLimitBytes, {
 			incarnation: () => this.#control.self.incarnation,
 			configurationSince: (since) => this.#control.configurationSince(since),
+			link: this.#link,
 		});
 		this.#entry = new EntryService(settings, {
 			control: this.#control,
@@ -164,6 +171,7 @@
 			protocol: callerProtocol,
 			metrics,
 			log,
+			link: this.#link,
 		});
 		this.#operators = new OperatorsServer(this.#control, this.#gate, metrics, (worker) => {
 			this.announce(worker);
@@ -341,6 +349,7 @@
 		await this.#entryServer.close();
 		this.#gateServer.close();
 		this.#operators.close();
+		this.#link?.close();
 		await this.#control.stop();
 		await this.#gateClient.close();
 		await this.#gate.close();
