Even load: reasons of choices in the call log, spread gauge, cheaper choice

Entries now log why each attempt's replica was chosen (choices) and show redwingmill_busy_share_spread; both only where even-load is in use.

--- a/packages/redwingmill-core/src/call/choice/choice-policy.ts
+++ b/packages/redwingmill-core/src/call/choice/choice-policy.ts
@@ -40,6 +40,19 @@
 	readonly bytes?: number;
 };
 
+/** Why the policy `even-load` chose a replica. */
+export const choiceReasons = [
+	/** A recent answer to this node showed its load. */
+	'answered-report',
+	/** A recent report to all nodes showed its load. */
+	'common-report',
+	/** No report is recent; it was drawn by what it can run, and by this node's own calls. */
+	'capacity',
+	/** It is in another data centre, and the local one would have answered too late or not at all. */
+	'other-data-centre',
+] as const;
+export type ChoiceReason = (typeof choiceReasons)[number];
+
 /** What a policy chooses from. */
 export type ChoiceInputs = {
 	/** Endpoints that may get the call; none if empty. */
--- a/packages/redwingmill-core/src/call/choice/earliest-answer.ts
+++ b/packages/redwingmill-core/src/call/choice/earliest-answer.ts
@@ -72,11 +72,12 @@
 	earliestLocal: Candidate | undefined,
 	{hasLocal, now, profile: {targetAt, bytes = 0}}: ChoiceInputs,
 ): Endpoint | undefined {
-	const leftMs = targetAt === undefined ? Number.POSITIVE_INFINITY : targetAt - now;
-	if (earliestLocal && earliestLocal.expectedMs <= leftMs * localTimeShare) {
+	if (earliestLocal && isLocalInTime(earliestLocal, targetAt, now)) {
 		return earliestLocal.endpoint;
 	}
 
+	const leftMs = leftMsOf(targetAt, now);
+
 	const marginMs = (bytes / bytesPerKb) * remoteCostPerKbMs;
 	const isInTime = earliest !== undefined && earliest.expectedMs <= leftMs;
 	const isEarlierEnough =
@@ -84,6 +85,19 @@
 	return (!hasLocal || (isInTime && isEarlierEnough) ? earliest : earliestLocal)?.endpoint;
 }
 
+/** Whether a local endpoint answers early enough that others need not be looked at. */
+export function isLocalInTime(
+	{expectedMs}: Candidate,
+	targetAt: number | undefined,
+	now: number,
+): boolean {
+	return expectedMs <= leftMsOf(targetAt, now) * localTimeShare;
+}
+
+function leftMsOf(targetAt: number | undefined, now: number): number {
+	return targetAt === undefined ? Number.POSITIVE_INFINITY : targetAt - now;
+}
+
 /** Returns the failure share that all workers have in common; its cause lies elsewhere. */
 export function commonFailureShare(endpoints: readonly Endpoint[], states: EndpointStates): number {
 	let least = Number.POSITIVE_INFINITY;
--- a/packages/redwingmill-core/src/call/choice/endpoint-state.ts
+++ b/packages/redwingmill-core/src/call/choice/endpoint-state.ts
@@ -1,5 +1,6 @@
 import {type Endpoint} from '../../model/routing-table.js';
 import {initialCompletion, type CompletionState} from '../expected-completion.js';
+import {type ChoiceReason} from './choice-policy.js';
 import {LoadHistory} from './load-history.js';
 
 /** State of an endpoint, from this node's calls and the gate's reports. */
@@ -7,6 +8,8 @@
 	/** Time at which the endpoint was added, in monotonic milliseconds. */
 	readonly addedAt: number;
 	inFlight: number;
+	/** Why it was chosen last; absent under policies that give no reason. */
+	choiceReason?: ChoiceReason;
 	completion: CompletionState;
 	/** Means of the reports, only where the policy `even-load` is in use. */
 	readonly history: LoadHistory;
--- a/packages/redwingmill-core/src/call/choice/even-load.ts
+++ b/packages/redwingmill-core/src/call/choice/even-load.ts
@@ -2,13 +2,8 @@
 import {type Endpoint} from '../../model/routing-table.js';
 import {failureMsOf, limitedWaitMs, remoteCostMs} from '../expected-completion.js';
 import {type GroupMeans} from '../group-means.js';
-import {type ChoiceInputs, type ChoiceStrategy} from './choice-policy.js';
-import {
-	boundedRunTime,
-	commonFailureShare,
-	localOrEarliest,
-	type Candidate,
-} from './earliest-answer.js';
+import {type ChoiceInputs, type ChoiceReason, type ChoiceStrategy} from './choice-policy.js';
+import {boundedRunTime, isLocalInTime, localOrEarliest, type Candidate} from './earliest-answer.js';
 import {type EndpointState, type EndpointStates} from './endpoint-state.js';
 import {forecastLoad, type Forecast} from './load-forecast.js';
 
@@ -17,19 +12,18 @@
  * calls and the reports in their answers, weighs more than what all nodes are told at the same time and
  * would all act on.
  */
-const weightOf = {answeredReport: 12, commonReport: 1, ownCalls: 12, meanBusyShare: 1} as const;
+const weightOf = {answeredReport: 12, commonReport: 4, ownCalls: 24, meanBusyShare: 1} as const;
 /** Smallest sum by which own calls are shared out; guards against a division by zero. */
 const leastCapacity = 1e-6;
 const initialRunMs = 20;
+/** Certainty from which a report counts as recent in the reason of a choice. */
+const recentCertainty = 0.5;
 
 /** What a choice knows of a replica. */
 type Replica = {
 	readonly endpoint: Endpoint;
 	readonly state: EndpointState;
 	readonly isLocal: boolean;
-	/** Calls that it can run in the mean run time of its service. */
-	readonly capacity: number;
-	readonly runMs: number;
 };
 
 /** Means over the replicas of a service that a choice compares. */
@@ -42,7 +36,7 @@
 	readonly now: number;
 };
 
-type Weighed = Candidate & {readonly weight: number; readonly isLocal: boolean};
+type Weighed = Candidate & {readonly weight: number};
 
 /**
  * Chooses at random, by weights that follow what replicas can run, so that many nodes that know the same
@@ -66,54 +60,26 @@
 	choose(inputs: ChoiceInputs): Endpoint | undefined {
 		const {usable, now, profile} = inputs;
 		const groupRunMs = this.#runTimes.expected(profile.group);
-		const replicas = this.#replicas(usable, groupRunMs);
-		const service = this.#serviceOf(replicas, groupRunMs, now);
-		const weighed = replicas.map((replica) => weigh(replica, service));
-		const local = weighed.filter(({isLocal}) => isLocal);
-		return localOrEarliest(this.#draw(weighed), this.#draw(local), inputs);
-	}
-
-	#replicas(usable: readonly Endpoint[], groupRunMs: number): readonly Replica[] {
-		let sumMs = 0;
-		let count = 0;
-		for (const endpoint of usable) {
-			const {runMs} = this.#states.of(endpoint).history;
-			sumMs += runMs ?? 0;
-			count += runMs === undefined ? 0 : 1;
-		}
-
-		const meanRunMs = count === 0 ? initialRunMs : sumMs / count;
-		return usable.map((endpoint) => {
-			const state = this.#states.of(endpoint);
-			state.relativeRunTime = boundedRunTime((state.history.runMs ?? meanRunMs) / meanRunMs);
+		const replicas = usable.map((endpoint) => ({
+			endpoint,
+			state: this.#states.of(endpoint),
+			isLocal: endpoint.dataCentre === this.#dataCentre,
+		}));
+		const service = serviceOf(replicas, groupRunMs, now);
+		const local = this.#draw(
+			replicas.filter(({isLocal}) => isLocal).map((replica) => weigh(replica, service)),
+		);
+		const isEnough = local !== undefined && isLocalInTime(local, profile.targetAt, now);
+		const any = isEnough ? local : this.#draw(replicas.map((replica) => weigh(replica, service)));
+		const chosen = localOrEarliest(any, local, inputs);
+		if (chosen) {
+			const state = this.#states.of(chosen);
 			const runMs = groupRunMs * state.relativeRunTime;
-			const capacity = endpoint.slots / state.relativeRunTime;
-			return {endpoint, state, isLocal: endpoint.dataCentre === this.#dataCentre, capacity, runMs};
-		});
-	}
-
-	#serviceOf(replicas: readonly Replica[], groupRunMs: number, now: number): Service {
-		let busy = 0;
-		let known = 0;
-		let ownCalls = 0;
-		let capacity = 0;
-		for (const {state, isLocal, capacity: own} of replicas) {
-			busy += state.history.busyShare ?? 0;
-			known += state.history.busyShare === undefined ? 0 : 1;
-			ownCalls += isLocal ? state.inFlight : 0;
-			capacity += isLocal ? own : 0;
+			state.choiceReason =
+				chosen.dataCentre === this.#dataCentre ? reasonOf(state, runMs, now) : 'other-data-centre';
 		}
 
-		return {
-			meanBusyShare: known === 0 ? 0 : busy / known,
-			baseFailureShare: commonFailureShare(
-				replicas.map(({endpoint}) => endpoint),
-				this.#states,
-			),
-			ownCallsPerCapacity: ownCalls / Math.max(leastCapacity, capacity),
-			groupRunMs,
-			now,
-		};
+		return chosen;
 	}
 
 	/** Draws one at random by weight; undefined if there is none. */
@@ -135,6 +101,42 @@
 	}
 }
 
+/** Also sets the relative run times of the replicas. */
+function serviceOf(replicas: readonly Replica[], groupRunMs: number, now: number): Service {
+	let runMs = 0;
+	let busy = 0;
+	let known = 0;
+	let baseFailureShare = Number.POSITIVE_INFINITY;
+	for (const {state} of replicas) {
+		const {history, completion} = state;
+		baseFailureShare = Math.min(baseFailureShare, completion.load?.failureShare ?? 0);
+		if (history.runMs !== undefined) {
+			runMs += history.runMs;
+			busy += history.busyShare ?? 0;
+			known += 1;
+		}
+	}
+
+	const meanRunMs = known === 0 ? initialRunMs : runMs / known;
+	let ownCalls = 0;
+	let capacity = 0;
+	for (const {state, isLocal, endpoint} of replicas) {
+		state.relativeRunTime = boundedRunTime((state.history.runMs ?? meanRunMs) / meanRunMs);
+		if (isLocal) {
+			ownCalls += state.inFlight;
+			capacity += endpoint.slots / state.relativeRunTime;
+		}
+	}
+
+	return {
+		meanBusyShare: known === 0 ? 0 : busy / known,
+		baseFailureShare,
+		ownCallsPerCapacity: ownCalls / Math.max(leastCapacity, capacity),
+		groupRunMs,
+		now,
+	};
+}
+
 /** Returns the forecast of a replica's load. Without any report, it is as busy as the others. */
 export function forecastOf(
 	{completion, history}: EndpointState,
@@ -154,10 +156,21 @@
 			});
 }
 
-function weigh({endpoint, state, isLocal, capacity, runMs}: Replica, service: Service): Weighed {
+function reasonOf(state: EndpointState, runMs: number, now: number): ChoiceReason {
+	const {certainty} = forecastOf(state, 0, runMs, now);
+	if (certainty < recentCertainty) {
+		return 'capacity';
+	}
+
+	return state.answeredAt === state.completion.loadAt ? 'answered-report' : 'common-report';
+}
+
+function weigh({endpoint, state, isLocal}: Replica, service: Service): Weighed {
 	const {meanBusyShare, baseFailureShare, ownCallsPerCapacity, groupRunMs, now} = service;
 	const {completion, history, inFlight, answeredAt} = state;
 	const {slots} = endpoint;
+	const runMs = groupRunMs * state.relativeRunTime;
+	const capacity = slots / state.relativeRunTime;
 	const {callsPerSlot, certainty} = forecastOf(state, meanBusyShare, runMs, now);
 	const mean = history.busyShare ?? meanBusyShare;
 	const isOwnReport = answeredAt === completion.loadAt;
@@ -178,5 +191,5 @@
 	const queueMs = Math.max(0, busyShare + 1 / slots - 1) * runMs;
 	const waitMs = Math.max(queueMs, limitMs);
 	const expectedMs = waitMs + runMs + (isLocal ? 0 : remoteCostMs) + failureMs;
-	return {endpoint, expectedMs, weight: capacity * Math.exp(-exponent), isLocal};
+	return {endpoint, expectedMs, weight: capacity * Math.exp(-exponent)};
 }
--- a/packages/redwingmill-core/src/call/endpoint-chooser.ts
+++ b/packages/redwingmill-core/src/call/endpoint-chooser.ts
@@ -2,6 +2,7 @@
 import {type Endpoint} from '../model/routing-table.js';
 import {
 	type CallProfile,
+	type ChoiceReason,
 	type ChoiceOptions,
 	type ChoiceStrategy,
 	type StrategyFactory,
@@ -137,6 +138,24 @@
 		return this.#notices.limitOf(endpoint);
 	}
 
+	/** Returns why the endpoint was chosen last; undefined under policies that give no reason. */
+	reasonOf(endpoint: Endpoint): ChoiceReason | undefined {
+		return this.#states.of(endpoint).choiceReason;
+	}
+
+	/**
+	 * Returns how much busier than their mean the busiest of the local endpoints is, in calls per slot as
+	 * reported over the last seconds; undefined with fewer than two reports or without `even-load`.
+	 */
+	busyShareSpread(endpoints: readonly Endpoint[]): number | undefined {
+		const shares = endpoints
+			.filter((endpoint) => this.#isLocal(endpoint))
+			.map((endpoint) => this.#states.of(endpoint).history.busyShare)
+			.filter((share) => share !== undefined);
+		const sum = shares.reduce((total, share) => total + share, 0);
+		return shares.length < 2 ? undefined : Math.max(...shares) - sum / shares.length;
+	}
+
 	/** Records a successful call; ends the series of failures and ejections. */
 	onSuccess(endpoint: Endpoint): void {
 		const state = this.#states.of(endpoint);
--- a/packages/redwingmill-core/src/call/entry-call.ts
+++ b/packages/redwingmill-core/src/call/entry-call.ts
@@ -1,6 +1,7 @@
 import {invariant} from 'redwingmill-shared';
 import {type Endpoint} from '../model/routing-table.js';
 import {type Answer} from './call-ledger.js';
+import {type ChoiceReason} from './choice/choice-policy.js';
 import {type EndpointChooser} from './endpoint-chooser.js';
 import {isTransient, type NotRunReason, type Outcome, type UnknownReason} from './outcome.js';
 import {type KnownLimit, type ReportedNotice} from './reported-notices.js';
@@ -46,6 +47,8 @@
 			readonly crashedNodes: readonly string[];
 			/** Limit that the endpoint's worker has stated; absent when none is known. */
 			readonly knownLimit?: KnownLimit;
+			/** Why the endpoint was chosen; absent when it is pinned or the policy gives no reason. */
+			readonly reason?: ChoiceReason;
 	  }
 	| {
 			readonly type: 'withdraw';
@@ -329,6 +332,7 @@
 			return undefined;
 		}
 
+		const reason = pinned ? undefined : this.#chooser.reasonOf(endpoint);
 		this.#endpoint = endpoint;
 		this.#attempts += 1;
 		this.#triedNodes.add(endpoint.node);
@@ -338,6 +342,7 @@
 			endpoint,
 			crashedNodes: this.#crashedNodes,
 			knownLimit: this.#chooser.limitOf(endpoint),
+			...(reason !== undefined && {reason}),
 		};
 	}
 
--- a/packages/redwingmill-core/src/index.ts
+++ b/packages/redwingmill-core/src/index.ts
@@ -41,7 +41,9 @@
 export {ConcurrencyLimit} from './call/concurrency-limit.js';
 export {
 	choicePolicies,
+	choiceReasons,
 	type ChoiceInputs,
+	type ChoiceReason,
 	type ChoiceOptions,
 	type ChoiceStrategy,
 	type StrategyFactory,
--- a/packages/redwingmill-node/src/__tests__/unit/metrics-page.test.ts
+++ b/packages/redwingmill-node/src/__tests__/unit/metrics-page.test.ts
@@ -15,6 +15,7 @@
 		workerLimitPerSecond: Number.POSITIVE_INFINITY,
 		isRelay: false,
 		isServing: true,
+		busyShareSpreads: new Map([['coding', 0.25]]),
 	}));
 }
 
--- a/packages/redwingmill-node/src/call/entry-exchange.ts
+++ b/packages/redwingmill-node/src/call/entry-exchange.ts
@@ -1,6 +1,7 @@
 import {
 	type Answer,
 	type AttemptResult,
+	type ChoiceReason,
 	type EntryAction,
 	type EntryCall,
 	type GateAnswer,
@@ -24,6 +25,8 @@
 	readonly answer?: Answer<Payload>;
 	/** Control addresses of the nodes to which attempts were sent, in order. */
 	readonly nodes: readonly string[];
+	/** Why they were chosen, in the same order; empty under policies that give no reason. */
+	readonly choices: readonly ChoiceReason[];
 };
 
 /** A caller's call and what is needed to carry it out. */
@@ -42,6 +45,7 @@
 	readonly #options: EntryExchangeOptions;
 	readonly #disarm: Disarm;
 	readonly #nodes: string[] = [];
+	readonly #choices: ChoiceReason[] = [];
 	#attempt: Attempt | undefined;
 	#exchange: Exchange | undefined;
 	#isFinished = false;
@@ -87,6 +91,7 @@
 		endpoint,
 		crashedNodes,
 		knownLimit,
+		reason,
 	}: Extract<EntryAction<Payload>, {type: 'attempt'}>): void {
 		const {service, route, request, ticket, caller, targetAt, deadlineAt, workspace} =
 			this.#options;
@@ -107,6 +112,10 @@
 			request,
 		};
 		this.#nodes.push(endpoint.node);
+		if (reason !== undefined) {
+			this.#choices.push(reason);
+		}
+
 		this.#attempt = attempt;
 		this.#exchange = service.send(attempt, (result) => {
 			if (this.#attempt === attempt && !this.#isFinished) {
@@ -180,7 +189,13 @@
 		const {service, destination} = this.#options;
 		this.#isFinished = true;
 		this.#disarm();
-		service.onFinished(this, {call: this.#options, destination, answer, nodes: this.#nodes});
+		service.onFinished(this, {
+			call: this.#options,
+			destination,
+			answer,
+			nodes: this.#nodes,
+			choices: this.#choices,
+		});
 	}
 }
 
--- a/packages/redwingmill-node/src/call/entry-service.ts
+++ b/packages/redwingmill-node/src/call/entry-service.ts
@@ -180,6 +180,19 @@
 		}
 	}
 
+	/** How unevenly the replicas of each service in this data centre are loaded, see `EndpointChooser`. */
+	get busyShareSpreads(): ReadonlyMap<string, number> {
+		const spreads = new Map<string, number>();
+		for (const [service, endpoints] of this.#control.routing.endpoints) {
+			const spread = this.#chooser.busyShareSpread(endpoints);
+			if (spread !== undefined) {
+				spreads.set(service, spread);
+			}
+		}
+
+		return spreads;
+	}
+
 	/** Whether calls on routes that aren't public need a workspace's key. */
 	get hasWorkspaces(): boolean {
 		return this.#control.routing.workspaces !== undefined;
--- a/packages/redwingmill-node/src/daemon.ts
+++ b/packages/redwingmill-node/src/daemon.ts
@@ -373,6 +373,7 @@
 			workerLimitPerSecond: this.#gate.limitPerSecond ?? Number.POSITIVE_INFINITY,
 			isRelay,
 			isServing,
+			busyShareSpreads: this.#entry.busyShareSpreads,
 		};
 	}
 }
--- a/packages/redwingmill-node/src/observe/call-log.ts
+++ b/packages/redwingmill-node/src/observe/call-log.ts
@@ -18,7 +18,7 @@
 		this.#requestIdHeader = requestIdHeader;
 	}
 
-	writeEntryCall({call, destination, answer, nodes}: EntryCallRecord): void {
+	writeEntryCall({call, destination, answer, nodes, choices}: EntryCallRecord): void {
 		const now = performance.now();
 		const outcome = answer?.outcome;
 		this.#log.writeCall(logEvents.callFinishedAtEntry, outcome?.type !== 'ran', () => ({
@@ -27,6 +27,7 @@
 			service: destination,
 			version: this.#control().routing.version,
 			nodes,
+			choices: choices.length > 0 ? choices : undefined,
 			outcome: outcome?.type ?? 'left',
 			reason: outcome && outcome.type !== 'ran' ? outcome.reason : undefined,
 			status: answer?.payload?.status,
--- a/packages/redwingmill-node/src/observe/metrics-page.ts
+++ b/packages/redwingmill-node/src/observe/metrics-page.ts
@@ -41,6 +41,7 @@
 		});
 		this.#addLatency(metrics);
 		this.#addGauges(metrics.readGauges);
+		this.#addSpreads(metrics.readGauges);
 	}
 
 	get contentType(): string {
@@ -107,6 +108,23 @@
 		this.#registry.registerMetric(histogram as unknown as Metric);
 	}
 
+	#addSpreads(readGauges: () => GaugeValues): void {
+		this.#registry.registerMetric(
+			new Gauge({
+				name: 'redwingmill_busy_share_spread',
+				help: 'Calls per slot at the busiest replica of the service in this data centre, less their mean.',
+				labelNames: ['service'],
+				registers: [],
+				collect() {
+					this.reset();
+					for (const [service, spread] of readGauges().busyShareSpreads) {
+						this.set({service}, spread);
+					}
+				},
+			}),
+		);
+	}
+
 	#addGauges(readGauges: () => GaugeValues): void {
 		const gauges: ReadonlyArray<readonly [string, string, (values: GaugeValues) => number]> = [
 			[
--- a/packages/redwingmill-node/src/observe/metrics.ts
+++ b/packages/redwingmill-node/src/observe/metrics.ts
@@ -14,6 +14,8 @@
 	readonly workerLimitPerSecond: number;
 	readonly isRelay: boolean;
 	readonly isServing: boolean;
+	/** By service, how much busier than their mean the busiest replica of this data centre is. */
+	readonly busyShareSpreads: ReadonlyMap<string, number>;
 };
 
 /** Calls with one outcome and reason. */
