--- a/packages/redwingmill-bench/src/index.ts
+++ b/packages/redwingmill-bench/src/index.ts
@@ -21,3 +21,11 @@
 export {plotPolicies} from './simulation/plot-policies.js';
 export {measureNodeCost, type NodeCost, type NodeCostOptions} from './experiments/node-cost.js';
 export {measureNodeStops, type NodeStops, type NodeStopsOptions} from './experiments/node-stops.js';
+export {
+	evenLoadPolicies,
+	evenLoadPolicy,
+	presentPolicy,
+} from './simulation/even-load/candidates.js';
+export {EvenLoadSimulation} from './simulation/even-load/even-load-simulation.js';
+export {standardEvenLoads} from './simulation/even-load/standard-even-loads.js';
+export type * from './simulation/even-load/even-load-plan.js';
