--- a/packages/redwingmill-core/src/__tests__/unit/even-load.test.ts
+++ b/packages/redwingmill-core/src/__tests__/unit/even-load.test.ts
@@ -69,6 +69,10 @@
 		chooser.onSent(full, 1000);
 		chooser.onFinished(full, loadOf({callsPerSlot: 1}), 1040);
 		expect(sharesOf(chooser, endpoints, 1042)[0]).to.be.below(0.1);
+		for (const endpoint of endpoints) {
+			chooser.onLoad(endpoint, loadOf(), 1500);
+		}
+
 		expect(sharesOf(chooser, endpoints, 2000)[0]).to.be.above(0.4);
 	});
 
--- a/packages/redwingmill-core/src/call/choice/even-load.ts
+++ b/packages/redwingmill-core/src/call/choice/even-load.ts
@@ -12,7 +12,7 @@
  * calls and the reports in their answers, weighs more than what all nodes are told at the same time and
  * would all act on.
  */
-const weightOf = {answeredReport: 12, commonReport: 4, ownCalls: 24, meanBusyShare: 1} as const;
+const weightOf = {answeredReport: 12, commonReport: 4, ownCalls: 40, meanBusyShare: 2} as const;
 /** Smallest sum by which own calls are shared out; guards against a division by zero. */
 const leastCapacity = 1e-6;
 const initialRunMs = 20;
