redwingmillctl check: probable mistakes and differences, besides faults

The command only validated a text, so a route that never matches or a target after its deadline was noticed in use.

--- a/packages/redwingmill-ctl/src/commands/text-commands.ts
+++ b/packages/redwingmill-ctl/src/commands/text-commands.ts
@@ -1,6 +1,11 @@
 import {userInfo} from 'node:os';
-import {command, flag, number, option, optional, string} from 'cmd-ts';
+import process from 'node:process';
+import {command, flag, number, oneOf, option, optional, string} from 'cmd-ts';
+import {parseText, type Configuration} from 'redwingmill-text';
 import {applyText, differenceOf, waitUntilInForce} from '../apply-text.js';
+import {createCheckReport, formatCheckReport} from '../check-report.js';
+import {UnavailableError} from '../errors.js';
+import {exitCodes} from '../exit-codes.js';
 import {readMeshState} from '../mesh-state.js';
 import {readTextFile} from '../text-file.js';
 import {fileArgument, jsonFlag, platformOption, print, printJson, withPlatform} from './common.js';
@@ -9,19 +14,66 @@
 
 export const checkCommand = command({
 	name: 'check',
-	description: 'Validate a text without writing it.',
-	args: {file: fileArgument, json: jsonFlag},
-	handler({file, json}) {
+	description: 'Validate a text and look for probable mistakes in it, without writing it.',
+	args: {
+		file: fileArgument,
+		json: jsonFlag,
+		format: option({
+			type: oneOf(['text', 'json'] as const),
+			long: 'format',
+			defaultValue: () => 'text' as const,
+		}),
+		against: option({
+			type: optional(string),
+			long: 'against',
+			description:
+				'File with the text to compare with; by default the version in force on the platform.',
+		}),
+		platform: platformOption,
+	},
+	async handler({file, json, format, against, platform}) {
 		const {configuration} = readTextFile(file);
-		const {services, routes} = configuration;
-		if (json) {
-			printJson({services: services.length, routes: routes.length});
+		const inForce = await readComparedText(against, platform);
+		const report = createCheckReport(configuration, inForce);
+		if (json || format === 'json') {
+			printJson(report);
 		} else {
-			print(`${file}: ${services.length} services, ${routes.length} routes, no faults`);
+			print(formatCheckReport(file, report));
+		}
+
+		if (report.findings.length > 0) {
+			process.exitCode = exitCodes.warnings;
 		}
 	},
 });
 
+/** Returns the configuration to compare with; undefined if neither a file nor a platform is given. */
+async function readComparedText(
+	against: string | undefined,
+	platform: string | undefined,
+): Promise<Configuration | undefined> {
+	if (against !== undefined) {
+		return readTextFile(against).configuration;
+	}
+
+	if ((platform ?? process.env.REDWINGMILL_PLATFORM ?? '') === '') {
+		return undefined;
+	}
+
+	try {
+		const {acceptance} = await withPlatform(platform, readMeshState);
+		const parsed = acceptance && parseText(acceptance.text);
+		return parsed?.type === 'valid' ? parsed.configuration : undefined;
+	} catch (error) {
+		if (error instanceof UnavailableError) {
+			process.stderr.write(`not compared with the version in force: ${error.message}\n`);
+			return undefined;
+		}
+
+		throw error;
+	}
+}
+
 export const applyCommand = command({
 	name: 'apply',
 	description: 'Write a text as the next version.',
--- a/packages/redwingmill-ctl/src/exit-codes.ts
+++ b/packages/redwingmill-ctl/src/exit-codes.ts
@@ -6,4 +6,6 @@
 	conflict: 4,
 	unavailable: 5,
 	notInForce: 6,
+	/** The text is valid, and probably has mistakes. */
+	warnings: 7,
 } as const;
