--- a/packages/redwingmill-core/src/index.ts
+++ b/packages/redwingmill-core/src/index.ts
@@ -42,7 +42,9 @@
 export {ConcurrencyLimit} from './call/concurrency-limit.js';
 export {
 	choicePolicies,
+	choiceReasons,
 	type ChoiceInputs,
+	type ChoiceReason,
 	type ChoiceOptions,
 	type ChoiceStrategy,
 	type StrategyFactory,
--- a/packages/redwingmill-node/src/__tests__/unit/metrics-page.test.ts
+++ b/packages/redwingmill-node/src/__tests__/unit/metrics-page.test.ts
@@ -16,6 +16,7 @@
 		isRelay: false,
 		isServing: true,
 		rolloutShares: new Map([['coding', 0.03]]),
+		busyShareSpreads: new Map([['coding', 0.25]]),
 	}));
 }
 
--- a/packages/redwingmill-node/src/daemon.ts
+++ b/packages/redwingmill-node/src/daemon.ts
@@ -417,6 +417,7 @@
 			isRelay,
 			isServing,
 			rolloutShares: new Map(rollouts.map(({service, share}) => [service, share])),
+			busyShareSpreads: this.#entry.busyShareSpreads,
 		};
 	}
 }
--- a/packages/redwingmill-node/src/observe/metrics.ts
+++ b/packages/redwingmill-node/src/observe/metrics.ts
@@ -16,6 +16,8 @@
 	readonly isServing: boolean;
 	/** Share of a service's calls for the target version of its rollout, by service. */
 	readonly rolloutShares: ReadonlyMap<string, number>;
+	/** By service, how much busier than their mean the busiest replica of this data centre is. */
+	readonly busyShareSpreads: ReadonlyMap<string, number>;
 };
 
 /** Calls with one outcome and reason. */
