--- a/packages/redwingmill-core/src/index.ts
+++ b/packages/redwingmill-core/src/index.ts
@@ -58,6 +58,8 @@
 export type {NoticeChange} from './call/worker-notices.js';
 export {allowanceOfNode, RetryBudget, type RetryAllowance} from './call/retry-budget.js';
 export * from './rollout/rollout.js';
+export {RolloutEvidence, type EvidenceSum} from './rollout/rollout-evidence.js';
+export {RunTally, type EndedRun} from './rollout/run-tally.js';
 export {matchRoute} from './call/route-matcher.js';
 export {WorkspaceIndex, workspaceIndexOf, type Authorization} from './call/workspace-index.js';
 export {type CrashCounts, type GateCrashes} from './call/crash-counts.js';
