--- a/packages/redwingmill-bench/src/main.ts
+++ b/packages/redwingmill-bench/src/main.ts
@@ -8,6 +8,7 @@
 import {demoCommand} from './commands/demo-command.js';
 import {limitsCommand} from './commands/limits-command.js';
 import {policiesCommand} from './commands/policies-command.js';
+import {rolloutsCommand} from './commands/rollouts-command.js';
 
 const tool = subcommands({
 	name: 'redwingmill-bench',
@@ -20,6 +21,7 @@
 		'capacity-page': capacityPageCommand,
 		policies: policiesCommand,
 		limits: limitsCommand,
+		rollouts: rolloutsCommand,
 	},
 });
 
