--- a/packages/redwingmill-bench/src/main.ts
+++ b/packages/redwingmill-bench/src/main.ts
@@ -10,6 +10,7 @@
 import {limitsCommand} from './commands/limits-command.js';
 import {policiesCommand} from './commands/policies-command.js';
 import {quotasCommand} from './commands/quotas-command.js';
+import {rolloutsCommand} from './commands/rollouts-command.js';
 
 const tool = subcommands({
 	name: 'redwingmill-bench',
@@ -24,6 +25,7 @@
 		limits: limitsCommand,
 		'even-load': evenLoadCommand,
 		quotas: quotasCommand,
+		rollouts: rolloutsCommand,
 	},
 });
 
--- a/packages/redwingmill-core/src/directory/create-directory.ts
+++ b/packages/redwingmill-core/src/directory/create-directory.ts
@@ -13,7 +13,7 @@
 import {PeersController} from './peers-controller.js';
 import {RegistryController} from './registry-controller.js';
 import {RolloutDecisionController} from './rollout-decision-controller.js';
-import {createHoldingDecider, type CreateDecider} from './rollout-decisions.js';
+import {createStatisticalDecider, type CreateDecider} from './rollout-decisions.js';
 import {RolloutEvidenceController} from './rollout-evidence-controller.js';
 import {RolloutStageController} from './rollout-stage-controller.js';
 import {RolloutStoreController} from './rollout-store-controller.js';
@@ -53,7 +53,7 @@
 export function createDirectory(
 	initial: DirectoryState,
 	options: EngineOptions<DirectoryLimits>,
-	createDecider: CreateDecider = createHoldingDecider,
+	createDecider: CreateDecider = createStatisticalDecider,
 ): Directory {
 	const directory: Directory = new Engine(initial, options);
 	directory.registerController(new StoreEraController(), priorities.storeEra);
--- a/packages/redwingmill-core/src/directory/rollout-decision-controller.ts
+++ b/packages/redwingmill-core/src/directory/rollout-decision-controller.ts
@@ -23,6 +23,8 @@
 	readonly order: HeldRollout['stage']['order'];
 	readonly decider: Decider;
 	readonly evidence: EvidenceParts;
+	/** Why the stage is in force, with the newest figures. */
+	reason: string;
 	/** Why the order is to be completed once the store has it so; absent while it isn't. */
 	completion?: string;
 };
@@ -37,7 +39,7 @@
 	}
 
 	handle(update: DirectoryUpdate, event: DirectoryEvent, context: DirectoryContext): void {
-		if (event.type === 'tick' || event.type === 'rollout-status-written') {
+		if (isOccasion(event)) {
 			for (const held of update.pending.rollouts.held.values()) {
 				this.#run(update, held, context);
 			}
@@ -93,6 +95,7 @@
 		const changed = {...stage, elapsedMs: elapsedMsOf(held, now), decider: address, reason};
 		const sequence = stage.sequence + 1;
 		deciding.completion = undefined;
+		deciding.reason = reason;
 		switch (state) {
 			case rolloutStates.rolledBack: {
 				holdStage(update, {...changed, state, share: 0, sequence}, false, now);
@@ -129,7 +132,7 @@
 			bounds ?? {exposureShare: 0, exposureSlack: 0, rollbackMs: 0},
 			start,
 		);
-		const deciding: Deciding = {order, decider, evidence: new EvidenceParts()};
+		const deciding: Deciding = {order, decider, evidence: new EvidenceParts(), reason: ''};
 		this.#deciding.set(order.service, deciding);
 		return deciding;
 	}
@@ -179,8 +182,9 @@
 		const {service} = stage.order;
 		const {rollouts, members} = update.pending;
 		const {address} = members.self;
-		const totals = this.#deciding.get(service)?.evidence.totals();
-		if (totals) {
+		const deciding = this.#deciding.get(service);
+		if (deciding) {
+			const totals = deciding.evidence.totals();
 			update.set('rollouts', {totals: new Map(rollouts.totals).set(service, totals)});
 		}
 
@@ -189,6 +193,8 @@
 			elapsedMs: elapsedMsOf(held, now),
 			decider: address,
 			sequence: stage.sequence + 1,
+			reason:
+				isFinal(stage.state) || isWithdrawn ? stage.reason : (deciding?.reason ?? stage.reason),
 		};
 		announceStage(update, holdStage(update, repeated, isWithdrawn, now), context);
 	}
@@ -214,3 +220,8 @@
 function isValid({stage}: HeldRollout): boolean {
 	return stage.order.durationMs > 0;
 }
+
+/** Whether an event may change what is decided; a tick comes ten times a second. */
+function isOccasion({type}: DirectoryEvent): boolean {
+	return type === 'tick' || type === 'rollouts-listed' || type === 'rollout-status-written';
+}
--- a/packages/redwingmill-core/src/directory/rollout-decisions.ts
+++ b/packages/redwingmill-core/src/directory/rollout-decisions.ts
@@ -1,5 +1,5 @@
+import {RolloutDecider, type DeciderStart} from '../rollout/rollout-decider.js';
 import {
-	rolloutStates,
 	type RolloutBounds,
 	type RolloutDecision,
 	type RolloutOrder,
@@ -12,22 +12,13 @@
 	decide: (now: number) => RolloutDecision;
 };
 
-/** Where a decider continues: the time since the order began, and the share in force. */
-export type DecisionStart = {
-	readonly elapsedMs: number;
-	readonly share: number;
-	/** Monotonic milliseconds. */
-	readonly now: number;
-};
-
+/** Creates the decider of an order, from its beginning or from the stage in force on. */
 export type CreateDecider = (
 	order: RolloutOrder,
 	bounds: RolloutBounds,
-	start: DecisionStart,
+	start: DeciderStart,
 ) => Decider;
 
-/** Creates a decider that leaves the share as it is. */
-export const createHoldingDecider: CreateDecider = (_order, _bounds, {share}) => ({
-	onEvidence: () => undefined,
-	decide: () => ({state: rolloutStates.running, share, reason: 'held'}),
-});
+/** Creates the decider by the statistics of {@link RolloutDecider}. */
+export const createStatisticalDecider: CreateDecider = (order, bounds, start) =>
+	new RolloutDecider(order, bounds, start);
