--- a/packages/redwingmill-core/src/rollout/exposure-meter.ts
+++ b/packages/redwingmill-core/src/rollout/exposure-meter.ts
@@ -28,7 +28,7 @@
 
 	/** Calls of the service in a second, as far as there is evidence. */
 	get callsPerSecond(): number {
-		const {dispatched} = this.#evidence.sum(() => true);
+		const dispatched = this.#evidence.dispatched();
 		return (dispatched * msPerSecond) / Math.max(evidenceAgeMs, this.#elapsedMs - evidenceAgeMs);
 	}
 
@@ -49,11 +49,11 @@
 	}
 
 	get #reportedCalls(): number {
-		return this.#evidence.sumOf(this.#target).dispatched;
+		return this.#evidence.dispatched(this.#target);
 	}
 
 	get #plannedCalls(): number {
-		const {dispatched} = this.#evidence.sum(() => true);
+		const dispatched = this.#evidence.dispatched();
 		return (dispatched * this.#exposedMs) / Math.max(1, this.#elapsedMs);
 	}
 }
--- a/packages/redwingmill-core/src/rollout/failure-comparison.ts
+++ b/packages/redwingmill-core/src/rollout/failure-comparison.ts
@@ -15,11 +15,11 @@
 const allRoutes = '';
 const noRuns: FailureCounts = {runs: 0, failures: 0};
 
-/** Runs of the two versions since the order, and of the old one until some seconds ago. */
+/** Runs of the two versions since the order, and of the old one until some moments of the last seconds. */
 export type ComparedRuns = {
 	readonly newer: EvidenceSum;
 	readonly older: EvidenceSum;
-	readonly olderBefore: EvidenceSum;
+	readonly olderBefore: readonly EvidenceSum[];
 };
 
 /** Tests whether the target version fails more often than the old one, by route and over all routes. */
@@ -47,7 +47,12 @@
 		this.#add(allRoutes, compared.newer, compared.older, compared.olderBefore);
 		for (const [group, runs] of compared.newer.routes) {
 			const {older, olderBefore} = compared;
-			this.#add(group, runs, older.routes.get(group), olderBefore.routes.get(group));
+			this.#add(
+				group,
+				runs,
+				older.routes.get(group),
+				olderBefore.map(({routes}) => routes.get(group) ?? noRuns),
+			);
 		}
 
 		const threshold = Math.log((this.#tests.size * failureAlternatives) / falseRollbacks);
@@ -79,15 +84,19 @@
 	#add(
 		key: string,
 		newer: FailureCounts,
-		older: FailureCounts = noRuns,
-		olderBefore: FailureCounts = noRuns,
+		counts: FailureCounts | undefined,
+		olderBefore: readonly FailureCounts[],
 	): void {
+		const older = counts ?? noRuns;
 		const added = difference(newer, this.#tested.get(key) ?? noRuns);
 		if (added.runs <= 0) {
 			return;
 		}
 
-		const share = comparedShare(older, difference(older, olderBefore));
+		const share = comparedShare(
+			older,
+			olderBefore.map((before) => difference(older, before)),
+		);
 		const test = this.#tests.get(key) ?? new FailureTest();
 		test.add(added, share);
 		this.#tests.set(key, test);
@@ -98,12 +107,13 @@
 	}
 }
 
-/** Failure share of the old version: over the whole time, or in the last seconds if it is disturbed there. */
-function comparedShare(whole: FailureCounts, sameTime: FailureCounts): number {
+/** Failure share of the old version: over the whole time, or higher if it is disturbed at present. */
+function comparedShare(whole: FailureCounts, sameTimes: readonly FailureCounts[]): number {
 	const share = failureShare(whole);
-	return sameTime.failures >= fewestSameTimeFailures
-		? Math.max(share, failureShare(sameTime, share))
-		: share;
+	const disturbed = sameTimes
+		.filter(({failures}) => failures >= fewestSameTimeFailures)
+		.map((each) => failureShare(each, share));
+	return Math.max(share, ...disturbed);
 }
 
 function difference(now: FailureCounts, before: FailureCounts): FailureCounts {
--- a/packages/redwingmill-core/src/rollout/rollout-evidence.ts
+++ b/packages/redwingmill-core/src/rollout/rollout-evidence.ts
@@ -1,5 +1,4 @@
 import {type RouteRuns, type WorkerEvidence} from './rollout.js';
-import {emptyRuns} from './run-tally.js';
 
 /** Evidence on some workers together, without the identity of a worker. */
 export type EvidenceSum = {
@@ -62,14 +61,21 @@
 		);
 	}
 
-	/** Sums up the evidence on the workers that `isIncluded` accepts. */
-	sum(isIncluded: (evidence: WorkerEvidence) => boolean): EvidenceSum {
-		return sumEvidence([...this.#workers.values()].filter((each) => isIncluded(each)));
+	/** Calls dispatched to the workers of a version, or to all workers. */
+	dispatched(version?: string): number {
+		let dispatched = 0;
+		for (const each of this.#workers.values()) {
+			if (version === undefined || each.version === version) {
+				dispatched += each.dispatched;
+			}
+		}
+
+		return dispatched;
 	}
 
 	/** Sums up the evidence on a version. */
 	sumOf(version: string): EvidenceSum {
-		return this.sum((each) => each.version === version);
+		return sumEvidence([...this.#workers.values()].filter((each) => each.version === version));
 	}
 }
 
@@ -79,8 +85,8 @@
 }
 
 /** Sums up evidence on different workers. */
-export function sumEvidence(evidence: readonly WorkerEvidence[]): EvidenceSum {
-	const routes = new Map<string, RouteRuns>();
+export function sumEvidence(evidence: Iterable<WorkerEvidence>): EvidenceSum {
+	const routes = new Map<string, Mutable<RouteRuns>>();
 	const sum = {workers: 0, inProgress: 0, dispatched: 0, runs: 0, failures: 0};
 	for (const each of evidence) {
 		sum.workers += 1;
@@ -89,21 +95,26 @@
 		for (const route of each.routes) {
 			sum.runs += route.runs;
 			sum.failures += route.failures;
-			routes.set(route.group, addRuns(routes.get(route.group) ?? emptyRuns(route.group), route));
+			addRuns(routes, route);
 		}
 	}
 
 	return {...sum, routes};
 }
 
-function addRuns(a: RouteRuns, b: RouteRuns): RouteRuns {
-	return {
-		group: a.group,
-		runs: a.runs + b.runs,
-		failures: a.failures + b.failures,
-		logSum: a.logSum + b.logSum,
-		logSquareSum: a.logSquareSum + b.logSquareSum,
-	};
+type Mutable<T> = {-readonly [Key in keyof T]: T[Key]};
+
+function addRuns(routes: Map<string, Mutable<RouteRuns>>, added: RouteRuns): void {
+	const sum = routes.get(added.group);
+	if (sum === undefined) {
+		routes.set(added.group, {...added});
+		return;
+	}
+
+	sum.runs += added.runs;
+	sum.failures += added.failures;
+	sum.logSum += added.logSum;
+	sum.logSquareSum += added.logSquareSum;
 }
 
 function ageOf(evidence: WorkerEvidence, held: WorkerEvidence): EvidenceAge {
--- a/packages/redwingmill-core/src/rollout/run-tally.ts
+++ b/packages/redwingmill-core/src/rollout/run-tally.ts
@@ -14,39 +14,48 @@
 	readonly isFailure: boolean;
 };
 
+type Mutable<T> = {-readonly [Key in keyof T]: T[Key]};
+
 /** Counts the runs of a worker by route, from the order of a rollout on. */
 export class RunTally {
-	readonly #routes = new Map<string, RouteRuns>();
+	readonly #routes = new Map<string, Mutable<RouteRuns>>();
 
 	/** Cumulative figures of each route that had a run. */
 	get routes(): readonly RouteRuns[] {
-		return [...this.#routes.values()];
+		return [...this.#routes.values()].map((route) => ({...route}));
 	}
 
 	record({group, ranMs, isFailure}: EndedRun): void {
-		const before = this.#routes.get(group);
-		if (before === undefined && this.#routes.size >= maximumRoutes) {
+		const route = this.#routeOf(group);
+		if (route === undefined) {
+			return;
+		}
+
+		route.runs += 1;
+		if (isFailure) {
+			route.failures += 1;
 			return;
 		}
 
-		const {runs, failures, logSum, logSquareSum} = before ?? emptyRuns(group);
-		const log = isFailure ? 0 : Math.log(Math.max(shortestRunMs, ranMs));
-		this.#routes.set(group, {
-			group,
-			runs: runs + 1,
-			failures: failures + (isFailure ? 1 : 0),
-			logSum: logSum + log,
-			logSquareSum: logSquareSum + log * log,
-		});
+		const log = Math.log(Math.max(shortestRunMs, ranMs));
+		route.logSum += log;
+		route.logSquareSum += log * log;
 	}
 
 	/** Starts again from zero, for another order or another worker process. */
 	reset(): void {
 		this.#routes.clear();
 	}
-}
 
-/** Returns the figures of a route without runs. */
-export function emptyRuns(group: string): RouteRuns {
-	return {group, runs: 0, failures: 0, logSum: 0, logSquareSum: 0};
+	/** Returns the figures of a route; undefined for a new one beyond the maximum. */
+	#routeOf(group: string): Mutable<RouteRuns> | undefined {
+		const known = this.#routes.get(group);
+		if (known !== undefined || this.#routes.size >= maximumRoutes) {
+			return known;
+		}
+
+		const added = {group, runs: 0, failures: 0, logSum: 0, logSquareSum: 0};
+		this.#routes.set(group, added);
+		return added;
+	}
 }
--- a/packages/redwingmill-core/src/rollout/version-comparison.ts
+++ b/packages/redwingmill-core/src/rollout/version-comparison.ts
@@ -5,8 +5,9 @@
 import {type WorkerEvidence} from './rollout.js';
 import {compareRunTimes, type RunTimeFindings} from './run-time-comparison.js';
 
-/** Time over which the old version's failures are counted again, for what disturbs both versions. */
-const sameTimeMs = 2000;
+/** Times over which the old version's failures are counted again, for what disturbs both versions. */
+const sameTimesMs = [500, 2000] as const;
+const shortestRecentMs = 2000;
 /** Part of the order's time over which run times are compared again, for versions that turn slow. */
 const recentPart = 1 / 3;
 
@@ -40,7 +41,7 @@
 	) {
 		this.#target = target;
 		this.#evidence = evidence;
-		this.#recentMs = Math.max(sameTimeMs, durationMs * recentPart);
+		this.#recentMs = Math.max(shortestRecentMs, durationMs * recentPart);
 		this.#history = new EvidenceHistory(this.#recentMs);
 		this.#stageStart = {at: now, workers: new Map()};
 	}
@@ -54,12 +55,13 @@
 	/** Takes in the evidence received since the last call, as one batch whatever its order. */
 	compare(now: number): Comparison {
 		const {workers} = this.#evidence;
-		const sameTime = this.#history.before(sameTimeMs, now)?.workers ?? new Map();
 		const newer = this.#sum(workers, true);
 		const compared = {
 			newer,
 			older: this.#sum(workers, false),
-			olderBefore: this.#sum(sameTime, false),
+			olderBefore: sameTimesMs.map((ageMs) =>
+				this.#sum(this.#history.before(ageMs, now)?.workers ?? new Map(), false),
+			),
 		};
 		const failureFault = this.#failures.compare(compared);
 		const runTimes = compareRunTimes(this.#evidence, this.#target, {
