--- a/packages/redwingmill-core/src/rollout/run-time-comparison.ts
+++ b/packages/redwingmill-core/src/rollout/run-time-comparison.ts
@@ -5,6 +5,7 @@
 	isRatherSlow,
 	isTooSlow,
 	runsSince,
+	runTimeChange,
 	runTimeRatio,
 	type RunTimeRatio,
 	type WorkerRuns,
@@ -15,6 +16,8 @@
 const verdictErrors = 0.9;
 const recentVerdictErrors = 2;
 const doubtErrors = -0.7;
+/** Ratio to the old version below which a version that became slower isn't too slow yet; natural logarithm. */
+const leastSlownessLog = Math.log(1.15);
 
 /** What the run times of the two versions show. */
 export type RunTimeFindings = {
@@ -60,6 +63,18 @@
 	const lately = recent && runTimeRatio(newerLately, olderLately, () => true);
 	// The old version has few runs in the last stage, so those since the order are compared.
 	const inStage = runTimeRatio(runs(true, stage), older, () => true);
+	const faultOfChange = (
+		since: EvidenceSnapshot | undefined,
+		ratio: RunTimeRatio | undefined,
+		where: string,
+	) => {
+		const isRelevant = ratio !== undefined && ratio.log > leastSlownessLog;
+		const change = since && isRelevant ? relativeChange(evidence, target, since) : undefined;
+		return change !== undefined && isTooSlow(change)
+			? `${Math.exp(change.log).toFixed(2)} times slower ${where}`
+			: undefined;
+	};
+
 	const faultOf = (ratio: RunTimeRatio | undefined, where: string) =>
 		ratio !== undefined && isTooSlow(ratio)
 			? `${Math.exp(ratio.log).toFixed(2)} times slower on ${where}`
@@ -84,6 +99,8 @@
 			faultOf(whole, 'all routes') ??
 			faultOf(lately, 'all routes lately') ??
 			faultOf(inStage, 'all routes in the stage') ??
+			faultOfChange(stage, inStage, 'than before the stage') ??
+			faultOfChange(recent, lately, 'than before, lately') ??
 			routeFaults(),
 		slowness: whole && Math.exp(whole.log),
 		isFastEnough: whole !== undefined && isFastEnough(whole),
@@ -98,6 +115,35 @@
 	};
 }
 
+/** Change of the target's run times since an earlier state, relative to that of the others if known. */
+function relativeChange(
+	evidence: RolloutEvidence,
+	target: string,
+	since: EvidenceSnapshot,
+): RunTimeRatio | undefined {
+	const workers = [...evidence.workers];
+	const older = workers.filter(([, {version}]) => version !== target).map(([, each]) => each);
+	const changeOf = (isTarget: boolean) =>
+		runTimeChange(
+			workers
+				.filter(([, {version}]) => (version === target) === isTarget)
+				.map(([key, each]) => {
+					const before = since.workers.get(key);
+					return {before: before ?? {routes: []}, after: runsSince(each, before)};
+				}),
+			older,
+		);
+	const change = changeOf(true);
+	const usual = changeOf(false);
+	return change === undefined || usual === undefined
+		? change
+		: {
+				log: change.log - usual.log,
+				hostVariance: 0,
+				runVariance: change.runVariance + usual.runVariance,
+			};
+}
+
 function isSlowBy(ratio: RunTimeRatio | undefined, errors: number): boolean {
 	return ratio !== undefined && isRatherSlow(ratio, errors);
 }
--- a/packages/redwingmill-core/src/rollout/run-time-test.ts
+++ b/packages/redwingmill-core/src/rollout/run-time-test.ts
@@ -62,6 +62,42 @@
 	};
 }
 
+/** Runs of a worker in two successive spans of time. */
+export type SuccessiveRuns = {readonly before: WorkerRuns; readonly after: WorkerRuns};
+
+/**
+ * Estimates how the run times of workers changed, each compared with itself, so that the speed of its host
+ * doesn't matter. Returns undefined while there are too few runs.
+ *
+ * @param others - workers whose run times tell how much run times vary.
+ */
+export function runTimeChange(
+	workers: readonly SuccessiveRuns[],
+	others: readonly WorkerRuns[],
+): RunTimeRatio | undefined {
+	const variance = runVarianceOf(others, () => true);
+	let weights = 0;
+	let sum = 0;
+	let runs = 0;
+	for (const {before, after} of workers) {
+		for (const route of after.routes) {
+			const earlier = before.routes.find(({group}) => group === route.group);
+			const count = route.runs - route.failures;
+			const earlierCount = earlier === undefined ? 0 : earlier.runs - earlier.failures;
+			if (earlier !== undefined && count > 0 && earlierCount > 0) {
+				const weight = 1 / (1 / count + 1 / earlierCount);
+				weights += weight;
+				sum += weight * (route.logSum / count - earlier.logSum / earlierCount);
+				runs += count;
+			}
+		}
+	}
+
+	return runs < fewestRuns
+		? undefined
+		: {log: sum / weights, hostVariance: 0, runVariance: variance / weights};
+}
+
 /** Whether the ratio shows that the version is too slow. */
 export function isTooSlow({log, hostVariance: host, runVariance}: RunTimeRatio): boolean {
 	return log > goodLog + Math.sqrt(hostErrors ** 2 * host + runErrors ** 2 * runVariance);
