--- a/packages/redwingmill-bench/src/commands/rollouts-command.ts
+++ b/packages/redwingmill-bench/src/commands/rollouts-command.ts
@@ -1,6 +1,6 @@
 import process from 'node:process';
 import {command, flag, number, oneOf, option} from 'cmd-ts';
-import {simulateRollouts} from '../simulation/compare-rollouts.js';
+import {medianOf, simulateRollouts, type RolloutResult} from '../simulation/compare-rollouts.js';
 import {plotRollouts} from '../simulation/plot-rollouts.js';
 import {rolloutScenarios, type RolloutScenario} from '../simulation/rollout-scenarios.js';
 
@@ -36,9 +36,11 @@
 			simulateRollouts(name, Math.ceil(rollouts / names.length), seed),
 		);
 		process.stdout.write(
-			json
-				? results.map((each) => `${JSON.stringify(each)}\n`).join('')
-				: `${plotRollouts(results)}\n`,
+			json ? results.map((each) => `${lineOf(each)}\n`).join('') : `${plotRollouts(results)}\n`,
 		);
 	},
 });
+
+function lineOf({rollbackTimes, ...result}: RolloutResult): string {
+	return JSON.stringify({...result, rollbackTime: medianOf(rollbackTimes)});
+}
--- a/packages/redwingmill-bench/src/index.ts
+++ b/packages/redwingmill-bench/src/index.ts
@@ -21,3 +21,5 @@
 export {plotPolicies} from './simulation/plot-policies.js';
 export {measureNodeCost, type NodeCost, type NodeCostOptions} from './experiments/node-cost.js';
 export {measureNodeStops, type NodeStops, type NodeStopsOptions} from './experiments/node-stops.js';
+export {simulateRollouts, type RolloutResult} from './simulation/compare-rollouts.js';
+export {rolloutScenarios, type RolloutScenario} from './simulation/rollout-scenarios.js';
--- a/packages/redwingmill-bench/src/simulation/compare-rollouts.ts
+++ b/packages/redwingmill-bench/src/simulation/compare-rollouts.ts
@@ -14,8 +14,8 @@
 	readonly rolledBack: number;
 	/** Share of the good ones that was completed by the deadline; undefined for bad versions. */
 	readonly inTime: number | undefined;
-	/** Median time to a rollback as a share of the ordered time; undefined if none was rolled back. */
-	readonly rollbackTime: number | undefined;
+	/** Times to a rollback as shares of the ordered time, ascending. */
+	readonly rollbackTimes: readonly number[];
 	/** Share of the bad ones that got more calls than the exposure bound. */
 	readonly overExposed: number;
 	/** Share of the bad ones that got a call too late after the 50th bad response. */
@@ -52,7 +52,7 @@
 					({state, endedAt = 0}, {durationMs}) =>
 						state === rolloutStates.completed && endedAt < durationMs,
 				),
-		rollbackTime: times.at(Math.floor(times.length / 2)),
+		rollbackTimes: times,
 		overExposed: share((outcome, plan) => plan.isBad && isOverExposed(outcome)),
 		late: share(({lateCalls}, plan) => plan.isBad && lateCalls > 0),
 	};
@@ -62,3 +62,8 @@
 	const {exposureShare, exposureSlack} = standardBounds;
 	return exposed > exposureShare * calls + exposureSlack;
 }
+
+/** Returns the median of ascending values; undefined if there are none. */
+export function medianOf(ascending: readonly number[]): number | undefined {
+	return ascending.at(Math.floor(ascending.length / 2));
+}
--- a/packages/redwingmill-bench/src/simulation/plot-rollouts.ts
+++ b/packages/redwingmill-bench/src/simulation/plot-rollouts.ts
@@ -1,4 +1,4 @@
-import {type RolloutResult} from './compare-rollouts.js';
+import {medianOf, type RolloutResult} from './compare-rollouts.js';
 
 const nameWidth = 32;
 const columnWidth = 12;
@@ -15,13 +15,13 @@
 }
 
 function plotResult(result: RolloutResult): string {
-	const {isBad, completed, rolledBack, inTime, rollbackTime, overExposed, late} = result;
+	const {isBad, completed, rolledBack, inTime, rollbackTimes, overExposed, late} = result;
 	const cells = [
 		String(result.rollouts),
 		percentage(completed),
 		percentage(rolledBack),
 		percentage(inTime),
-		percentage(rollbackTime),
+		percentage(medianOf(rollbackTimes)),
 		isBad ? percentage(overExposed) : '-',
 		isBad ? percentage(late) : '-',
 	];
@@ -31,9 +31,11 @@
 function plotTotals(results: readonly RolloutResult[]): string {
 	const bad = results.filter(({isBad}) => isBad);
 	const good = results.filter(({isBad}) => !isBad);
+	const times = bad.flatMap(({rollbackTimes}) => rollbackTimes).toSorted((a, b) => a - b);
 	const facts = [
 		`false completions ${percentage(mean(bad, ({completed}) => completed))}`,
 		`false rollbacks ${percentage(mean(good, ({rolledBack}) => rolledBack))}`,
+		`median time to a rollback of a bad one ${percentage(medianOf(times))}`,
 		`bad ones over the bound ${percentage(mean(bad, ({overExposed}) => overExposed))}`,
 		`good ones completed in time ${percentage(mean(good, ({inTime = 0}) => inTime))}`,
 	];
