--- a/packages/redwingmill-bench/src/index.ts
+++ b/packages/redwingmill-bench/src/index.ts
@@ -34,3 +34,5 @@
 export {EvenLoadSimulation} from './simulation/even-load/even-load-simulation.js';
 export {standardEvenLoads} from './simulation/even-load/standard-even-loads.js';
 export type * from './simulation/even-load/even-load-plan.js';
+export {simulateRollouts, type RolloutResult} from './simulation/compare-rollouts.js';
+export {rolloutScenarios, type RolloutScenario} from './simulation/rollout-scenarios.js';
