--- a/test/matrix/even-load.test.ts
+++ b/test/matrix/even-load.test.ts
@@ -17,6 +17,7 @@
 	'load 0.95',
 	'host times 0.85',
 	'52 replicas',
+	'60 of one centre',
 	'13 slots',
 	'1 slot',
 	'1 entry',
