Expect a hot workspace to get its share only, and play loads beyond the capacity

Where the speed of a host changed during a run, expected run times were off. Cause: the expected wait counted the calls ahead, not those that overtake later; run times were converted by the speed at their end. Change: the own work ahead is divided by the workspace's recent share; work is counted at the speeds reported during a run.

--- a/packages/redwingmill-bench/src/index.ts
+++ b/packages/redwingmill-bench/src/index.ts
@@ -15,6 +15,8 @@
 	comparePolicies,
 	type PolicyResult,
 } from './simulation/compare-policies.js';
+export {compareScarcity, sharesOf, type ScarcityResult} from './simulation/compare-scarcity.js';
+export {scarceLoads} from './simulation/scarce-loads.js';
 export {compareLimits, type LimitComparison} from './simulation/compare-limits.js';
 export {limitLoads, type LimitLoad} from './simulation/limit-loads.js';
 export {type LimitResult} from './simulation/limit-meter.js';
--- a/packages/redwingmill-bench/src/main.ts
+++ b/packages/redwingmill-bench/src/main.ts
@@ -8,6 +8,7 @@
 import {demoCommand} from './commands/demo-command.js';
 import {limitsCommand} from './commands/limits-command.js';
 import {policiesCommand} from './commands/policies-command.js';
+import {scarcityCommand} from './commands/scarcity-command.js';
 
 const tool = subcommands({
 	name: 'redwingmill-bench',
@@ -19,6 +20,7 @@
 		capacity: capacityCommand,
 		'capacity-page': capacityPageCommand,
 		policies: policiesCommand,
+		scarcity: scarcityCommand,
 		limits: limitsCommand,
 	},
 });
--- a/packages/redwingmill-bench/src/simulation/load-simulation.ts
+++ b/packages/redwingmill-bench/src/simulation/load-simulation.ts
@@ -7,6 +7,7 @@
 	emptyNotice,
 	type Answer,
 	type AttemptResult,
+	type CallWorkspace,
 	type ChoicePolicy,
 	type Endpoint,
 	type EntryAction,
@@ -14,10 +15,12 @@
 	type GateCall,
 	type GateEffect,
 	type KnownLimit,
+	type StatedLoad,
 	type WorkerNotice,
 } from 'redwingmill-core';
 import {Random} from 'redwingmill-shared';
 import {LimitMeter, type LimitResult} from './limit-meter.js';
+import {SimulatedLink} from './simulated-link.js';
 import {VirtualClock} from './virtual-clock.js';
 
 /** A class of calls, with the behaviour of its callers. */
@@ -34,6 +37,23 @@
 	readonly perSecond: number;
 	/** Total size of the request and the answer. */
 	readonly bytes: number;
+	/** Group of calls with similar run times; by default the name. */
+	readonly group?: string;
+	/** Workspace of the callers; absent when they have none. */
+	readonly workspace?: CallWorkspace;
+	/** Whether answers are scheduled by the host's link. */
+	readonly isBulk?: boolean;
+	/** Size of the answer on the worker's link, if that has a limit; by default 1,000. */
+	readonly responseBytes?: number;
+	/** Times at which the rate differs. */
+	readonly changes?: readonly Phase[];
+};
+
+/** Time in which something differs by a factor. */
+export type Phase = {
+	readonly fromMs: number;
+	readonly toMs: number;
+	readonly factor: number;
 };
 
 /** A change of the limit that a worker states. */
@@ -53,6 +73,14 @@
 	readonly slots: number;
 	/** Factor on the run times of the classes. */
 	readonly slowness: number;
+	/** Bandwidth of its host's link; absent when it isn't limited. */
+	readonly linkMbps?: number;
+	/** Times at which its calls take longer. */
+	readonly slowPhases?: readonly Phase[];
+	/** Whether it reports its load and how long work takes at the moment. */
+	readonly reportsLoad?: boolean;
+	/** When it is absent, and for how long. */
+	readonly absences?: ReadonlyArray<{readonly atMs: number; readonly forMs: number}>;
 	/** Whether it fails every call, in a tenth of the call's run time. */
 	readonly isFailing?: boolean;
 	/** Limits that it states, in the order of their times; absent when it never states one. */
@@ -76,6 +104,13 @@
 	readonly weighsBytes: boolean;
 	/** By default `mesh`. */
 	readonly limitKnowledge?: LimitKnowledge;
+	/**
+	 * Whether gates know workspaces, schedule bulk answers by the link and use the load that workers report;
+	 * by default they do.
+	 */
+	readonly knowsScarcity?: boolean;
+	/** A data centre that is lost; its callers turn to the others. */
+	readonly loss?: {readonly dataCentre: string; readonly atMs: number};
 	readonly durationMs: number;
 	readonly seed: number;
 };
@@ -102,6 +137,7 @@
 	gate: Gate<string>;
 	readonly waiters: Map<string, AttemptHandler>;
 	frozenUntil: number;
+	readonly link?: SimulatedLink;
 	/** Calls that occupy a slot of the worker. */
 	running: number;
 	/** Calls that the gate has dispatched and that wait at the worker for a slot. */
@@ -128,6 +164,7 @@
 const minimumRunFactor = 0.5;
 const failingRunFactor = 0.1;
 const failedPayload = 'failed';
+const smallResponseBytes = 1000;
 
 /**
  * Simulates callers and workers around the production code of entry nodes and gates: endpoint
@@ -189,20 +226,45 @@
 			slots,
 			worker: `${node}/${workerStartedAt}`,
 		};
-		const gate = this.#newGate(endpoint, 0);
-		return {worker, endpoint, gate, waiters: new Map(), frozenUntil: 0, running: 0, queued: []};
+		const {linkMbps} = worker;
+		const link =
+			linkMbps === undefined
+				? undefined
+				: new SimulatedLink(this.#clock, linkMbps, this.#knowsScarcity);
+		const gate = this.#newGate(endpoint, 0, link);
+		return {
+			worker,
+			endpoint,
+			gate,
+			link,
+			waiters: new Map(),
+			frozenUntil: 0,
+			running: 0,
+			queued: [],
+		};
+	}
+
+	get #knowsScarcity(): boolean {
+		return this.#plan.knowsScarcity ?? true;
 	}
 
-	#newGate({node, slots}: Endpoint, now: number): Gate<string> {
+	#newGate({node, slots}: Endpoint, now: number, link?: SimulatedLink): Gate<string> {
 		const {isLimiting} = this.#plan;
-		const gate = new Gate<string>({...defaultGateLimits, isLimiting}, {node, incarnation: 1}, now);
+		const limits = {...defaultGateLimits, isLimiting};
+		const knownLink = this.#knowsScarcity ? link?.scheduler : undefined;
+		const gate = new Gate<string>(limits, {node, incarnation: 1}, now, knownLink);
 		const identity = {instance: node, startedAt: workerStartedAt};
 		gate.setWorker({service, address: node, slots, state: 'ready', ...identity}, now);
 		return gate;
 	}
 
 	#scheduleFaults(host: Host): void {
-		const {gateRestartsMs = [], freezes = []} = host.worker;
+		const {gateRestartsMs = [], freezes = [], absences = []} = host.worker;
+		for (const {atMs, forMs} of absences) {
+			this.#scheduleState(host, 'absent', atMs);
+			this.#scheduleState(host, 'ready', atMs + forMs);
+		}
+
 		for (const atMs of gateRestartsMs) {
 			this.#clock.after(atMs, () => {
 				this.#restartGate(host);
@@ -216,11 +278,20 @@
 		}
 	}
 
+	#scheduleState(host: Host, state: 'absent' | 'ready', atMs: number): void {
+		const {node, slots} = host.endpoint;
+		const identity = {instance: node, startedAt: workerStartedAt};
+		this.#clock.after(atMs, () => {
+			const worker = {service, address: node, slots, state, ...identity};
+			this.#applyEffects(host, host.gate.setWorker(worker, this.#clock.now));
+		});
+	}
+
 	/** Ends the gate's process with all that it knows; the worker goes on with its calls. */
 	#restartGate(host: Host): void {
 		const waiting = [...host.waiters.values()];
 		host.waiters.clear();
-		host.gate = this.#newGate(host.endpoint, this.#clock.now);
+		host.gate = this.#newGate(host.endpoint, this.#clock.now, host.link);
 		for (const onResult of waiting) {
 			onResult({type: 'broken'});
 		}
@@ -239,26 +310,43 @@
 	}
 
 	#scheduleArrival(entry: Entry, callClass: LoadClass): void {
-		const meanMs = 1000 / callClass.perSecond;
+		const {perSecond, changes} = callClass;
+		const meanMs = 1000 / (perSecond * factorAt(changes, this.#clock.now));
 		this.#clock.after(-Math.log(1 - this.#random.fraction()) * meanMs, () => {
 			this.#resultOf(callClass).asked += 1;
-			this.#startCall(entry, callClass, this.#clock.now, callClass.retries);
+			const arrivedAt = this.#clock.now;
+			this.#startCall(this.#presentEntry(entry), callClass, arrivedAt, callClass.retries);
 			this.#scheduleArrival(entry, callClass);
 		});
 	}
 
+	/** Returns the entry that callers of an entry's data centre use now. */
+	#presentEntry(entry: Entry): Entry {
+		const others = this.#entries.filter(({dataCentre}) => !this.#isLost(dataCentre));
+		return this.#isLost(entry.dataCentre)
+			? others[Math.floor(this.#random.fraction() * others.length)]
+			: entry;
+	}
+
+	#isLost(dataCentre: string): boolean {
+		const {loss} = this.#plan;
+		return loss?.dataCentre === dataCentre && this.#clock.now >= loss.atMs;
+	}
+
 	#startCall(entry: Entry, callClass: LoadClass, arrivedAt: number, retriesLeft: number): void {
 		const {now} = this.#clock;
 		const deadlineAt = arrivedAt + callClass.deadlineMs;
 		const call = new EntryCall<string>(
 			{
-				group: callClass.name,
+				group: callClass.group ?? callClass.name,
 				bytes: this.#plan.weighsBytes ? callClass.bytes : undefined,
 				retryAllowance: {share: 0.1, slack: 5},
 				isIdempotent: true,
 				targetAt: arrivedAt + callClass.targetMs,
 				deadlineAt,
-				endpoints: this.#hosts.map(({endpoint}) => endpoint),
+				endpoints: this.#hosts
+					.map(({endpoint}) => endpoint)
+					.filter(({dataCentre}) => !this.#isLost(dataCentre)),
 				withdraws: true,
 				maximumAttempts: 2,
 			},
@@ -318,8 +406,9 @@
 		const call: GateCall = {
 			id,
 			service,
-			group: callClass.name,
+			group: callClass.group ?? callClass.name,
 			rank: callClass.rank,
+			...(this.#knowsScarcity && {workspace: callClass.workspace, isBulk: callClass.isBulk}),
 			targetAt: arrivedAt + callClass.targetMs,
 			deadlineAt: arrivedAt + callClass.deadlineMs,
 			crashedNodes: [],
@@ -328,8 +417,10 @@
 		};
 		const submit = () => {
 			host.waiters.set(id, (result) => {
-				this.#clock.after(hopMs, () => {
-					onResult(result);
+				this.#sendAnswer(host, callClass, call, result, () => {
+					this.#clock.after(hopMs, () => {
+						onResult(result);
+					});
 				});
 			});
 			this.#applyEffects(host, host.gate.submit(call, this.#clock.now));
@@ -340,6 +431,23 @@
 		});
 	}
 
+	/** Sends an answer on the link of the worker's host. */
+	#sendAnswer(
+		{link}: Host,
+		{responseBytes = smallResponseBytes}: LoadClass,
+		{targetAt, deadlineAt}: GateCall,
+		result: AttemptResult<string>,
+		onSent: () => void,
+	): void {
+		const hasRun = result.type === 'answered' && result.answer.outcome.type === 'ran';
+		if (link) {
+			const times = {dueAt: targetAt ?? deadlineAt, deadlineAt};
+			link.send(hasRun ? responseBytes : smallResponseBytes, times, onSent);
+		} else {
+			onSent();
+		}
+	}
+
 	#applyEffects(host: Host, effects: ReadonlyArray<GateEffect<string>>): void {
 		for (const effect of effects) {
 			if (effect.type === 'answer') {
@@ -376,8 +484,9 @@
 		}
 
 		host.running += 1;
-		const callClass = this.#plan.classes.find(({name}) => name === call.group)!;
-		const {isFailing = false, slowness} = host.worker;
+		const callClass = this.#plan.classes.find(({name, group = name}) => group === call.group)!;
+		const {isFailing = false, slowPhases} = host.worker;
+		const slowness = host.worker.slowness * factorAt(slowPhases, this.#clock.now);
 		const factor =
 			(minimumRunFactor + this.#random.fraction()) * (isFailing ? failingRunFactor : 1);
 		this.#clock.after(callClass.runMs * factor * slowness, () => {
@@ -388,8 +497,9 @@
 			}
 
 			const payload = isFailing ? failedPayload : '';
-			const result = {type: 'answered', payload, bytes: 0, isFailure: isFailing} as const;
-			const notice = this.#noticeOf(host.worker);
+			const bytes = callClass.responseBytes ?? smallResponseBytes;
+			const result = {type: 'answered', payload, bytes, isFailure: isFailing} as const;
+			const notice = {...this.#noticeOf(host.worker), load: this.#loadOf(host)};
 			this.#atGate(host, () => {
 				const {now} = this.#clock;
 				this.#applyEffects(host, host.gate.onNotice(notice, sentAt, now));
@@ -412,6 +522,17 @@
 		};
 	}
 
+	/** Returns the load that a worker reports with a response. */
+	#loadOf({worker, running, queued}: Host): StatedLoad {
+		if (!worker.reportsLoad || !this.#knowsScarcity) {
+			return {type: 'none'};
+		}
+
+		const hostTime = factorAt(worker.slowPhases, this.#clock.now);
+		const report = {running, waiting: queued.length, slots: worker.slots, hostTime};
+		return {type: 'stated', report};
+	}
+
 	#onAnswer(
 		entry: Entry,
 		callClass: LoadClass,
@@ -448,7 +569,7 @@
 
 		const retryWaitMs = (retryAfterMs ?? 0) * (1 + this.#random.fraction());
 		this.#clock.after(Math.min(retryWaitMs, remainingMs * maximumRetryWaitShare), () => {
-			this.#startCall(entry, callClass, arrivedAt, retriesLeft - 1);
+			this.#startCall(this.#presentEntry(entry), callClass, arrivedAt, retriesLeft - 1);
 		});
 	}
 
@@ -482,3 +603,8 @@
 		return this.#results.get(name)!;
 	}
 }
+
+/** Returns the factor of the phase at a time; 1 outside of all phases. */
+function factorAt(phases: readonly Phase[] | undefined, now: number): number {
+	return phases?.find(({fromMs, toMs}) => now >= fromMs && now < toMs)?.factor ?? 1;
+}
--- a/packages/redwingmill-core/src/__tests__/unit/gate-workspaces.test.ts
+++ b/packages/redwingmill-core/src/__tests__/unit/gate-workspaces.test.ts
@@ -60,6 +60,34 @@
 		expect(fillWith(gate, hot, 'hot again').reason).to.equal('queue-too-slow');
 	});
 
+	it('admits no more calls of a hot workspace than its share of the worker runs in time', () => {
+		const gate = gateWith(1);
+		const hot = {workspace: {name: 'hot', rank: 1}, targetAt: 1e6};
+		const calm = {workspace: {name: 'calm', rank: 1}, targetAt: 1e6};
+		const answered = {type: 'answered', payload: '', bytes: 0, isFailure: false} as const;
+		// Of the calls that are sent, two thirds are of the calm workspace.
+		for (let round = 0; round < 30; round += 1) {
+			for (const [id, fields] of [
+				['hot', hot],
+				['calm 1', calm],
+				['calm 2', calm],
+			] as const) {
+				gate.submit(callWith(`${id} ${round}`, fields), 0);
+				gate.finish(`${id} ${round}`, answered, initialRunMs);
+			}
+		}
+
+		gate.submit(callWith('running', calm), 0);
+		gate.submit(callWith('queued', {...hot, targetAt: 1000}), 0);
+		// A call behind it expects to wait for both, and for two calls of the other workspace for each.
+		const within = {...hot, targetAt: 150, deadlineAt: 1000};
+		const [refusal] = refusals(gate.submit(callWith('refused', {...within, targetAt: 50}), 0));
+		expect(refusal).to.equal(undefined);
+		gate.submit(callWith('second', {...hot, targetAt: 40}), 0);
+		const [later] = refusals(gate.submit(callWith('third', {...hot, targetAt: 60}), 0));
+		expect(later.reason).to.equal('queue-too-slow');
+	});
+
 	it('states a longer retry time for a rank behind which more work waits', () => {
 		const gate = gateWith(2);
 		const urgent = {workspace: {name: 'urgent', rank: 0}, targetAt: targetMs};
--- a/packages/redwingmill-core/src/__tests__/unit/worker-reports.test.ts
+++ b/packages/redwingmill-core/src/__tests__/unit/worker-reports.test.ts
@@ -104,6 +104,18 @@
 		expect(reports.hostTimeAt(1000)).to.equal(2);
 	});
 
+	it('counts the work done at the speeds that were reported during a run', () => {
+		const reports = new WorkerReports();
+		expect(reports.workAt(1234.56)).to.equal(1234.56);
+		reports.record(reportWith({hostTime: 4}), 0, 2000);
+		const started = reports.workAt(2000);
+		for (let now = 2010; now <= 2400; now += 10) {
+			reports.record(reportWith({hostTime: 4}), 0, now);
+		}
+
+		expect(reports.workAt(2400) - started).to.be.closeTo(100, 1);
+	});
+
 	it('bounds the figures of a worker that reports nonsense', () => {
 		const reports = new WorkerReports();
 		reports.record(reportWith({hostTime: 9999}), 0, 0);
--- a/packages/redwingmill-core/src/call/call-queue.ts
+++ b/packages/redwingmill-core/src/call/call-queue.ts
@@ -57,6 +57,11 @@
 			: this.#byRank.ahead(call.rank, dueAt);
 	}
 
+	/** Returns the share of the calls sent of its rank that are of a call's workspace; 1 for none. */
+	shareOf(call: QueuedCall): number {
+		return this.#byWorkspace?.shareOf(placeOf(call, 0)) ?? 1;
+	}
+
 	/** Returns the calls of ranks that are at least as urgent as that of a call. */
 	upTo(call: QueuedCall): Iterable<GateCall> {
 		return this.#byWorkspace
--- a/packages/redwingmill-core/src/call/dispatcher.ts
+++ b/packages/redwingmill-core/src/call/dispatcher.ts
@@ -13,6 +13,8 @@
 export type RunningCall = {
 	readonly call: GateCall;
 	readonly startedAt: number;
+	/** What the run times need to know of the start. */
+	readonly started: number;
 	readonly isSuspected: boolean;
 };
 
@@ -212,7 +214,8 @@
 		this.#stallDetector.onDispatch(now);
 		this.#sentCount += 1;
 		this.#allowance.record(now);
-		this.#running.set(key, {call, startedAt: now, isSuspected});
+		const started = this.#runTimes.start(now);
+		this.#running.set(key, {call, startedAt: now, started, isSuspected});
 	}
 
 	isRunning(key: string): boolean {
--- a/packages/redwingmill-core/src/call/gate-answers.ts
+++ b/packages/redwingmill-core/src/call/gate-answers.ts
@@ -113,7 +113,7 @@
 	}
 
 	#onAnswered(
-		{call, startedAt}: RunningCall,
+		{call, startedAt, started}: RunningCall,
 		result: Extract<WorkerResult<Payload>, {type: 'answered'}>,
 		now: number,
 	): Array<GateEffect<Payload>> {
@@ -123,7 +123,7 @@
 		dispatcher.onAnswered();
 		failures.record(isFailure, now);
 		if (ranMs !== undefined) {
-			runTimes.record(call.group, ranMs, now);
+			runTimes.record(call.group, started, now);
 			bulk.onAnswered(call, bytes);
 		}
 
--- a/packages/redwingmill-core/src/call/run-times.ts
+++ b/packages/redwingmill-core/src/call/run-times.ts
@@ -36,8 +36,18 @@
 		return this.#means.expected(group);
 	}
 
-	record(group: string, ranMs: number, now: number): void {
-		this.#means.record(group, ranMs / this.#scaleAt(now));
+	/**
+	 * Returns what {@link record} needs to know of the start of a run.
+	 *
+	 * @param now - when the run starts.
+	 */
+	start(now: number): number {
+		return this.#reports.workAt(now);
+	}
+
+	/** @param started - what {@link start} returned. */
+	record(group: string, started: number, now: number): void {
+		this.#means.record(group, this.#reports.workAt(now) - started);
 	}
 
 	/** Discards all recorded run times, for a new worker process. */
--- a/packages/redwingmill-core/src/call/served-shares.ts
+++ b/packages/redwingmill-core/src/call/served-shares.ts
@@ -48,6 +48,12 @@
 		);
 	}
 
+	/** Returns the share of the calls served that are a workspace's, at most 1; 1 while little is known. */
+	shareOf(workspace: string): number {
+		const {asked = 0, served = 0} = this.#counts.get(workspace) ?? {};
+		return asked >= significantAsked && served > 0 ? served / this.#served : 1;
+	}
+
 	#countsOf(workspace: string): Counts {
 		const known = this.#counts.get(workspace);
 		if (known) {
--- a/packages/redwingmill-core/src/call/wait-forecast.ts
+++ b/packages/redwingmill-core/src/call/wait-forecast.ts
@@ -33,9 +33,9 @@
 		{dueAt, ...occupancy}: Occupancy & {readonly dueAt: number},
 		now: number,
 	): number {
-		const {queue, concurrencyLimit} = this.#parts;
+		const {concurrencyLimit} = this.#parts;
 		const hasFreeSlot = occupancy.running < concurrencyLimit.value;
-		const slotMs = hasFreeSlot ? 0 : this.#workMs(queue.ahead(call, dueAt), now);
+		const slotMs = hasFreeSlot ? 0 : this.#slotMs(call, dueAt, now);
 		return Math.max(slotMs, this.limitMs(call, {dueAt, ...occupancy}, now));
 	}
 
@@ -65,6 +65,21 @@
 		return allowance.waitMs(now, ahead + reserve);
 	}
 
+	/**
+	 * Returns the expected time until a slot is free for a new call. Calls that are yet to arrive overtake
+	 * those of a hot workspace, which therefore get no more than the share that they have got lately.
+	 */
+	#slotMs(call: QueuedCall, dueAt: number, now: number): number {
+		const {queue} = this.#parts;
+		const ahead = [...queue.ahead(call, dueAt)];
+		const totalMs = this.#workMs(ahead, now);
+		const name = call.workspace?.name;
+		const own = name === undefined ? [] : ahead.filter(({workspace}) => workspace?.name === name);
+		return own.length === 0
+			? totalMs
+			: Math.max(totalMs, this.#workMs(own, now) / queue.shareOf(call));
+	}
+
 	/**
 	 * Returns the expected time until a slot is free after these calls, while all slots are busy: their run
 	 * times, divided by the concurrency limit.
--- a/packages/redwingmill-core/src/call/worker-reports.ts
+++ b/packages/redwingmill-core/src/call/worker-reports.ts
@@ -17,6 +17,9 @@
 	/** Calls that the worker has beyond those that the gate knows of. */
 	#extraCalls = 0;
 	#reportedAt = Number.NEGATIVE_INFINITY;
+	/** Work done by `#workedAt` beyond that at the usual speed, see {@link workAt}; exactly 0 without reports. */
+	#extraWorkMs = 0;
+	#workedAt = 0;
 
 	/**
 	 * Records a report.
@@ -25,7 +28,10 @@
 	 */
 	record({running, waiting, hostTime}: WorkerReport, ownCount: number, now: number): void {
 		const bounded = Math.min(maximumHostTime, Math.max(minimumHostTime, hostTime));
-		const previous = this.hostTimeAt(now) ?? bounded;
+		const previous = this.#hostTime ?? bounded;
+		// Between two reports the speed has been between them, other than after the last one.
+		const isRecent = now - this.#reportedAt <= maximumAgeMs;
+		this.#advance(now, bounded, isRecent ? this.#hostTime : 1);
 		// Reports that follow each other closely are averaged; an old one hardly counts.
 		const weight = 1 - this.#freshnessAt(now) / 2;
 		this.#hostTime = previous + weight * (bounded - previous);
@@ -34,7 +40,8 @@
 	}
 
 	/** Begins anew for another worker process. */
-	reset(): void {
+	reset(now: number): void {
+		this.#advance(now, 1);
 		this.#hostTime = undefined;
 		this.#extraCalls = 0;
 		this.#reportedAt = Number.NEGATIVE_INFINITY;
@@ -50,11 +57,27 @@
 			: 1 + (this.#hostTime - 1) * this.#freshnessAt(now);
 	}
 
+	/**
+	 * Returns a time that passes as fast as work is done on the host: its difference between the start and the
+	 * end of a run is the time that the run takes at the usual speed, in milliseconds.
+	 */
+	workAt(now: number): number {
+		this.#advance(now, this.hostTimeAt(now) ?? 1);
+		return now + this.#extraWorkMs;
+	}
+
 	/** Returns the number of calls that the worker is expected to have beyond those that the gate knows of. */
 	extraCallsAt(now: number): number {
 		return Math.floor(this.#extraCalls * this.#freshnessAt(now));
 	}
 
+	/** Adds the time since the last call, at the mean of the host times at its beginning and end. */
+	#advance(now: number, hostTime: number, earlier = this.hostTimeAt(this.#workedAt) ?? 1): void {
+		const elapsedMs = Math.max(0, now - this.#workedAt);
+		this.#extraWorkMs += elapsedMs * (2 / (earlier + hostTime) - 1);
+		this.#workedAt = Math.max(this.#workedAt, now);
+	}
+
 	/** Returns 1 for a report of this moment, and half as much after each half-life. */
 	#freshnessAt(now: number): number {
 		return 0.5 ** (Math.max(0, now - this.#reportedAt) / halfLifeMs);
--- a/packages/redwingmill-core/src/call/workspace-queue.ts
+++ b/packages/redwingmill-core/src/call/workspace-queue.ts
@@ -69,6 +69,11 @@
 		}
 	}
 
+	/** Returns the share of the items picked of its rank that are of a place's workspace; 1 for none. */
+	shareOf({rank, workspace}: WorkspacePlace): number {
+		return workspace === undefined ? 1 : (this.#byRank.get(rank)?.shares.shareOf(workspace) ?? 1);
+	}
+
 	/** Yields all items at levels that are at least as urgent. */
 	*upTo({rank, routeRank}: WorkspacePlace): Generator<Item> {
 		for (const each of this.#levels()) {
