--- a/packages/redwingmill-bench/src/main.ts
+++ b/packages/redwingmill-bench/src/main.ts
@@ -11,6 +11,7 @@
 import {policiesCommand} from './commands/policies-command.js';
 import {quotasCommand} from './commands/quotas-command.js';
 import {rolloutsCommand} from './commands/rollouts-command.js';
+import {scarcityCommand} from './commands/scarcity-command.js';
 
 const tool = subcommands({
 	name: 'redwingmill-bench',
@@ -22,6 +23,7 @@
 		capacity: capacityCommand,
 		'capacity-page': capacityPageCommand,
 		policies: policiesCommand,
+		scarcity: scarcityCommand,
 		limits: limitsCommand,
 		'even-load': evenLoadCommand,
 		quotas: quotasCommand,
