--- a/packages/redwingmill-core/src/call/choice/even-load.ts
+++ b/packages/redwingmill-core/src/call/choice/even-load.ts
@@ -13,6 +13,13 @@
  * would all act on.
  */
 const weightOf = {answeredReport: 12, commonReport: 4, ownCalls: 40, meanBusyShare: 2} as const;
+/**
+ * Mean busy share of a service below which calls prefer fast workers beyond their capacity: while there
+ * is room, a call on a slow worker is late for nothing.
+ */
+const spareBusyShare = 0.6;
+/** Additional exponent of a worker's speed in its weight while the service is idle. */
+const idleSpeedExponent = 5;
 /** Smallest sum by which own calls are shared out; guards against a division by zero. */
 const leastCapacity = 1e-6;
 const initialRunMs = 20;
@@ -187,9 +194,15 @@
 		(callsPerSlot - mean) * reportWeight +
 		ownExcess * weightOf.ownCalls +
 		(mean - meanBusyShare) * weightOf.meanBusyShare +
-		(failureMs + limitMs) / groupRunMs;
+		(failureMs + limitMs) / groupRunMs +
+		Math.log(state.relativeRunTime) * idleSpeedExponent * spareShareOf(service);
 	const queueMs = Math.max(0, busyShare + 1 / slots - 1) * runMs;
 	const waitMs = Math.max(queueMs, limitMs);
 	const expectedMs = waitMs + runMs + (isLocal ? 0 : remoteCostMs) + failureMs;
 	return {endpoint, expectedMs, weight: capacity * Math.exp(-exponent)};
 }
+
+/** Returns how much room a service has, from 1 when it is idle to 0 from {@link spareBusyShare} on. */
+function spareShareOf({meanBusyShare}: Service): number {
+	return Math.max(0, 1 - meanBusyShare / spareBusyShare);
+}
