An abandoned read of the store ends once its response arrives

A read that was abandoned without any response counted as a call that had timed out, and hid that its connection was silent: the test of silent connections failed. Such a read now goes on until its time-out.

--- a/packages/redwingmill-node/src/call/exchange.ts
+++ b/packages/redwingmill-node/src/call/exchange.ts
@@ -40,6 +40,11 @@
 	 * enforces a deadline.
 	 */
 	readonly silenceTimeoutMs?: number;
+	/**
+	 * Ends the exchange as soon as its response arrives, to free the link. An exchange without any byte of
+	 * a response goes on: its time-out shows that the connection is silent.
+	 */
+	readonly abandoned?: AbortSignal;
 	/** Called for each interim response: the request has arrived and is being processed. */
 	readonly onInterimResponse?: () => void;
 };
@@ -115,6 +120,7 @@
 	readonly #onResult: (result: ExchangeResult) => void;
 	readonly #isMatchingResponse: ResponseCheck;
 	readonly #onInterimResponse: (() => void) | undefined;
+	readonly #abandoned: AbortSignal | undefined;
 	#controller: Dispatcher.DispatchController | undefined;
 	#chunks: Buffer[] = [];
 	#bytes = 0;
@@ -123,13 +129,24 @@
 	#isFinished = false;
 
 	constructor(
-		{answerLimitBytes, isMatchingResponse = acceptAll, onInterimResponse}: ExchangeLimits,
+		{
+			answerLimitBytes,
+			isMatchingResponse = acceptAll,
+			onInterimResponse,
+			abandoned,
+		}: ExchangeLimits,
 		onResult: (result: ExchangeResult) => void,
 	) {
 		this.#limitBytes = answerLimitBytes;
 		this.#onResult = onResult;
 		this.#isMatchingResponse = isMatchingResponse;
 		this.#onInterimResponse = onInterimResponse;
+		this.#abandoned = abandoned;
+		abandoned?.addEventListener('abort', () => {
+			if (this.#status !== 0 && !this.#isFinished) {
+				this.abort();
+			}
+		});
 	}
 
 	abort(): void {
@@ -167,6 +184,9 @@
 
 		this.#status = status;
 		this.#headers = headers;
+		if (this.#abandoned?.aborted) {
+			this.abort();
+		}
 	}
 
 	onResponseData(controller: Dispatcher.DispatchController, chunk: Buffer): void {
--- a/packages/redwingmill-node/src/control/store-ports.ts
+++ b/packages/redwingmill-node/src/control/store-ports.ts
@@ -33,9 +33,9 @@
 	/**
 	 * Reads at a lower cost a state that may be some seconds old.
 	 *
-	 * @param signal - abandons the read.
+	 * @param abandoned - ends the read once its response arrives.
 	 */
-	readRecent: (signal?: AbortSignal) => Promise<ConfigurationReadResult>;
+	readRecent: (abandoned?: AbortSignal) => Promise<ConfigurationReadResult>;
 	/** Waits up to `waitMs` milliseconds for a change after `position`. */
 	waitForChange: (
 		position: StorePosition,
