--- a/packages/redwingmill-core/src/call/choice/even-load.ts
+++ b/packages/redwingmill-core/src/call/choice/even-load.ts
@@ -15,7 +15,7 @@
 const weightOf = {answeredReport: 12, commonReport: 4, ownCalls: 40, meanBusyShare: 2} as const;
 /**
  * Mean busy share of a service below which calls prefer fast workers beyond their capacity: while there
- * is room, a call on a slow worker is late for nothing.
+ * is room, there is no reason to have a call run on a slow worker.
  */
 const spareBusyShare = 0.6;
 /** Additional exponent of a worker's speed in its weight while the service is idle. */
--- a/packages/redwingmill-protocol/src/quota-codec.ts
+++ b/packages/redwingmill-protocol/src/quota-codec.ts
@@ -88,7 +88,7 @@
 		sequence,
 		ids: entries.map(({id}) => id),
 		epochs: entries.map(({epoch}) => epoch),
-		// Rounded up, so that no server takes a part of a call for none.
+		// Rounded up, so that a fraction of a call still counts.
 		admitted: entries.map(({admitted}) => BigInt(Math.ceil(admitted))),
 		askedPerTenSeconds: entries.map(({askedPerSecond}) =>
 			Math.round(askedPerSecond * tenthsPerUnit),
