--- a/packages/redwingmill-bench/src/simulation/load-simulation.ts
+++ b/packages/redwingmill-bench/src/simulation/load-simulation.ts
@@ -83,6 +83,8 @@
 	readonly absences?: ReadonlyArray<{readonly atMs: number; readonly forMs: number}>;
 	/** Whether it fails every call, in a tenth of the call's run time. */
 	readonly isFailing?: boolean;
+	/** Share of the calls that it turns away although it has room for them. */
+	readonly shedShare?: number;
 	/** Limits that it states, in the order of their times; absent when it never states one. */
 	readonly limits?: readonly LimitChange[];
 	/** When it begins to say that it leaves; absent when it stays. */
@@ -473,8 +475,20 @@
 	}
 
 	#dispatch(host: Host, call: GateCall): void {
-		this.#limitMeter.onArrival(host.worker, this.#clock.now);
-		this.#run(host, call, this.#clock.now);
+		const {now} = this.#clock;
+		this.#limitMeter.onArrival(host.worker, now);
+		const {shedShare = 0} = host.worker;
+		if (shedShare > 0 && this.#random.fraction() < shedShare) {
+			this.#clock.after(localHopMs, () => {
+				this.#atGate(host, () => {
+					const effects = host.gate.finish(call.id, {type: 'shed'}, this.#clock.now);
+					this.#applyEffects(host, effects);
+				});
+			});
+			return;
+		}
+
+		this.#run(host, call, now);
 	}
 
 	#run(host: Host, call: GateCall, sentAt: number): void {
--- a/packages/redwingmill-core/src/call/dispatcher.ts
+++ b/packages/redwingmill-core/src/call/dispatcher.ts
@@ -16,6 +16,8 @@
 	/** What the run times need to know of the start. */
 	readonly started: number;
 	readonly isSuspected: boolean;
+	/** Calls that the worker had from the start on, this one included. */
+	readonly concurrency: number;
 };
 
 /**
@@ -215,7 +217,8 @@
 		this.#sentCount += 1;
 		this.#allowance.record(now);
 		const started = this.#runTimes.start(now);
-		this.#running.set(key, {call, startedAt: now, started, isSuspected});
+		const concurrency = this.#running.size + 1;
+		this.#running.set(key, {call, startedAt: now, started, isSuspected, concurrency});
 	}
 
 	isRunning(key: string): boolean {
@@ -235,12 +238,14 @@
 		this.#stallDetector.onProgress(now);
 	}
 
-	onAnswered(): void {
-		this.#concurrencyLimit.onSuccess();
+	/** Records that the worker accepted a call. */
+	onAccepted({startedAt: at, concurrency}: RunningCall): void {
+		this.#concurrencyLimit.onSuccess({at, concurrency});
 	}
 
-	onShed(now: number): void {
-		this.#concurrencyLimit.onShed(now);
+	/** Records that the worker turned a call away. */
+	onShed({startedAt: at, concurrency}: RunningCall, now: number): void {
+		this.#concurrencyLimit.onShed({at, concurrency}, now);
 	}
 
 	/** Calls that the worker runs although their callers have left take slots as well. */
--- a/packages/redwingmill-core/src/call/gate-answers.ts
+++ b/packages/redwingmill-core/src/call/gate-answers.ts
@@ -51,7 +51,7 @@
 			}
 
 			case 'shed': {
-				dispatcher.onShed(now);
+				dispatcher.onShed(running, now);
 				return [this.refuse(call, 'worker-shed', now)];
 			}
 
@@ -113,14 +113,15 @@
 	}
 
 	#onAnswered(
-		{call, startedAt, started}: RunningCall,
+		running: RunningCall,
 		result: Extract<WorkerResult<Payload>, {type: 'answered'}>,
 		now: number,
 	): Array<GateEffect<Payload>> {
 		const {bulk, crashes, dispatcher, failures, runTimes} = this.#parts;
+		const {call, startedAt, started} = running;
 		const {payload, bytes, isFailure, isExpired = false} = result;
 		const ranMs = isFailure ? undefined : now - startedAt;
-		dispatcher.onAnswered();
+		dispatcher.onAccepted(running);
 		failures.record(isFailure, now);
 		if (ranMs !== undefined) {
 			runTimes.record(call.group, started, now);
--- a/test/matrix/load.test.ts
+++ b/test/matrix/load.test.ts
@@ -84,6 +84,16 @@
 		expect(creditOf(resultOf(outcome, page))).to.be.above(0.85);
 	});
 
+	it('are not refused for lack of room by workers that shed half of the calls beside free slots', () => {
+		const shedding = (shedShare: number) =>
+			standardPlan([{...page, perSecond: 100}], {
+				workers: dataCentres.map((dataCentre) => ({dataCentre, slots: 8, slowness: 1, shedShare})),
+			});
+		const result = resultOf(outcomeOf(shedding(0.5)), page);
+		// Half of the first attempts are accepted, and half of those of each of the two retries of a caller.
+		expect(servedOf(result)).to.be.at.least(0.5 + 0.25 + 0.125);
+	});
+
 	it('are routed away from a worker that fails every call immediately', () => {
 		const workers = dataCentres.map((dataCentre, index) => ({
 			dataCentre,
