--- a/test/matrix/even-load.test.ts
+++ b/test/matrix/even-load.test.ts
@@ -1,3 +1,4 @@
+import {readFileSync} from 'node:fs';
 import {expect} from 'chai';
 import {
 	evenLoadPolicy,
@@ -5,7 +6,9 @@
 	presentPolicy,
 	standardEvenLoads,
 	type EvenLoadOutcome,
+	type EvenLoadPolicy,
 } from 'redwingmill-bench';
+import {choicePolicies, EndpointChooser} from 'redwingmill-core';
 
 const seed = 3;
 /** Attempts and percentiles of two runs with different choices differ by chance. */
@@ -65,3 +68,28 @@
 		});
 	}
 });
+
+/** Returns the policy that the settings of the platform's deployment name. */
+function deployedPolicy(): EvenLoadPolicy {
+	const template = readFileSync('deploy/settings.jsonc', 'utf8');
+	const name = /"choice": "(?<name>[^"]+)"/v.exec(template)?.groups?.name;
+	const policy = choicePolicies.find((each) => each === name);
+	expect(policy, 'policy in deploy/settings.jsonc').to.not.equal(undefined);
+	return {
+		name: 'deployed',
+		newChooser(dataCentre, random) {
+			const options = {policy: policy!, slowStartMs: 0, dataCentre, followsHostTimes: false};
+			return new EndpointChooser(options, random);
+		},
+	};
+}
+
+describe('the deployed policy among many entries that hold the same reports', () => {
+	for (const name of ['52 replicas', '60 of one centre', '200 entries']) {
+		it(`answers 99 of 100 calls within their target under ${name}`, () => {
+			const plan = standardEvenLoads.find((each) => each.name === name)!;
+			const {p99Ms} = new EvenLoadSimulation({...plan, seed}, deployedPolicy()).run();
+			expect(p99Ms).to.be.at.most(plan.targetMs);
+		});
+	}
+});
