--- a/packages/redwingmill-core/src/__tests__/unit/even-load.test.ts
+++ b/packages/redwingmill-core/src/__tests__/unit/even-load.test.ts
@@ -132,6 +132,17 @@
 		expect(chosen).to.equal(remote);
 	});
 
+	it('ramps up a replica whose node has just started, so that a cold process is not swamped', () => {
+		const options = {policy: 'even-load', slowStartMs: 4000, dataCentre: 'dc-a'} as const;
+		const chooser = new EndpointChooser(options, new Random(7));
+		const endpoints = endpointsOf(4);
+		chooser.retain(endpoints.slice(1), 0);
+		chooser.retain(endpoints, 10_000);
+		expect(sharesOf(chooser, endpoints, 10_100)[0]).to.be.below(0.05);
+		expect(sharesOf(chooser, endpoints, 12_000)[0]).to.be.within(0.1, 0.18);
+		expect(sharesOf(chooser, endpoints, 14_000)[0]).to.be.within(0.22, 0.28);
+	});
+
 	it('takes over from the usual policies where workers say how long work takes on their hosts', () => {
 		const endpoints = endpointsOf(2);
 		const crowd = (chooser: EndpointChooser, hostTime?: number) => {
--- a/packages/redwingmill-core/src/call/choice/even-load.ts
+++ b/packages/redwingmill-core/src/call/choice/even-load.ts
@@ -2,10 +2,16 @@
 import {type Endpoint} from '../../model/routing-table.js';
 import {failureMsOf, limitedWaitMs, remoteCostMs} from '../expected-completion.js';
 import {type GroupMeans} from '../group-means.js';
-import {type ChoiceInputs, type ChoiceReason, type ChoiceStrategy} from './choice-policy.js';
+import {
+	type ChoiceInputs,
+	type ChoiceOptions,
+	type ChoiceReason,
+	type ChoiceStrategy,
+} from './choice-policy.js';
 import {boundedRunTime, isLocalInTime, localOrEarliest, type Candidate} from './earliest-answer.js';
 import {type EndpointState, type EndpointStates} from './endpoint-state.js';
 import {forecastLoad, type Forecast} from './load-forecast.js';
+import {slowStartShare} from './slow-start.js';
 
 /**
  * Exponents per call per slot by which a replica's weight changes. What only this node knows, its own
@@ -40,6 +46,7 @@
 	/** Calls of this node in progress in the local data centre, per capacity. */
 	readonly ownCallsPerCapacity: number;
 	readonly groupRunMs: number;
+	readonly slowStartMs: number;
 	readonly now: number;
 };
 
@@ -51,14 +58,19 @@
  * the weights.
  */
 export class EvenLoad implements ChoiceStrategy {
-	readonly #dataCentre: string;
+	readonly #options: ChoiceOptions;
 	readonly #states: EndpointStates;
 	readonly #runTimes: GroupMeans;
 	readonly #random: Random;
 
 	/** @param runTimes - run times by group, scaled to a worker of the service's mean speed. */
-	constructor(dataCentre: string, states: EndpointStates, runTimes: GroupMeans, random: Random) {
-		this.#dataCentre = dataCentre;
+	constructor(
+		options: ChoiceOptions,
+		states: EndpointStates,
+		runTimes: GroupMeans,
+		random: Random,
+	) {
+		this.#options = options;
 		this.#states = states;
 		this.#runTimes = runTimes;
 		this.#random = random;
@@ -66,13 +78,14 @@
 
 	choose(inputs: ChoiceInputs): Endpoint | undefined {
 		const {usable, now, profile} = inputs;
+		const {dataCentre, slowStartMs} = this.#options;
 		const groupRunMs = this.#runTimes.expected(profile.group);
 		const replicas = usable.map((endpoint) => ({
 			endpoint,
 			state: this.#states.of(endpoint),
-			isLocal: endpoint.dataCentre === this.#dataCentre,
+			isLocal: endpoint.dataCentre === dataCentre,
 		}));
-		const service = serviceOf(replicas, groupRunMs, now);
+		const service: Service = {...meansOf(replicas), groupRunMs, slowStartMs, now};
 		const local = this.#draw(
 			replicas.filter(({isLocal}) => isLocal).map((replica) => weigh(replica, service)),
 		);
@@ -83,7 +96,7 @@
 			const state = this.#states.of(chosen);
 			const runMs = groupRunMs * state.relativeRunTime;
 			state.choiceReason =
-				chosen.dataCentre === this.#dataCentre ? reasonOf(state, runMs, now) : 'other-data-centre';
+				chosen.dataCentre === dataCentre ? reasonOf(state, runMs, now) : 'other-data-centre';
 		}
 
 		return chosen;
@@ -109,7 +122,9 @@
 }
 
 /** Also sets the relative run times of the replicas. */
-function serviceOf(replicas: readonly Replica[], groupRunMs: number, now: number): Service {
+function meansOf(
+	replicas: readonly Replica[],
+): Pick<Service, 'meanBusyShare' | 'baseFailureShare' | 'ownCallsPerCapacity'> {
 	let runMs = 0;
 	let busy = 0;
 	let known = 0;
@@ -139,8 +154,6 @@
 		meanBusyShare: known === 0 ? 0 : busy / known,
 		baseFailureShare,
 		ownCallsPerCapacity: ownCalls / Math.max(leastCapacity, capacity),
-		groupRunMs,
-		now,
 	};
 }
 
@@ -173,7 +186,8 @@
 }
 
 function weigh({endpoint, state, isLocal}: Replica, service: Service): Weighed {
-	const {meanBusyShare, baseFailureShare, ownCallsPerCapacity, groupRunMs, now} = service;
+	const {meanBusyShare, baseFailureShare, ownCallsPerCapacity, groupRunMs, slowStartMs, now} =
+		service;
 	const {completion, history, inFlight, answeredAt} = state;
 	const {slots} = endpoint;
 	const runMs = groupRunMs * state.relativeRunTime;
@@ -199,7 +213,8 @@
 	const queueMs = Math.max(0, busyShare + 1 / slots - 1) * runMs;
 	const waitMs = Math.max(queueMs, limitMs);
 	const expectedMs = waitMs + runMs + (isLocal ? 0 : remoteCostMs) + failureMs;
-	return {endpoint, expectedMs, weight: capacity * Math.exp(-exponent)};
+	const share = slowStartShare(now - state.addedAt, slowStartMs);
+	return {endpoint, expectedMs, weight: share * capacity * Math.exp(-exponent)};
 }
 
 /** Returns how much room a service has, from 1 when it is idle to 0 from {@link spareBusyShare} on. */
--- a/packages/redwingmill-core/src/call/choice/own-load.ts
+++ b/packages/redwingmill-core/src/call/choice/own-load.ts
@@ -2,9 +2,9 @@
 import {type Endpoint} from '../../model/routing-table.js';
 import {type ChoiceInputs, type ChoiceOptions, type ChoiceStrategy} from './choice-policy.js';
 import {type EndpointStates} from './endpoint-state.js';
+import {slowStartShare} from './slow-start.js';
 
 const loadHalfLifeMs = 200;
-const minimumRampUpShare = 0.1;
 /** Calls per slot at which a local endpoint counts as full. */
 const fullCallsPerSlot = 2;
 
@@ -77,9 +77,7 @@
 	/** Returns the expected calls per slot, raised during the endpoint's slow start. */
 	#cost(endpoint: Endpoint, now: number): number {
 		const {slowStartMs} = this.#options;
-		const ageMs = now - this.#states.of(endpoint).addedAt;
-		const rampUp = slowStartMs > 0 ? ageMs / slowStartMs : 1;
-		const share = Math.min(1, Math.max(minimumRampUpShare, rampUp));
+		const share = slowStartShare(now - this.#states.of(endpoint).addedAt, slowStartMs);
 		return (this.#loadOf(endpoint, now) + 1 / endpoint.slots) / share;
 	}
 
--- a/packages/redwingmill-core/src/call/endpoint-chooser.ts
+++ b/packages/redwingmill-core/src/call/endpoint-chooser.ts
@@ -42,7 +42,7 @@
 	constructor(options: ChoiceOptions, random: Random, newStrategy: StrategyFactory = strategyOf) {
 		this.#options = options;
 		this.#strategy = newStrategy(options, this.#states, this.#runTimes, random);
-		this.#evenLoad = new EvenLoad(options.dataCentre, this.#states, this.#runTimes, random);
+		this.#evenLoad = new EvenLoad(options, this.#states, this.#runTimes, random);
 	}
 
 	/** Removes the state of endpoints that are gone and begins the slow start of new ones. */
@@ -229,7 +229,7 @@
 		}
 
 		case 'even-load': {
-			return new EvenLoad(options.dataCentre, states, runTimes, random);
+			return new EvenLoad(options, states, runTimes, random);
 		}
 
 		case 'two-choices':
