--- a/packages/redwingmill-core/src/directory/directory-state.ts
+++ b/packages/redwingmill-core/src/directory/directory-state.ts
@@ -7,6 +7,9 @@
 import {emptyRoutingTable, type RoutingTable} from '../model/routing-table.js';
 import {emptyRollouts, type RolloutsSection} from './rollouts-section.js';
 
+/** Well below the time after which a silent node is inquired. */
+const signOfLifeIntervalMs = 250;
+
 /** An announced version that this node doesn't hold. The status page shows it under these names. */
 export type NewerVersion = {
 	readonly version: number;
@@ -212,6 +215,19 @@
 	return adoption.newer === undefined ? 0 : Math.max(0, now - adoption.newer.behindSince);
 }
 
+/**
+ * Whether a node is known to have been alive so recently that another sign of life says nothing new. Each
+ * answer of a gate is one, and recording it costs about as much as the rest of a call's bookkeeping.
+ */
+export function hasRecentSignOfLife(
+	{members}: DirectoryState,
+	address: string,
+	now: number,
+): boolean {
+	const peer = members.peers.get(address);
+	return peer?.lapsedAt === undefined && now - (peer?.receivedAt ?? 0) < signOfLifeIntervalMs;
+}
+
 /**
  * Returns the number of nodes, including this one; undefined until the registry has been listed, since
  * a node that has just started may know only a few of them.
--- a/packages/redwingmill-core/src/index.ts
+++ b/packages/redwingmill-core/src/index.ts
@@ -110,6 +110,7 @@
 export {
 	configurationBehindMs,
 	initialDirectoryState,
+	hasRecentSignOfLife,
 	knownNodeCount,
 	type DirectoryServingState,
 	type DirectoryState,
--- a/packages/redwingmill-node/src/control/store-control-plane.ts
+++ b/packages/redwingmill-node/src/control/store-control-plane.ts
@@ -5,6 +5,7 @@
 	createDirectory,
 	defaultDirectoryLimits,
 	initialDirectoryState,
+	hasRecentSignOfLife,
 	knownNodeCount,
 	longPollMs,
 	mergeStoredCrashes,
@@ -274,7 +275,9 @@
 	}
 
 	markNodeAlive(node: string): void {
-		this.#dispatch({type: 'node-heard', address: node});
+		if (!hasRecentSignOfLife(this.#state, node, performance.now())) {
+			this.#dispatch({type: 'node-heard', address: node});
+		}
 	}
 
 	sendCrashReport(report: CrashReport): void {
