--- a/packages/redwingmill-node/src/control/rollout-orders.ts
+++ b/packages/redwingmill-node/src/control/rollout-orders.ts
@@ -7,6 +7,7 @@
 import {type Random, type Teardown} from 'redwingmill-shared';
 import {logEvents} from '../observe/log-event.js';
 import {type Log} from '../observe/log.js';
+import {MalformedObjects} from './malformed-objects.js';
 import {RolloutWatch} from './rollout-watch.js';
 import {type RolloutsReadResult, type RolloutStore} from './store-ports.js';
 
@@ -35,8 +36,9 @@
 	/** Undefined while this node relies on other nodes for the orders. */
 	#watch: RolloutWatch | undefined;
 	#stopWatch: Teardown | undefined;
-	/** Revisions of the malformed orders, each of which is logged once. */
-	#malformed: ReadonlyMap<string, number> = new Map();
+	readonly #malformed = new MalformedObjects(({name, faults}) => {
+		this.#options.log.write(logEvents.rolloutRefused, {service: name, faults});
+	});
 
 	constructor(options: RolloutOrdersOptions) {
 		this.#options = options;
@@ -87,14 +89,8 @@
 	}
 
 	#onListed({rollouts, malformed, position}: Listing): void {
-		const {log, dispatch} = this.#options;
-		for (const {name, revision, faults} of malformed) {
-			if (this.#malformed.get(name) !== revision) {
-				log.write(logEvents.rolloutRefused, {service: name, faults});
-			}
-		}
-
-		this.#malformed = new Map(malformed.map(({name, revision}) => [name, revision]));
+		const {dispatch} = this.#options;
+		this.#malformed.update(malformed);
 		dispatch({type: 'rollouts-listed', ...position, rollouts});
 	}
 }
--- a/packages/redwingmill-node/src/control/store-control-plane.ts
+++ b/packages/redwingmill-node/src/control/store-control-plane.ts
@@ -55,6 +55,7 @@
 	type UnresponsiveNodeHandler,
 } from './control-plane.js';
 import {DatagramSocket} from './datagram-socket.js';
+import {MalformedObjects} from './malformed-objects.js';
 import {QuotaPlane} from './quota-plane.js';
 import {RolloutOrders} from './rollout-orders.js';
 import {type StorePorts} from './store-ports.js';
@@ -89,6 +90,10 @@
 	readonly #socket: DatagramSocket;
 	readonly #quotas: QuotaPlane | undefined;
 	readonly #history = new ConfigurationHistory();
+	readonly #malformedRecords = new MalformedObjects(({name, faults}) => {
+		this.#log.write(logEvents.recordIgnored, {name, faults});
+	});
+
 	readonly #fetcher: ConfigurationFetcher;
 	readonly #random: Random;
 	readonly #documentListeners = new Set<(document: ConfigurationDocument) => void>();
@@ -494,8 +499,9 @@
 
 	async #listRecords(isFirst: boolean): Promise<void> {
 		const {registry} = this.#ports;
-		const records = await (isFirst ? registry.list() : registry.listRecent());
-		this.#dispatch({type: 'registry-listed', records});
+		const listing = await (isFirst ? registry.list() : registry.listRecent());
+		this.#malformedRecords.update(listing?.malformed ?? []);
+		this.#dispatch({type: 'registry-listed', records: listing?.records});
 	}
 
 	async #readCrashes(): Promise<void> {
--- a/packages/redwingmill-node/src/control/store-ports.ts
+++ b/packages/redwingmill-node/src/control/store-ports.ts
@@ -51,14 +51,27 @@
 
 export type ConfigurationDecoder = (source: unknown) => DecodedConfiguration;
 
+/** An object of the store that can't be used, since another client wrote it or an operator made a mistake. */
+export type MalformedObject = {
+	readonly name: string;
+	readonly revision: number;
+	readonly faults: readonly string[];
+};
+
+/** Records of the registry. */
+export type RegistryListing = {
+	readonly records: readonly NodeRecord[];
+	readonly malformed: readonly MalformedObject[];
+};
+
 /** Registry in the store through which nodes discover each other. Methods don't throw. */
 export type NodeRegistry = {
 	/** Writes a node's record. Returns the era in which the store confirmed it; undefined if it didn't. */
 	write: (record: NodeRecord) => Promise<number | undefined>;
 	/** Returns all records, or undefined if they can't be read. */
-	list: () => Promise<readonly NodeRecord[] | undefined>;
+	list: () => Promise<RegistryListing | undefined>;
 	/** Lists them at a lower cost as they were some seconds ago. */
-	listRecent: () => Promise<readonly NodeRecord[] | undefined>;
+	listRecent: () => Promise<RegistryListing | undefined>;
 };
 
 /** Crashes as read from the store. */
@@ -81,21 +94,13 @@
 	write: (stored: readonly StoredCrashes[], position: StorePosition) => Promise<number | undefined>;
 };
 
-/** An object of the store that isn't a well-formed order. */
-export type MalformedRollout = {
-	readonly name: string;
-	/** Revision of the object. */
-	readonly revision: number;
-	readonly faults: readonly string[];
-};
-
 /** Result of listing the orders of rollouts. `position` is the one after which to wait for a change. */
 export type RolloutsReadResult =
 	| {
 			readonly type: 'listed';
 			/** Has those with an invalid duration too, as one of 0. */
 			readonly rollouts: readonly StoredRollout[];
-			readonly malformed: readonly MalformedRollout[];
+			readonly malformed: readonly MalformedObject[];
 			readonly position: StorePosition;
 	  }
 	| {readonly type: 'failed'; readonly reason: string};
--- a/packages/redwingmill-node/src/observe/log-event.ts
+++ b/packages/redwingmill-node/src/observe/log-event.ts
@@ -133,6 +133,11 @@
 	settingsRefused: {number: 105, level: 'error', message: 'changed settings refused'},
 	malformedDatagram: {number: 315, level: 'debug', message: 'malformed datagram dropped'},
 	malformedRequest: {number: 502, level: 'debug', message: 'malformed request rejected'},
+	recordIgnored: {
+		number: 410,
+		level: 'warn',
+		message: 'malformed record in the node registry ignored',
+	},
 	storeEraChanged: {
 		number: 407,
 		level: 'warn',
--- a/packages/redwingmill-protocol/src/record-codec.ts
+++ b/packages/redwingmill-protocol/src/record-codec.ts
@@ -1,5 +1,6 @@
 import {type MessageInitShape} from '@bufbuild/protobuf';
-import {memberStatuses, workerStates, type NodeRecord} from 'redwingmill-core';
+import {faultsOfRecord, memberStatuses, workerStates, type NodeRecord} from 'redwingmill-core';
+import {ProtocolError} from './errors.js';
 import {decodeEnum, requireField} from './fields.js';
 import type * as wire from './generated/redwingmill/v1/link_pb.js';
 
@@ -23,12 +24,12 @@
 }
 
 /**
- * Decodes a node record. Throws {@link ProtocolError} if a required field is missing or an enum
- * value is unknown.
+ * Decodes a node record. Throws {@link ProtocolError} if a required field is missing or out of its range,
+ * or an enum value is unknown.
  */
 export function decodeRecord(record: wire.NodeRecord | undefined): NodeRecord {
 	const {worker, ...fields} = requireField(record);
-	return {
+	const decoded: NodeRecord = {
 		address: fields.address,
 		dataCentre: fields.dataCentre,
 		incarnation: Number(fields.incarnation),
@@ -46,4 +47,10 @@
 		},
 		...(fields.linkMbps === 0 ? {} : {linkMbps: fields.linkMbps}),
 	};
+	const faults = faultsOfRecord(decoded);
+	if (faults.length > 0) {
+		throw new ProtocolError(`a node record is malformed: ${faults.join('; ')}`);
+	}
+
+	return decoded;
 }
