--- a/packages/redwingmill-node/src/call/exchange.ts
+++ b/packages/redwingmill-node/src/call/exchange.ts
@@ -4,6 +4,7 @@
 import {AbortedExchangeError} from '../errors.js';
 import {forwardedHeaders} from './headers.js';
 import {type CallRequest, type Payload} from './payload.js';
+import {isFirstOnConnection} from './worker-pool.js';
 
 /** Result of an HTTP exchange. */
 export type ExchangeResult =
@@ -21,8 +22,16 @@
 	| {readonly type: 'foreign'}
 	| {readonly type: 'too-large'};
 
-/** Checks by status and headers whether a response belongs to the request. */
-export type ResponseCheck = (status: number, headers: IncomingHttpHeaders) => boolean;
+/**
+ * Checks whether a response belongs to the request.
+ *
+ * @param isFirst - whether it is the first response on its connection; false only for workers' connections.
+ */
+export type ResponseCheck = (
+	status: number,
+	headers: IncomingHttpHeaders,
+	isFirst: boolean,
+) => boolean;
 
 /** An exchange in progress. */
 export type Exchange = {
@@ -65,9 +74,8 @@
 	limits: ExchangeLimits,
 	onResult: (result: ExchangeResult) => void,
 ): Exchange {
-	const handler = new ExchangeHandler(limits, onResult);
 	const {method, path, headers, body} = request;
-	const options = {
+	const options: Dispatcher.DispatchOptions = {
 		method,
 		path,
 		headers: headers as Record<string, string>,
@@ -75,6 +83,13 @@
 		headersTimeout: limits.silenceTimeoutMs ?? 0,
 		bodyTimeout: limits.silenceTimeoutMs ?? 0,
 	};
+	const {isMatchingResponse = acceptAll} = limits;
+	const handler = new ExchangeHandler(
+		limits,
+		(status, responseHeaders) =>
+			isMatchingResponse(status, responseHeaders, isFirstOnConnection(options)),
+		onResult,
+	);
 	try {
 		dispatcher.dispatch(options, handler);
 	} catch (error) {
@@ -118,7 +133,7 @@
 class ExchangeHandler implements Dispatcher.DispatchHandler, Exchange {
 	readonly #limitBytes: number;
 	readonly #onResult: (result: ExchangeResult) => void;
-	readonly #isMatchingResponse: ResponseCheck;
+	readonly #isMatching: (status: number, headers: IncomingHttpHeaders) => boolean;
 	readonly #onInterimResponse: (() => void) | undefined;
 	readonly #abandoned: AbortSignal | undefined;
 	#controller: Dispatcher.DispatchController | undefined;
@@ -129,17 +144,13 @@
 	#isFinished = false;
 
 	constructor(
-		{
-			answerLimitBytes,
-			isMatchingResponse = acceptAll,
-			onInterimResponse,
-			abandoned,
-		}: ExchangeLimits,
+		{answerLimitBytes, onInterimResponse, abandoned}: ExchangeLimits,
+		isMatching: (status: number, headers: IncomingHttpHeaders) => boolean,
 		onResult: (result: ExchangeResult) => void,
 	) {
 		this.#limitBytes = answerLimitBytes;
 		this.#onResult = onResult;
-		this.#isMatchingResponse = isMatchingResponse;
+		this.#isMatching = isMatching;
 		this.#onInterimResponse = onInterimResponse;
 		this.#abandoned = abandoned;
 		abandoned?.addEventListener('abort', () => {
@@ -176,7 +187,7 @@
 			return;
 		}
 
-		if (!this.#isMatchingResponse(status, headers)) {
+		if (!this.#isMatching(status, headers)) {
 			this.#finish({type: 'foreign'});
 			controller.abort(new AbortedExchangeError('The response belongs to another request'));
 			return;
--- a/packages/redwingmill-node/src/call/gate-service.ts
+++ b/packages/redwingmill-node/src/call/gate-service.ts
@@ -394,8 +394,8 @@
 			request,
 			{
 				answerLimitBytes,
-				isMatchingResponse: (status, headers) =>
-					this.#acceptHead(status, headers, request, {worker, sentAt}),
+				isMatchingResponse: (status, headers, isFirst) =>
+					this.#acceptHead(status, headers, request, {worker, sentAt, isFirst}),
 			},
 			(result) => {
 				disarm();
@@ -425,11 +425,20 @@
 		status: number,
 		headers: IncomingHttpHeaders,
 		request: CallRequest,
-		{worker, sentAt}: {readonly worker: Worker | undefined; readonly sentAt: number},
+		{
+			worker,
+			sentAt,
+			isFirst,
+		}: {
+			readonly worker: Worker | undefined;
+			readonly sentAt: number;
+			/** Whether it is the first response on its connection. */
+			readonly isFirst: boolean;
+		},
 	): boolean {
 		const {protocol} = this.#options;
 		const responseClass = protocol.classify(status, headers, request.headers);
-		const isMatching = this.#isMatching(responseClass, headers);
+		const isMatching = this.#isMatching(responseClass, headers, isFirst);
 		// Another process at the address says nothing of the worker, nor does an earlier process of it.
 		const isOfWorker =
 			isMatching && responseClass !== 'misdirected' && isSameProcess(worker, this.#worker);
@@ -442,19 +451,27 @@
 
 	/**
 	 * Whether a response may belong to the call that waits for one. A worker that has named the call in a
-	 * response of one class does so in all of them; one that doesn't is a late copy of an earlier one.
+	 * response of one class does so in all of them; one that doesn't is a late copy of an earlier one. A
+	 * refusal promises that the call never runs, so one that names no call is believed only where no earlier
+	 * one can have been sent.
 	 */
-	#isMatching(responseClass: WorkerResponseClass, headers: IncomingHttpHeaders): boolean {
+	#isMatching(
+		responseClass: WorkerResponseClass,
+		headers: IncomingHttpHeaders,
+		isFirst: boolean,
+	): boolean {
 		if (responseClass === 'foreign') {
 			return false;
 		}
 
-		if (this.#options.protocol.isIdentified?.(headers)) {
+		const {isIdentified} = this.#options.protocol;
+		if (isIdentified?.(headers)) {
 			this.#identifiedClasses.add(responseClass);
 			return true;
 		}
 
-		return !this.#identifiedClasses.has(responseClass);
+		const mayBeEarlier = isIdentified !== undefined && !isFirst && responseClass !== 'ran';
+		return !mayBeEarlier && !this.#identifiedClasses.has(responseClass);
 	}
 
 	#workerRequest(
--- a/packages/redwingmill-node/src/call/worker-pool.ts
+++ b/packages/redwingmill-node/src/call/worker-pool.ts
@@ -8,9 +8,22 @@
 type ConnectionState = {
 	/** Whether the connection ended with an error instead of being closed by the worker. */
 	hasFailed: boolean;
+	/** Whether a response has arrived on it. */
+	hasResponded: boolean;
 };
 
 const connectTimeoutMs = 500;
+const firstFinalStatus = 200;
+/** Requests whose response follows another one on its connection. */
+const followingRequests = new WeakSet<Dispatcher.DispatchOptions>();
+
+/**
+ * Whether the response to a worker's request is the first on its connection, so that it can't be an earlier
+ * response that the worker sends once more.
+ */
+export function isFirstOnConnection(request: Dispatcher.DispatchOptions): boolean {
+	return !followingRequests.has(request);
+}
 
 /** Creates a pool of connections to a worker, each of which carries one call at a time. */
 export function createWorkerPool(address: string, connections: number): Pool {
@@ -27,20 +40,22 @@
  * whether the response was truncated.
  */
 function createClient(origin: URL, options: Client.Options): Dispatcher {
-	const state: ConnectionState = {hasFailed: false};
+	const state: ConnectionState = {hasFailed: false, hasResponded: false};
 	const connect = buildConnector({timeout: connectTimeoutMs});
 	const client = new Client(origin, {
 		...options,
 		connect(connection, callback) {
 			connect(connection, (...result) => {
 				state.hasFailed = false;
+				state.hasResponded = false;
 				watchForFailure(result[1] ?? undefined, state);
 				callback(...result);
 			});
 		},
 	});
 	return client.compose(
-		(dispatch) => (call, handler) => dispatch(call, new CompleteResponseHandler(handler, state)),
+		(dispatch) => (request, handler) =>
+			dispatch(request, new CompleteResponseHandler(handler, state, request)),
 	);
 }
 
@@ -61,10 +76,16 @@
 class CompleteResponseHandler implements Dispatcher.DispatchHandler {
 	readonly #handler: Dispatcher.DispatchHandler;
 	readonly #state: ConnectionState;
+	readonly #request: Dispatcher.DispatchOptions;
 
-	constructor(handler: Dispatcher.DispatchHandler, state: ConnectionState) {
+	constructor(
+		handler: Dispatcher.DispatchHandler,
+		state: ConnectionState,
+		request: Dispatcher.DispatchOptions,
+	) {
 		this.#handler = handler;
 		this.#state = state;
+		this.#request = request;
 	}
 
 	onRequestStart(controller: Dispatcher.DispatchController, context: unknown): void {
@@ -77,6 +98,14 @@
 		headers: IncomingHttpHeaders,
 		message?: string,
 	): void {
+		if (status >= firstFinalStatus) {
+			if (this.#state.hasResponded) {
+				followingRequests.add(this.#request);
+			}
+
+			this.#state.hasResponded = true;
+		}
+
 		this.#handler.onResponseStart?.(controller, status, headers, message);
 	}
 
