--- a/packages/redwingmill-core/src/model/record-check.ts
+++ b/packages/redwingmill-core/src/model/record-check.ts
@@ -7,6 +7,8 @@
 const maximumCount = 0xff_ff_ff_ff;
 /** Limit of each text, so that a record fits into a datagram. */
 const maximumTextLength = 256;
+const knownStatuses: ReadonlySet<unknown> = new Set(memberStatuses);
+const knownStates: ReadonlySet<unknown> = new Set(workerStates);
 const addressPattern = /^(?<host>[\w.\-]{1,253}):(?<port>\d{1,5})$/v;
 
 /** Whether a value is an address as `host:port`, with a port that can be connected to. */
@@ -29,7 +31,7 @@
 			['dataCentre', isText(fields.dataCentre), textRule],
 			['incarnation', isCount(fields.incarnation, Number.MAX_SAFE_INTEGER), countRule],
 			['revision', isCount(fields.revision, maximumCount), countRule],
-			['status', memberStatuses.some((each) => each === fields.status), 'a known status'],
+			['status', knownStatuses.has(fields.status), 'a known status'],
 			['linkMbps', isOptional(fields.linkMbps, (link) => isCount(link, maximumCount)), countRule],
 		]),
 		...(worker === undefined ? [] : faultsOfWorker(worker).map((fault) => `worker.${fault}`)),
@@ -43,7 +45,7 @@
 		['service', isText(fields.service), textRule],
 		['address', isNetworkAddress(fields.address), 'host:port'],
 		['slots', isCount(fields.slots, maximumSlots), countRule],
-		['state', workerStates.some((each) => each === fields.state), 'a known state'],
+		['state', knownStates.has(fields.state), 'a known state'],
 		['instance', isOptional(fields.instance, isText), textRule],
 		[
 			'startedAt',
