--- a/packages/redwingmill-node/src/control/control-plane.ts
+++ b/packages/redwingmill-node/src/control/control-plane.ts
@@ -24,6 +24,8 @@
 	readonly self: NodeRecord;
 	readonly log: Log;
 	readonly metrics: Metrics;
+	/** Called after each task of the control plane with the milliseconds that it took. */
+	readonly onTask?: (task: string, ms: number) => void;
 };
 
 /** Handles a crash report of another node. */
--- a/packages/redwingmill-node/src/control/store-control-plane.ts
+++ b/packages/redwingmill-node/src/control/store-control-plane.ts
@@ -87,6 +87,7 @@
 	readonly #settings: Settings;
 	readonly #log: Log;
 	readonly #metrics: Metrics;
+	readonly #onTask: ControlPlaneOptions['onTask'];
 	readonly #socket: DatagramSocket;
 	readonly #quotas: QuotaPlane | undefined;
 	readonly #history = new ConfigurationHistory();
@@ -112,7 +113,8 @@
 	#isStopped = false;
 
 	constructor(options: StoreControlPlaneOptions) {
-		const {settings, self, ports, log, metrics, createRolloutDecider} = options;
+		const {settings, self, ports, log, metrics, onTask, createRolloutDecider} = options;
+		this.#onTask = onTask;
 		const random = new Random(self.incarnation % randomSeedModulus);
 		this.#settings = settings;
 		this.#ports = ports;
@@ -392,8 +394,9 @@
 			return;
 		}
 
+		const startedAt = performance.now();
 		const {held: previous} = this.#state.adoption;
-		for (const effect of this.#directory.dispatch(event, performance.now())) {
+		for (const effect of this.#directory.dispatch(event, startedAt)) {
 			this.#perform(effect);
 		}
 
@@ -404,6 +407,8 @@
 				listener(document);
 			}
 		}
+
+		this.#onTask?.(event.type, performance.now() - startedAt);
 	}
 
 	#perform(effect: DirectoryEffect): void {
@@ -594,7 +599,9 @@
 
 	/** Returns whether the source is a valid configuration. */
 	#applySource(source: unknown, origin: 'store' | 'node'): boolean {
+		const startedAt = performance.now();
 		const decoded = this.#ports.decode(source);
+		this.#onTask?.('configuration-decoding', performance.now() - startedAt);
 		if (decoded.type === 'valid') {
 			this.#dispatch({type: 'configuration-read', document: decoded.document, origin});
 			return true;
--- a/packages/redwingmill-node/src/daemon.ts
+++ b/packages/redwingmill-node/src/daemon.ts
@@ -1,3 +1,4 @@
+import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import {
 	defaultGateLimits,
@@ -21,6 +22,7 @@
 import {type ControlPlane, type ControlPlaneOptions} from './control/control-plane.js';
 import {CallLog} from './observe/call-log.js';
 import {logCrashNotice} from './observe/crash-log.js';
+import {EventLoopDelay} from './observe/event-loop-delay.js';
 import {Log} from './observe/log.js';
 import {logEvents} from './observe/log-event.js';
 import {Metrics, type GaugeValues} from './observe/metrics.js';
@@ -38,6 +40,7 @@
 /** Delay before the gate refuses calls, in which the announcement of the departure spreads. */
 const leavePropagationMs = 50;
 const msPerSecond = 1000;
+const microsecondsPerSecond = 1e6;
 /** Part of `stopping.withinSeconds` reserved for closing the ports after the drain. */
 const closeReserveMs = 700;
 
@@ -88,6 +91,7 @@
 	readonly #entryServer: EntryServer;
 	readonly #operators: OperatorsServer;
 	readonly #lease: WorkerLease;
+	readonly #eventLoopDelay: EventLoopDelay;
 	/** Undefined if the bandwidth of the host's link isn't known. */
 	readonly #link: LinkSender | undefined;
 	#loadTimer: NodeJS.Timeout | undefined;
@@ -109,7 +113,23 @@
 		this.#log = log;
 		this.#lease = new WorkerLease(calls.workerLeaseMs);
 		const metrics = new Metrics(() => this.#readGauges());
-		this.#control = createControlPlane({settings, self, log, metrics});
+		this.#eventLoopDelay = new EventLoopDelay(({delayMs, meanMs, task, taskMs}) => {
+			log.write(logEvents.eventLoopDelayed, {
+				delayMs: Math.round(delayMs),
+				meanMs: Math.round(meanMs),
+				task,
+				taskMs: Math.round(taskMs),
+			});
+		});
+		this.#control = createControlPlane({
+			settings,
+			self,
+			log,
+			metrics,
+			onTask: (task, ms) => {
+				this.#eventLoopDelay.recordTask(task, ms);
+			},
+		});
 		const callLog = new CallLog(log, () => this.#control, callerProtocol.requestIdHeader);
 		const {linkMbps = 0} = settings.control;
 		this.#link = linkMbps > 0 ? new LinkSender(linkMbps) : undefined;
@@ -268,6 +288,7 @@
 			this.#updateWorker(this.#lease.expire(performance.now()));
 		}, leaseCheckIntervalMs);
 		this.#loadTimer = setInterval(() => {
+			this.#eventLoopDelay.sample(performance.now(), loadUpdateIntervalMs);
 			this.#control.updateLoad(this.#gate.load);
 			this.#control.updateCrashDigest(this.#gate.crashDigest);
 		}, loadUpdateIntervalMs);
@@ -414,6 +435,9 @@
 			gateWaiting: this.#gate.waitingCount,
 			workerRequests: this.#gate.sentCount,
 			workerLimitPerSecond: this.#gate.limitPerSecond ?? Number.POSITIVE_INFINITY,
+			eventLoopDelaySeconds: this.#eventLoopDelay.meanMs / msPerSecond,
+			processorSeconds: processorSecondsOf(process.cpuUsage()),
+			taskSeconds: this.#eventLoopDelay.taskSeconds,
 			isRelay,
 			isServing,
 			rolloutShares: new Map(rollouts.map(({service, share}) => [service, share])),
@@ -422,6 +446,10 @@
 	}
 }
 
+function processorSecondsOf({user, system}: NodeJS.CpuUsage): number {
+	return (user + system) / microsecondsPerSecond;
+}
+
 /** Creates the first record. The clock sets the incarnation, so that later starts have a higher one. */
 function createNodeRecord({
 	dataCentre,
--- a/packages/redwingmill-node/src/observe/log-event.ts
+++ b/packages/redwingmill-node/src/observe/log-event.ts
@@ -144,6 +144,7 @@
 		message: 'store returned from an older copy',
 	},
 	unexpectedError: {number: 106, level: 'error', message: 'unexpected error'},
+	eventLoopDelayed: {number: 108, level: 'warn', message: 'event loop was delayed'},
 	unexpectedErrorBurst: {
 		number: 107,
 		level: 'error',
--- a/packages/redwingmill-node/src/observe/metrics-page.ts
+++ b/packages/redwingmill-node/src/observe/metrics-page.ts
@@ -39,6 +39,24 @@
 				}
 			},
 		});
+		this.#addCounter({
+			name: 'redwingmill_control_seconds_total',
+			help: 'Time spent in tasks of the control plane, by task.',
+			labelNames: ['task'],
+			*values() {
+				for (const [task, seconds] of metrics.readGauges().taskSeconds) {
+					yield [{task}, seconds];
+				}
+			},
+		});
+		this.#addCounter({
+			name: 'redwingmill_processor_seconds_total',
+			help: 'Processor time of this process since its start.',
+			labelNames: [],
+			*values() {
+				yield [{}, metrics.readGauges().processorSeconds];
+			},
+		});
 		this.#addLatency(metrics);
 		this.#addGauges(metrics.readGauges);
 		this.#addRolloutShares(metrics.readGauges);
@@ -178,6 +196,11 @@
 				'Calls a second that the local worker says it takes; +Inf while it states no limit.',
 				(values) => values.workerLimitPerSecond,
 			],
+			[
+				'event_loop_delay_seconds',
+				'Mean time for which events wait for their turn in this process.',
+				(values) => values.eventLoopDelaySeconds,
+			],
 			[
 				'is_relay',
 				'1 if this node is the relay of its data centre, otherwise 0.',
--- a/packages/redwingmill-node/src/observe/metrics.ts
+++ b/packages/redwingmill-node/src/observe/metrics.ts
@@ -12,6 +12,12 @@
 	readonly workerRequests: number;
 	/** Infinity while the worker states no limit. */
 	readonly workerLimitPerSecond: number;
+	/** Mean time for which events wait for their turn in this process. */
+	readonly eventLoopDelaySeconds: number;
+	/** Processor time of this process since its start. */
+	readonly processorSeconds: number;
+	/** Time spent in control tasks since the start, by task. */
+	readonly taskSeconds: ReadonlyMap<string, number>;
 	readonly isRelay: boolean;
 	readonly isServing: boolean;
 	/** Share of a service's calls for the target version of its rollout, by service. */
