--- a/packages/redwingmill-core/src/__tests__/unit/even-load.test.ts
+++ b/packages/redwingmill-core/src/__tests__/unit/even-load.test.ts
@@ -143,6 +143,59 @@
 		expect(sharesOf(chooser, endpoints, 14_000)[0]).to.be.within(0.22, 0.28);
 	});
 
+	describe('at a node with a worker of its own', () => {
+		const endpoints = endpointsOf(4);
+		const [own] = endpoints;
+
+		/** Returns the share of calls that the own worker gets, with a load of `fields` in place of a low one. */
+		function ownShareWith(
+			fields: Partial<WorkerLoad>,
+			profile: {readonly runMs?: number; readonly targetAt?: number} = {},
+		): number {
+			const options = {
+				policy: 'even-load',
+				slowStartMs: 0,
+				dataCentre: 'dc-a',
+				ownNode: {node: own.node, load: () => loadOf(fields)},
+			} as const;
+			const chooser = new EndpointChooser(options, new Random(7));
+			for (const endpoint of endpoints) {
+				chooser.onLoad(endpoint, loadOf(endpoint === own ? fields : {}), 0);
+				chooser.onRunTime(endpoint, 'a', profile.runMs ?? 40);
+			}
+
+			let count = 0;
+			for (let choice = 0; choice < choices; choice++) {
+				const call = {group: 'a', targetAt: profile.targetAt};
+				count += chooser.choose(endpoints, none, 10, call) === own ? 1 : 0;
+			}
+
+			return count / choices;
+		}
+
+		it('runs calls there while it has room, so that no second node is involved', () => {
+			expect(ownShareWith({})).to.equal(1);
+			expect(ownShareWith({callsPerSlot: 0.75}, {targetAt: 70})).to.equal(1);
+		});
+
+		const reasons: Readonly<Record<string, Partial<WorkerLoad>>> = {
+			'is full': {callsPerSlot: 1},
+			'has a queue': {callsPerSlot: 0.6, waitMs: 30},
+			'is slow': {runMs: 100},
+			'fails calls that others do not fail': {failureShare: 0.2},
+			'is limited': {allowance: {perSecond: 5, waitMs: 0}},
+		};
+		for (const [reason, load] of Object.entries(reasons)) {
+			it(`spreads calls when its own worker ${reason}`, () => {
+				expect(ownShareWith(load)).to.be.below(0.5);
+			});
+		}
+
+		it('spreads calls whose target leaves little time beyond the run', () => {
+			expect(ownShareWith({}, {runMs: 40, targetAt: 50})).to.be.within(0.2, 0.3);
+		});
+	});
+
 	it('takes over from the usual policies where workers say how long work takes on their hosts', () => {
 		const endpoints = endpointsOf(2);
 		const crowd = (chooser: EndpointChooser, hostTime?: number) => {
--- a/packages/redwingmill-core/src/call/choice/choice-policy.ts
+++ b/packages/redwingmill-core/src/call/choice/choice-policy.ts
@@ -2,6 +2,7 @@
 import {type Endpoint} from '../../model/routing-table.js';
 import {type GroupMeans} from '../group-means.js';
 import {type EndpointStates} from './endpoint-state.js';
+import {type OwnNode} from './own-node.js';
 
 /**
  * Load-balancing policies. `least-loaded`, `random` and `round-robin` are baselines for measurements.
@@ -28,6 +29,8 @@
 	 * workers say how long work takes on their hosts. By default yes; simulations compare policies without it.
 	 */
 	readonly followsHostTimes?: boolean;
+	/** Absent where the chooser has no worker of its own. */
+	readonly ownNode?: OwnNode;
 };
 
 /** Properties of a call that the choice takes into account. */
@@ -42,6 +45,8 @@
 
 /** Why the policy `even-load` chose a replica. */
 export const choiceReasons = [
+	/** The worker of this node has room, so no second node need be involved. */
+	'own-node',
 	/** A recent answer to this node showed its load. */
 	'answered-report',
 	/** A recent report to all nodes showed its load. */
--- a/packages/redwingmill-core/src/call/choice/even-load.ts
+++ b/packages/redwingmill-core/src/call/choice/even-load.ts
@@ -8,9 +8,18 @@
 	type ChoiceReason,
 	type ChoiceStrategy,
 } from './choice-policy.js';
-import {boundedRunTime, isLocalInTime, localOrEarliest, type Candidate} from './earliest-answer.js';
+import {
+	boundedRunTime,
+	commonFailureShare,
+	isLocalInTime,
+	localOrEarliest,
+	meanRunMsOf,
+	relativeRunTimeOf,
+	type Candidate,
+} from './earliest-answer.js';
 import {type EndpointState, type EndpointStates} from './endpoint-state.js';
 import {forecastLoad, type Forecast} from './load-forecast.js';
+import {mayRunAtOwnNode} from './own-node.js';
 import {slowStartShare} from './slow-start.js';
 
 /**
@@ -80,6 +89,12 @@
 		const {usable, now, profile} = inputs;
 		const {dataCentre, slowStartMs} = this.#options;
 		const groupRunMs = this.#runTimes.expected(profile.group);
+		const own = this.#ownReplica(inputs, groupRunMs);
+		if (own) {
+			this.#states.of(own).choiceReason = 'own-node';
+			return own;
+		}
+
 		const replicas = usable.map((endpoint) => ({
 			endpoint,
 			state: this.#states.of(endpoint),
@@ -102,6 +117,29 @@
 		return chosen;
 	}
 
+	/** Returns the replica of this node if it should run the call. */
+	#ownReplica({usable, now, profile}: ChoiceInputs, groupRunMs: number): Endpoint | undefined {
+		const {ownNode} = this.#options;
+		const own = ownNode && usable.find(({node}) => node === ownNode.node);
+		if (ownNode === undefined || own === undefined) {
+			return undefined;
+		}
+
+		const load = ownNode.load();
+		const state = this.#states.of(own);
+		state.relativeRunTime = relativeRunTimeOf(load, meanRunMsOf(usable, this.#states));
+		return mayRunAtOwnNode({
+			load,
+			relativeRunTime: state.relativeRunTime,
+			commonFailureShare:
+				load.failureShare > 0 ? commonFailureShare(usable, this.#states) : load.failureShare,
+			groupRunMs,
+			leftMs: (profile.targetAt ?? Number.POSITIVE_INFINITY) - now,
+		})
+			? own
+			: undefined;
+	}
+
 	/** Draws one at random by weight; undefined if there is none. */
 	#draw(weighed: readonly Weighed[]): Weighed | undefined {
 		let sum = 0;
