--- a/packages/redwingmill-core/src/model/derive-routing.ts
+++ b/packages/redwingmill-core/src/model/derive-routing.ts
@@ -151,12 +151,31 @@
 	const reasonOf = (service: string): InactiveReason | undefined =>
 		endpoints.has(service) ? inactive.get(service) : {type: 'no-ready-endpoint', service};
 	return routes.map((route): RouteState => {
+		const {service, split} = route;
+		if (split === undefined && endpoints.has(service) && !inactive.has(service)) {
+			return activeStateOf(route);
+		}
+
 		const reasons = servicesOf(route).map((service) => reasonOf(service));
 		const reason = reasons.every((each) => each !== undefined) ? reasons[0] : undefined;
 		return reason ? {type: 'inactive', route, reason} : {type: 'active', route};
 	});
 }
 
+const activeStates = new WeakMap<Route, RouteState>();
+
+/** Returns the state of a route whose services are active, the same object each time. */
+function activeStateOf(route: Route): RouteState {
+	const known = activeStates.get(route);
+	if (known) {
+		return known;
+	}
+
+	const state: RouteState = {type: 'active', route};
+	activeStates.set(route, state);
+	return state;
+}
+
 /** Returns the services that calls of a route may be sent to. */
 function servicesOf({service, split}: Route): readonly string[] {
 	return split ? split.map((destination) => destination.service) : [service];
--- a/packages/redwingmill-core/src/model/merge-patch.ts
+++ b/packages/redwingmill-core/src/model/merge-patch.ts
@@ -44,10 +44,11 @@
 	}
 
 	const known = isObject(document) ? document : {};
-	const kept = Object.entries(known).filter(([key]) => patch[key] !== null);
-	const merged: Record<string, Json> = Object.fromEntries(kept);
+	const merged: Record<string, Json> = {...known};
 	for (const [key, change] of Object.entries(patch)) {
-		if (change !== null) {
+		if (change === null) {
+			Reflect.deleteProperty(merged, key);
+		} else {
 			merged[key] = applyMergePatch(known[key] ?? null, change);
 		}
 	}
