--- a/packages/redwingmill-core/src/directory/directory-state.ts
+++ b/packages/redwingmill-core/src/directory/directory-state.ts
@@ -217,7 +217,7 @@
 
 /**
  * Whether a node is known to have been alive so recently that another sign of life says nothing new. Each
- * answer of a gate is one, and recording it costs about as much as the rest of a call's bookkeeping.
+ * answer of a gate is one, and recording it runs all controllers.
  */
 export function hasRecentSignOfLife(
 	{members}: DirectoryState,
@@ -225,7 +225,11 @@
 	now: number,
 ): boolean {
 	const peer = members.peers.get(address);
-	return peer?.lapsedAt === undefined && now - (peer?.receivedAt ?? 0) < signOfLifeIntervalMs;
+	return (
+		peer !== undefined &&
+		peer.lapsedAt === undefined &&
+		now - peer.receivedAt < signOfLifeIntervalMs
+	);
 }
 
 /**
--- a/packages/redwingmill-core/src/index.ts
+++ b/packages/redwingmill-core/src/index.ts
@@ -24,12 +24,7 @@
 	type Worker,
 	type WorkerState,
 } from './model/node-record.js';
-export {
-	faultsOfRecord,
-	faultsOfWorker,
-	isNetworkAddress,
-	maximumSlots,
-} from './model/record-check.js';
+export {faultsOfRecord, faultsOfWorker} from './model/record-check.js';
 export {type DataCentreSummary, type NodeStatus, type ReportedLoad} from './model/node-status.js';
 export {applyMergePatch, mergePatchOf, type Json} from './model/merge-patch.js';
 export * from './model/platform-object.js';
--- a/packages/redwingmill-core/src/model/record-check.ts
+++ b/packages/redwingmill-core/src/model/record-check.ts
@@ -1,7 +1,7 @@
 import {memberStatuses, workerStates, type NodeRecord, type Worker} from './node-record.js';
 
 /** Largest number of calls at once that a worker may announce. */
-export const maximumSlots = 65_535;
+const maximumSlots = 65_535;
 const maximumPort = 65_535;
 /** Largest value of a 32-bit field of the datagrams that carry records. */
 const maximumCount = 0xff_ff_ff_ff;
@@ -12,7 +12,7 @@
 const addressPattern = /^(?<host>[\w.\-]{1,253}):(?<port>\d{1,5})$/v;
 
 /** Whether a value is an address as `host:port`, with a port that can be connected to. */
-export function isNetworkAddress(value: unknown): value is string {
+function isNetworkAddress(value: unknown): value is string {
 	const port = typeof value === 'string' ? addressPattern.exec(value)?.groups?.port : undefined;
 	return port !== undefined && Number(port) > 0 && Number(port) <= maximumPort;
 }
