--- a/packages/redwingmill-core/src/index.ts
+++ b/packages/redwingmill-core/src/index.ts
@@ -125,4 +125,4 @@
 export {longPollMs} from './directory/poll-schedule.js';
 export {type CallerLimits, type ConfigurationDocument} from './model/configuration-document.js';
 export {type Datagram} from './model/datagram.js';
-export {deriveRouting} from './model/derive-routing.js';
+export {deriveRouting, servicesOf} from './model/derive-routing.js';
--- a/packages/redwingmill-core/src/model/derive-routing.ts
+++ b/packages/redwingmill-core/src/model/derive-routing.ts
@@ -177,6 +177,6 @@
 }
 
 /** Returns the services that calls of a route may be sent to. */
-function servicesOf({service, split}: Route): readonly string[] {
+export function servicesOf({service, split}: Pick<Route, 'service' | 'split'>): readonly string[] {
 	return split ? split.map((destination) => destination.service) : [service];
 }
