Exchange calls between nodes by frames on one connection a peer

An entry now keeps one connection to each gate, upgraded from HTTP to frames: calls as messages that end in any order, large bodies in parts that take turns, cancellation, withdrawals as before. A connection that is silent while an answer is awaited is found by a ping and destroyed, after which the entry asks for the answer on a new one; before, its calls ended at their deadline.

The callback for interim responses, which only withdrawals used, is gone; that such a response isn't taken for the final one is checked as before.

--- a/packages/redwingmill-node/src/call/exchange.ts
+++ b/packages/redwingmill-node/src/call/exchange.ts
@@ -2,6 +2,7 @@
 import {type IncomingHttpHeaders} from 'node:http';
 import {type Dispatcher} from 'undici';
 import {AbortedExchangeError} from '../errors.js';
+import {releaseBytes, reserveBytes} from './buffered-bytes.js';
 import {forwardedHeaders} from './headers.js';
 import {type CallRequest, type Payload} from './payload.js';
 import {isFirstOnConnection} from './worker-pool.js';
@@ -54,18 +55,10 @@
 	 * a response goes on: its time-out shows that the connection is silent.
 	 */
 	readonly abandoned?: AbortSignal;
-	/** Called for each interim response: the request has arrived and is being processed. */
-	readonly onInterimResponse?: () => void;
 };
 
 const firstFinalStatus = 200;
 const acceptAll: ResponseCheck = () => true;
-/**
- * Limit for the responses that this process is receiving, all together. A few workers that send without
- * end would otherwise use up its memory, each below the limit of a single response.
- */
-const maximumBufferedBytes = 48 * 1024 * 1024;
-let bufferedBytes = 0;
 
 /** Sends a request and collects the complete response. `onResult` is called exactly once. */
 export function beginExchange(
@@ -134,7 +127,6 @@
 	readonly #limitBytes: number;
 	readonly #onResult: (result: ExchangeResult) => void;
 	readonly #isMatching: (status: number, headers: IncomingHttpHeaders) => boolean;
-	readonly #onInterimResponse: (() => void) | undefined;
 	readonly #abandoned: AbortSignal | undefined;
 	#controller: Dispatcher.DispatchController | undefined;
 	#chunks: Buffer[] = [];
@@ -144,14 +136,13 @@
 	#isFinished = false;
 
 	constructor(
-		{answerLimitBytes, onInterimResponse, abandoned}: ExchangeLimits,
+		{answerLimitBytes, abandoned}: ExchangeLimits,
 		isMatching: (status: number, headers: IncomingHttpHeaders) => boolean,
 		onResult: (result: ExchangeResult) => void,
 	) {
 		this.#limitBytes = answerLimitBytes;
 		this.#onResult = onResult;
 		this.#isMatching = isMatching;
-		this.#onInterimResponse = onInterimResponse;
 		this.#abandoned = abandoned;
 		abandoned?.addEventListener('abort', () => {
 			if (this.#status !== 0 && !this.#isFinished) {
@@ -183,7 +174,6 @@
 		headers: IncomingHttpHeaders,
 	): void {
 		if (status < firstFinalStatus) {
-			this.#onInterimResponse?.();
 			return;
 		}
 
@@ -206,8 +196,7 @@
 		}
 
 		this.#bytes += chunk.length;
-		bufferedBytes += chunk.length;
-		if (this.#bytes > this.#limitBytes || bufferedBytes > maximumBufferedBytes) {
+		if (!reserveBytes(chunk.length) || this.#bytes > this.#limitBytes) {
 			this.#finish({type: 'too-large'});
 			controller.abort(new AbortedExchangeError(`The response exceeds ${this.#limitBytes} bytes`));
 			return;
@@ -237,7 +226,7 @@
 		if (!this.#isFinished) {
 			this.#isFinished = true;
 			this.#chunks = [];
-			bufferedBytes -= this.#bytes;
+			releaseBytes(this.#bytes);
 			this.#bytes = 0;
 			this.#onResult(result);
 		}
--- a/packages/redwingmill-node/src/call/gate-client.ts
+++ b/packages/redwingmill-node/src/call/gate-client.ts
@@ -1,18 +1,18 @@
-import {Buffer} from 'node:buffer';
-import {Pool} from 'undici';
 import {
 	type AttemptResult,
 	type CallWorkspace,
 	type Endpoint,
+	type GateAnswer,
 	type KnownLimit,
 	type WithdrawResult,
 } from 'redwingmill-core';
+import {type OutgoingMessage} from '../frames/index.js';
 import {parseAnswer} from './answer-header.js';
 import {formatAttempt, relativeTimes} from './attempt-header.js';
-import {beginExchange, type Exchange, type ExchangeResult} from './exchange.js';
-import {gatePaths} from './gate-server.js';
-import {headerNames, textHeader} from './headers.js';
+import {type Exchange} from './exchange.js';
 import {type CallRequest, type Payload} from './payload.js';
+import {PeerConnection, type PeerListener, type PeerResult} from './peer-connection.js';
+import {formatHead, parseResponse} from './peer-message.js';
 
 /** An attempt to run a call at a gate. Times are monotonic milliseconds. */
 export type Attempt = {
@@ -34,57 +34,60 @@
 	readonly request: CallRequest;
 };
 
-const keepAliveMs = 30_000;
-const connectTimeoutMs = 1000;
-const emptyBody = Buffer.alloc(0);
+/** Interval at which connections on which a response is awaited are checked for silence. */
+const silenceCheckIntervalMs = 100;
 
-/** Sends attempts to the gates of other nodes. */
+/** Sends attempts to the gates of other nodes, on one connection to each. */
 export class GateClient {
-	readonly #connectionsPerGate: number;
 	readonly #answerLimitBytes: number;
-	readonly #pools = new Map<string, Pool>();
+	readonly #connections = new Map<string, PeerConnection>();
 	/** Control address of each gate's node, by gate address. */
 	readonly #nodes = new Map<string, string>();
+	#silenceTimer: NodeJS.Timeout | undefined;
 
-	constructor(connectionsPerGate: number, answerLimitBytes: number) {
-		this.#connectionsPerGate = connectionsPerGate;
+	constructor(answerLimitBytes: number) {
 		this.#answerLimitBytes = answerLimitBytes;
 	}
 
 	/** Closes the connections to gates whose addresses are not in `addresses`. */
 	retain(addresses: ReadonlySet<string>): void {
-		for (const [address, pool] of this.#pools) {
+		for (const [address, connection] of this.#connections) {
 			if (!addresses.has(address)) {
-				this.#pools.delete(address);
+				this.#connections.delete(address);
 				this.#nodes.delete(address);
-				void pool.close();
+				connection.close();
 			}
 		}
 	}
 
-	/** Destroys the connections to an unresponsive node, as they will not recover. */
+	/** Destroys the connection to an unresponsive node, as it will not recover. */
 	destroyConnections(node: string): void {
-		for (const [address, pool] of this.#pools) {
+		for (const [address, connection] of this.#connections) {
 			if (this.#nodes.get(address) === node) {
-				this.#pools.delete(address);
-				void pool.destroy();
+				this.#connections.delete(address);
+				connection.destroy();
 			}
 		}
 	}
 
-	async close(): Promise<void> {
-		await Promise.all([...this.#pools.values()].map(async (pool) => pool.destroy()));
+	close(): void {
+		clearInterval(this.#silenceTimer);
+		for (const connection of this.#connections.values()) {
+			connection.destroy();
+		}
 	}
 
 	send(attempt: Attempt, onResult: (result: AttemptResult<Payload>) => void): Exchange {
 		const {endpoint, request} = attempt;
-		const headers = {...request.headers, ...attemptHeaders(attempt)};
-		return beginExchange(
-			this.#poolOf(endpoint.gateAddress, endpoint.node),
-			{...request, headers},
-			{answerLimitBytes: this.#answerLimitBytes},
-			(result) => {
-				onResult(toAttemptResult(result));
+		const {method, path, headers, body} = request;
+		const head = formatHead({type: 'call', attempt: headerOf(attempt), method, path, headers});
+		return this.#exchange(
+			endpoint,
+			{head, body},
+			{
+				onResult(result) {
+					onResult(toAttemptResult(result));
+				},
 			},
 		);
 	}
@@ -100,74 +103,78 @@
 		timeoutMs: number,
 		onResult: (result: WithdrawResult<Payload>) => void,
 	): Exchange {
-		const {endpoint} = attempt;
-		const headers = {
-			...attemptHeaders(attempt, endpoint.incarnation),
-			[headerNames.age]: String(Math.ceil(performance.now() - attempt.startedAt)),
-		};
-		const withdrawal = beginExchange(
-			this.#poolOf(endpoint.gateAddress, endpoint.node),
-			{method: 'POST', path: gatePaths.withdraw, headers, body: emptyBody},
+		const {endpoint, startedAt} = attempt;
+		const ageMs = Math.ceil(performance.now() - startedAt);
+		const header = headerOf(attempt, endpoint.incarnation);
+		const timer = setTimeout(() => {
+			withdrawal.abort();
+		}, timeoutMs);
+		const withdrawal = this.#exchange(
+			endpoint,
+			{head: formatHead({type: 'withdraw', attempt: header, ageMs})},
 			{
-				answerLimitBytes: this.#answerLimitBytes,
-				onInterimResponse() {
+				onAccepted() {
 					clearTimeout(timer);
 				},
-			},
-			(result) => {
-				clearTimeout(timer);
-				onResult(toWithdrawResult(result));
+				onResult(result) {
+					clearTimeout(timer);
+					onResult(toWithdrawResult(result));
+				},
 			},
 		);
-		const timer = setTimeout(() => {
-			withdrawal.abort();
-		}, timeoutMs);
 		return withdrawal;
 	}
 
 	/** Notifies the gate that the caller no longer waits for the attempt. */
-	cancel(attempt: Attempt): void {
-		const {endpoint} = attempt;
-		const headers = attemptHeaders(attempt);
-		beginExchange(
-			this.#poolOf(endpoint.gateAddress, endpoint.node),
-			{method: 'POST', path: gatePaths.cancel, headers, body: emptyBody},
-			{answerLimitBytes: this.#answerLimitBytes},
-			() => undefined,
-		);
+	cancel({endpoint, id}: Attempt): void {
+		this.#connectionOf(endpoint).notify({head: formatHead({type: 'cancel', id})});
 	}
 
 	/** Requests a ticket number from a gate. `onResult` gets undefined on failure. */
-	requestTicket(
-		{gateAddress, node}: Endpoint,
-		onResult: (sequence: number | undefined) => void,
-	): void {
-		beginExchange(
-			this.#poolOf(gateAddress, node),
-			{method: 'POST', path: gatePaths.ticket, headers: {}, body: emptyBody},
-			{answerLimitBytes: this.#answerLimitBytes},
-			(result) => {
-				const isIssued = result.type === 'complete' && result.payload.status === 200;
-				onResult(isIssued ? parseSequence(result.payload.body) : undefined);
+	requestTicket(endpoint: Endpoint, onResult: (sequence: number | undefined) => void): void {
+		this.#exchange(
+			endpoint,
+			{head: formatHead({type: 'ticket'})},
+			{
+				onResult(result) {
+					const response = result.type === 'complete' ? parseResponse(result.head) : undefined;
+					onResult(response?.type === 'ticket' ? response.sequence : undefined);
+				},
 			},
 		);
 	}
 
-	#poolOf(address: string, node: string): Pool {
-		const existing = this.#pools.get(address);
-		if (existing) {
+	#exchange(endpoint: Endpoint, message: OutgoingMessage, listener: PeerListener): Exchange {
+		this.#startSilenceTimer();
+		return this.#connectionOf(endpoint).send(message, listener);
+	}
+
+	#connectionOf({gateAddress, node}: Endpoint): PeerConnection {
+		const existing = this.#connections.get(gateAddress);
+		if (existing && !existing.isClosed) {
 			return existing;
 		}
 
-		const pool = new Pool(`http://${address}`, {
-			connections: this.#connectionsPerGate,
-			pipelining: 1,
-			keepAliveTimeout: keepAliveMs,
-			connect: {timeout: connectTimeoutMs, noDelay: true},
-		});
-		this.#pools.set(address, pool);
-		this.#nodes.set(address, node);
-		return pool;
+		const connection = new PeerConnection(gateAddress, this.#answerLimitBytes);
+		this.#connections.set(gateAddress, connection);
+		this.#nodes.set(gateAddress, node);
+		return connection;
+	}
+
+	/** Starts the timer that looks for silent connections; it runs only while responses are awaited. */
+	#startSilenceTimer(): void {
+		this.#silenceTimer ??= setInterval(() => {
+			let isAwaiting = false;
+			for (const connection of this.#connections.values()) {
+				connection.checkSilence();
+				isAwaiting ||= connection.isAwaiting;
+			}
+
+			if (!isAwaiting) {
+				clearInterval(this.#silenceTimer);
+				this.#silenceTimer = undefined;
+			}
+		}, silenceCheckIntervalMs);
 	}
 }
 
@@ -175,37 +182,26 @@
  * @param incarnation - the only incarnation of the gate's node that may accept the request. By default
  * that of the gate that issued the ticket, or any when there is no ticket.
  */
-function attemptHeaders(
+function headerOf(
 	attempt: Attempt,
 	incarnation = attempt.ticket === undefined ? undefined : attempt.endpoint.incarnation,
-): Record<string, string> {
+): string {
 	const {endpoint} = attempt;
 	const times = relativeTimes(attempt, performance.now());
-	const header = {...attempt, ...times, service: endpoint.service, incarnation};
-	return {[headerNames.attempt]: formatAttempt(header)};
+	return formatAttempt({...attempt, ...times, service: endpoint.service, incarnation});
 }
 
-/** Returns the ticket number of a gate's answer; undefined if it is malformed. */
-function parseSequence(body: Buffer): number | undefined {
-	try {
-		const {sequence} = JSON.parse(body.toString()) as {sequence?: unknown};
-		return Number.isSafeInteger(sequence) ? (sequence as number) : undefined;
-	} catch {
-		return undefined;
-	}
-}
-
-function toAttemptResult(result: ExchangeResult): AttemptResult<Payload> {
+function toAttemptResult(result: PeerResult): AttemptResult<Payload> {
 	switch (result.type) {
 		case 'complete': {
-			return {type: 'answered', answer: toAnswer(result)};
+			const answer = toAnswer(result);
+			return answer ? {type: 'answered', answer} : {type: 'broken'};
 		}
 
 		case 'refused': {
 			return {type: 'refused'};
 		}
 
-		case 'foreign':
 		case 'broken': {
 			return {type: 'broken'};
 		}
@@ -217,23 +213,30 @@
 	}
 }
 
-function toWithdrawResult(result: ExchangeResult): WithdrawResult<Payload> {
-	if (result.type !== 'complete') {
+function toWithdrawResult(result: PeerResult): WithdrawResult<Payload> {
+	const answer = result.type === 'complete' ? toAnswer(result) : undefined;
+	if (answer === undefined) {
 		const isGone = result.type === 'refused' && result.reason === 'ECONNREFUSED';
 		return {type: isGone ? 'gone' : 'unreachable'};
 	}
 
-	const answer = toAnswer(result);
 	const {outcome} = answer;
 	const isNeverAdmitted = outcome.type === 'not-run' && outcome.reason === 'withdrawn';
 	return isNeverAdmitted ? {type: 'never-admitted'} : {type: 'answered', answer};
 }
 
-function toAnswer({payload, headers}: Extract<ExchangeResult, {type: 'complete'}>) {
-	const answer = parseAnswer(textHeader(headers, headerNames.answer) ?? '');
-	return {
-		...answer,
-		payload: answer.outcome.type === 'ran' ? payload : undefined,
-		isRetried: headers[headerNames.retried] !== undefined,
-	};
+/** Returns undefined for a response that can't be read. */
+function toAnswer({
+	head,
+	body,
+}: Extract<PeerResult, {type: 'complete'}>): GateAnswer<Payload> | undefined {
+	const response = parseResponse(head);
+	if (response?.type !== 'answer') {
+		return undefined;
+	}
+
+	const {status, headers} = response;
+	const answer = parseAnswer(response.answer);
+	const payload = answer.outcome.type === 'ran' ? {status, headers, body} : undefined;
+	return {...answer, payload, isRetried: false};
 }
--- a/packages/redwingmill-node/src/call/link-sender.ts
+++ b/packages/redwingmill-node/src/call/link-sender.ts
@@ -1,4 +1,3 @@
-import {type ServerResponse} from 'node:http';
 import {LinkScheduler, type ResponseLink, type Transfer} from 'redwingmill-core';
 
 /** Responses up to this size are sent at once: they hardly delay others. */
@@ -7,6 +6,13 @@
 /** When the receiver of a response needs it. */
 export type ResponseTimes = Pick<Transfer, 'dueAt' | 'deadlineAt'>;
 
+/** A response that is about to be sent; `finish` tells that its connection has taken all of it. */
+export type OutgoingResponse = {
+	readonly destroyed: boolean;
+	readonly writableFinished: boolean;
+	readonly once: (event: 'finish' | 'close', listener: () => void) => unknown;
+};
+
 /** Sends large responses one after the other on the host's link, see {@link LinkScheduler}. */
 export class LinkSender implements ResponseLink {
 	readonly #scheduler: LinkScheduler;
@@ -31,7 +37,7 @@
 	 *
 	 * @param bytes - size of the body.
 	 */
-	send(response: ServerResponse, bytes: number, times: ResponseTimes, write: () => void): void {
+	send(response: OutgoingResponse, bytes: number, times: ResponseTimes, write: () => void): void {
 		if (bytes <= smallBytes || response.destroyed) {
 			write();
 			return;
--- a/packages/redwingmill-node/src/call/read-request.ts
+++ b/packages/redwingmill-node/src/call/read-request.ts
@@ -87,7 +87,7 @@
  * last bytes of a request doesn't report the end of its connection. The next poll, which runs between
  * two immediates, does.
  */
-function afterNextPoll(callback: () => void): void {
+export function afterNextPoll(callback: () => void): void {
 	setImmediate(() => {
 		setImmediate(callback);
 	});
--- a/packages/redwingmill-node/src/daemon.ts
+++ b/packages/redwingmill-node/src/daemon.ts
@@ -170,7 +170,7 @@
 				callLog.writeGateCall(record);
 			},
 		});
-		this.#gateClient = new GateClient(calls.connectionsPerGate, calls.answerLimitBytes);
+		this.#gateClient = new GateClient(calls.answerLimitBytes);
 		this.#gateServer = new GateServer(this.#gate, calls.bodyLimitBytes, {
 			incarnation: () => this.#control.self.incarnation,
 			configurationSince: (since) => this.#control.configurationSince(since),
@@ -372,7 +372,7 @@
 		this.#operators.close();
 		this.#link?.close();
 		await this.#control.stop();
-		await this.#gateClient.close();
+		this.#gateClient.close();
 		await this.#gate.close();
 	}
 
--- a/packages/redwingmill-node/src/errors.ts
+++ b/packages/redwingmill-node/src/errors.ts
@@ -14,3 +14,6 @@
 
 /** The connection failed while reading an answer whose end is marked by the connection's close. */
 export const TruncatedAnswerError = BaseError.subclass('TruncatedAnswerError');
+
+/** Bytes on a connection between nodes are no frame, or break the order of frames. */
+export const FrameError = BaseError.subclass('FrameError');
--- /dev/null
+++ b/packages/redwingmill-node/src/frames/frame-connection.ts
@@ -0,0 +1,175 @@
+import {Buffer} from 'node:buffer';
+import {type Socket} from 'node:net';
+import process from 'node:process';
+import {FrameError} from '../errors.js';
+import {
+	decodeMessage,
+	encodeSignal,
+	FrameReader,
+	frameTypes,
+	type Frame,
+	type FrameType,
+} from './frame.js';
+import {FrameQueue, type OutgoingMessage} from './frame-queue.js';
+
+/** Receives what arrives on a {@link FrameConnection}. */
+export type FrameReceiver = {
+	/** A message begins. Its body is read and passed to `onMessage` only if this returns true. */
+	readonly onHead: (exchange: number, head: string, bodyBytes: number) => boolean;
+	/** A message is complete. */
+	readonly onMessage: (exchange: number, head: string, body: Buffer) => void;
+	readonly onAccepted?: (exchange: number) => void;
+	/** The other side takes no further part in an exchange. */
+	readonly onReset: (exchange: number) => void;
+	/** Bytes of any kind have arrived. */
+	readonly onBytes?: () => void;
+};
+
+/** A message of which a part has arrived. */
+type Incoming = {
+	readonly head: string;
+	readonly bodyBytes: number;
+	readonly parts: Buffer[];
+	receivedBytes: number;
+};
+
+const noBytes = Buffer.alloc(0);
+
+/**
+ * Exchanges messages with another node on one connection. Many exchanges are open at once, and their
+ * messages end in any order. A connection with bytes that are no frames is destroyed.
+ */
+export class FrameConnection {
+	readonly #socket: Socket;
+	readonly #receiver: FrameReceiver;
+	readonly #reader = new FrameReader();
+	readonly #queue = new FrameQueue();
+	readonly #incoming = new Map<number, Incoming>();
+	#isFlushing = false;
+
+	/** @param socket - sends what is written before it is connected once it is. */
+	constructor(socket: Socket, receiver: FrameReceiver) {
+		this.#socket = socket;
+		this.#receiver = receiver;
+		socket.on('drain', () => {
+			this.#flush();
+		});
+	}
+
+	/** Reads bytes that have arrived on the connection. */
+	receive(bytes: Buffer): void {
+		this.#receiver.onBytes?.();
+		try {
+			for (const frame of this.#reader.read(bytes)) {
+				this.#onFrame(frame);
+			}
+		} catch (error) {
+			if (!(error instanceof FrameError)) {
+				throw error;
+			}
+
+			this.#socket.destroy(error);
+		}
+	}
+
+	send(exchange: number, message: OutgoingMessage): void {
+		this.#queue.addMessage(exchange, message);
+		this.#scheduleFlush();
+	}
+
+	sendSignal(type: FrameType, exchange = 0): void {
+		this.#queue.addSignal(encodeSignal(type, exchange));
+		this.#scheduleFlush();
+	}
+
+	/** Ends this side's part in an exchange: neither sends nor reads more of it. */
+	reset(exchange: number): void {
+		this.#queue.remove(exchange);
+		this.#incoming.delete(exchange);
+		this.sendSignal(frameTypes.reset, exchange);
+	}
+
+	#onFrame({type, exchange, payload}: Frame): void {
+		switch (type) {
+			case frameTypes.message: {
+				this.#onMessageStart(exchange, payload);
+				break;
+			}
+
+			case frameTypes.body: {
+				this.#onBody(exchange, payload);
+				break;
+			}
+
+			case frameTypes.accepted: {
+				this.#receiver.onAccepted?.(exchange);
+				break;
+			}
+
+			case frameTypes.reset: {
+				this.#queue.remove(exchange);
+				this.#incoming.delete(exchange);
+				this.#receiver.onReset(exchange);
+				break;
+			}
+
+			case frameTypes.ping: {
+				this.sendSignal(frameTypes.pong);
+				break;
+			}
+
+			case frameTypes.pong: {
+				break;
+			}
+		}
+	}
+
+	#onMessageStart(exchange: number, payload: Buffer): void {
+		const {head, bodyBytes, part} = decodeMessage(payload);
+		if (!this.#receiver.onHead(exchange, head, bodyBytes)) {
+			return;
+		}
+
+		if (part.length === bodyBytes) {
+			this.#receiver.onMessage(exchange, head, part);
+		} else {
+			this.#incoming.set(exchange, {head, bodyBytes, parts: [part], receivedBytes: part.length});
+		}
+	}
+
+	#onBody(exchange: number, part: Buffer): void {
+		const incoming = this.#incoming.get(exchange);
+		if (incoming === undefined) {
+			// The rest of a message that isn't read.
+			return;
+		}
+
+		incoming.parts.push(part);
+		incoming.receivedBytes += part.length;
+		if (incoming.receivedBytes > incoming.bodyBytes) {
+			throw new FrameError(`The body of exchange ${exchange} is longer than announced`);
+		}
+
+		if (incoming.receivedBytes === incoming.bodyBytes) {
+			this.#incoming.delete(exchange);
+			this.#receiver.onMessage(exchange, incoming.head, Buffer.concat(incoming.parts));
+		}
+	}
+
+	/** Sends together what is added in the same turn of the event loop. */
+	#scheduleFlush(): void {
+		if (!this.#isFlushing) {
+			this.#isFlushing = true;
+			process.nextTick(() => {
+				this.#isFlushing = false;
+				this.#flush();
+			});
+		}
+	}
+
+	#flush(): void {
+		while (!this.#queue.isEmpty && !this.#socket.writableNeedDrain && !this.#socket.destroyed) {
+			this.#socket.write(this.#queue.take() ?? noBytes);
+		}
+	}
+}
