Ask no further gate that is expected to be as busy as one that refused the call

Nearly every refused call had asked four gates; of those refused first 27 % ran at one of the others. Two of three exchanges between nodes ended so.

Cause: after a refusal for its queue an entry tried other gates whatever their last reports said. Now it leaves out those that, with the call, would be as busy as the least busy gate that has refused it. Calls per slot times relative run time, from the forecast that the choice uses; replicas without a report stay in.

Four of the five new unit tests failed before.

--- a/packages/redwingmill-bench/src/simulation/even-load/compare-even-load.ts
+++ b/packages/redwingmill-bench/src/simulation/even-load/compare-even-load.ts
@@ -20,5 +20,6 @@
 		queuesBesideFree: mean(({queuesBesideFree}) => queuesBesideFree),
 		remoteBytes: mean(({remoteBytes}) => remoteBytes),
 		attempts: mean(({attempts}) => attempts),
+		attemptsPerTry: mean(({attemptsPerTry}) => attemptsPerTry),
 	};
 }
--- a/packages/redwingmill-bench/src/simulation/even-load/even-load-plan.ts
+++ b/packages/redwingmill-bench/src/simulation/even-load/even-load-plan.ts
@@ -73,4 +73,6 @@
 	readonly remoteBytes: number;
 	/** Attempts per call. */
 	readonly attempts: number;
+	/** Attempts for each time that a caller sends a call, first or again. */
+	readonly attemptsPerTry: number;
 };
--- a/packages/redwingmill-bench/src/simulation/even-load/even-load-simulation.ts
+++ b/packages/redwingmill-bench/src/simulation/even-load/even-load-simulation.ts
@@ -73,6 +73,7 @@
 	#late = 0;
 	#refused = 0;
 	#attempts = 0;
+	#tries = 0;
 	#remoteBytes = 0;
 
 	constructor(plan: EvenLoadPlan, policy: EvenLoadPolicy) {
@@ -130,6 +131,7 @@
 			...this.#meter.result(this.#clock.now),
 			remoteBytes: this.#remoteBytes / calls,
 			attempts: this.#attempts / calls,
+			attemptsPerTry: this.#attempts / Math.max(1, this.#tries),
 		};
 	}
 
@@ -195,6 +197,7 @@
 	#startCall(entry: Entry, caller: Call): void {
 		const {bytes, targetMs, deadlineMs} = this.#plan;
 		const {arrivedAt} = caller;
+		this.#tries += 1;
 		const call = new EntryCall<string>(
 			{
 				group,
--- /dev/null
+++ b/packages/redwingmill-core/src/__tests__/unit/entry-call.test.ts
@@ -0,0 +1,97 @@
+import {expect} from 'chai';
+import {Random} from 'redwingmill-shared';
+import {
+	EndpointChooser,
+	EntryCall,
+	RetryBudget,
+	type AttemptResult,
+	type Endpoint,
+	type EntryAction,
+	type NotRunReason,
+	type WorkerLoad,
+} from '../../index.js';
+
+const now = 10_000;
+const slots = 4;
+
+function endpointOf(node: string): Endpoint {
+	const worker = `${node}/1`;
+	return {node, gateAddress: node, dataCentre: 'dc-a', incarnation: 1, service: 's', slots, worker};
+}
+
+function loadOf(callsPerSlot: number): WorkerLoad {
+	return {callsPerSlot, waitMs: 0, runMs: 100, failureShare: 0};
+}
+
+/** Starts a call among replicas whose gates have just reported these calls per slot. */
+function startCall(callsPerSlot: Readonly<Record<string, number>>) {
+	const options = {policy: 'even-load', slowStartMs: 0, dataCentre: 'dc-a'} as const;
+	const chooser = new EndpointChooser(options, new Random(1));
+	const endpoints = Object.keys(callsPerSlot).map((node) => endpointOf(node));
+	chooser.retain(endpoints, now);
+	for (const endpoint of endpoints) {
+		chooser.onLoad(endpoint, loadOf(callsPerSlot[endpoint.node]), now);
+	}
+
+	const call = new EntryCall<string>(
+		{
+			group: 'g',
+			retryAllowance: {share: 0.1, slack: 5},
+			isIdempotent: true,
+			targetAt: now + 400,
+			deadlineAt: now + 1000,
+			endpoints,
+			withdraws: true,
+			maximumAttempts: 2,
+		},
+		chooser,
+		new RetryBudget(10_000),
+	);
+	return {call, first: call.begin(now)};
+}
+
+function refusal(reason: NotRunReason, callsPerSlot: number): AttemptResult<string> {
+	const outcome = {type: 'not-run', reason} as const;
+	const load = loadOf(callsPerSlot);
+	return {type: 'answered', answer: {outcome, retryAfterMs: 200, load, isRetried: false}};
+}
+
+/** Refuses each attempt with the load that its gate reported before. Returns the nodes asked. */
+function refuseAll(callsPerSlot: Readonly<Record<string, number>>, reason: NotRunReason) {
+	const {call, first} = startCall(callsPerSlot);
+	const nodes: string[] = [];
+	let action: EntryAction<string> = first;
+	while (action.type === 'attempt') {
+		const {node} = action.endpoint;
+		nodes.push(node);
+		action = call.onAttempt(refusal(reason, callsPerSlot[node]), now);
+	}
+
+	return {nodes, action};
+}
+
+describe('a call that a gate refuses because its worker has too many calls', () => {
+	const alike = {a: 2, b: 2, c: 2, d: 2, e: 2};
+
+	for (const reason of ['queue-too-slow', 'deadline-too-close', 'queue-full'] as const) {
+		it(`is refused at once after ${reason} when the other workers are as busy`, () => {
+			const {nodes, action} = refuseAll(alike, reason);
+			expect(nodes).to.have.length(1);
+			expect(action.type === 'answer' && action.answer).to.deep.include({
+				outcome: {type: 'not-run', reason},
+				retryAfterMs: 200,
+			});
+		});
+	}
+
+	it('goes on to a worker that has room, and asks none as busy after that', () => {
+		const {nodes} = refuseAll({...alike, roomy: 0.5}, 'queue-too-slow');
+		expect(nodes.at(-1)).to.equal('roomy');
+		expect(nodes.length).to.be.at.most(2);
+	});
+
+	it('still goes to other workers that are as busy when it was refused for another cause', () => {
+		const {nodes} = refuseAll(alike, 'draining');
+		expect(nodes.length).to.be.above(1);
+	});
+});
--- a/packages/redwingmill-core/src/call/choice/choice-policy.ts
+++ b/packages/redwingmill-core/src/call/choice/choice-policy.ts
@@ -41,6 +41,11 @@
 	readonly targetAt?: number;
 	/** Size of the request and its expected answer; absent when it doesn't count. */
 	readonly bytes?: number;
+	/**
+	 * Lowest occupancy at which a gate has refused the call for lack of capacity, see
+	 * `EndpointChooser.occupancyOf`; endpoints that are as busy are left out. Absent when none has.
+	 */
+	readonly refusedAt?: number;
 };
 
 /** Why the policy `even-load` chose a replica. */
--- a/packages/redwingmill-core/src/call/endpoint-chooser.ts
+++ b/packages/redwingmill-core/src/call/endpoint-chooser.ts
@@ -11,6 +11,7 @@
 import {EvenLoad} from './choice/even-load.js';
 import {EndpointStates} from './choice/endpoint-state.js';
 import {OwnLoad} from './choice/own-load.js';
+import {forecastLoad} from './choice/load-forecast.js';
 import {type CompletionState} from './expected-completion.js';
 import {GroupMeans} from './group-means.js';
 import {ReportedNotices, type KnownLimit, type ReportedNotice} from './reported-notices.js';
@@ -68,7 +69,12 @@
 		const open = endpoints.filter(
 			(endpoint) => !excluded.has(endpoint.node) && !this.#notices.isLeaving(endpoint),
 		);
-		const usable = this.#withoutEjected(open, endpoints.length, now);
+		const healthy = this.#withoutEjected(open, endpoints.length, now);
+		const usable = this.#withoutAsBusy(healthy, profile, now);
+		if (usable.length === 0) {
+			return undefined;
+		}
+
 		// An ejected local endpoint can't serve the call, so it is no reason to keep the call local.
 		const hasLocal = endpoints.some(
 			(endpoint) =>
@@ -78,6 +84,27 @@
 		return strategy.choose({usable, hasLocal, now, profile});
 	}
 
+	/**
+	 * Returns how busy an endpoint is expected to be: running and waiting calls per slot, times its run time
+	 * relative to the others. Undefined if it hasn't reported its load.
+	 */
+	occupancyOf(endpoint: Endpoint, now: number): number | undefined {
+		const state = this.#states.of(endpoint);
+		const {completion, history, relativeRunTime} = state;
+		const {load, loadAt} = completion;
+		if (load === undefined) {
+			return undefined;
+		}
+
+		const {callsPerSlot} = forecastLoad({
+			callsPerSlot: load.callsPerSlot,
+			meanBusyShare: history.busyShare ?? Math.min(1, load.callsPerSlot),
+			ageMs: Math.max(0, now - loadAt),
+			runMs: load.runMs,
+		});
+		return callsPerSlot * relativeRunTime;
+	}
+
 	/** Records that an attempt was sent to the endpoint. */
 	onSent(endpoint: Endpoint, now: number): void {
 		const state = this.#states.of(endpoint);
@@ -196,6 +223,26 @@
 		return ejected > total * maximumEjectedShare ? open : usable;
 	}
 
+	/**
+	 * Removes endpoints that, with the call, would be as busy as the least busy of those whose gate has refused
+	 * it: they would refuse it too, and the exchange costs both nodes more than it gains.
+	 */
+	#withoutAsBusy(
+		endpoints: readonly Endpoint[],
+		{refusedAt}: CallProfile,
+		now: number,
+	): readonly Endpoint[] {
+		return refusedAt === undefined
+			? endpoints
+			: endpoints.filter((endpoint) => {
+					const occupancy = this.occupancyOf(endpoint, now);
+					const {relativeRunTime} = this.#states.of(endpoint);
+					return (
+						occupancy === undefined || occupancy + relativeRunTime / endpoint.slots <= refusedAt
+					);
+				});
+	}
+
 	/**
 	 * Whether workers of the service say how long work takes on their hosts, which the policies
 	 * `two-choices` and `expected-completion` leave to `even-load`.
--- a/packages/redwingmill-core/src/call/entry-call.ts
+++ b/packages/redwingmill-core/src/call/entry-call.ts
@@ -109,6 +109,14 @@
 	'displaced',
 	'deadline-too-close',
 ]);
+/** Refusals of a gate whose worker has more calls than it can run in time. */
+const occupancyReasons: ReadonlySet<NotRunReason> = new Set<NotRunReason>([
+	'queue-full',
+	'queue-too-slow',
+	'waited-too-long',
+	'displaced',
+	'deadline-too-close',
+]);
 /** Refusals that contradict what the endpoint announced, and so count as its failures. */
 const workerFaultReasons: ReadonlySet<NotRunReason> = new Set<NotRunReason>([
 	'worker-absent',
@@ -136,6 +144,8 @@
 	/** Shortest retry delay in milliseconds that any of the refusing gates has asked for. */
 	#retryAfterMs: number | undefined;
 	#crashedNodes: readonly string[] = [];
+	/** Lowest occupancy of a worker whose gate has refused the call for it, see `EndpointChooser`. */
+	#refusedAt: number | undefined;
 
 	constructor(options: EntryCallOptions, chooser: EndpointChooser, budget: RetryBudget) {
 		this.#options = options;
@@ -272,6 +282,10 @@
 		const isQuarantined = reason === 'quarantined';
 		const hasReachedWorker = reason !== undefined && reachedWorkerReasons.has(reason);
 		this.#recordRetryAfter(retryAfterMs);
+		if (reason !== undefined && occupancyReasons.has(reason)) {
+			this.#recordOccupancy(now);
+		}
+
 		this.#hasOnlyLackedCapacity &&= reason !== undefined && capacityReasons.has(reason);
 		if (!mayRetry || isQuarantined) {
 			return this.#final(answer);
@@ -318,6 +332,14 @@
 		}
 	}
 
+	/** Records how busy the endpoint is that has just refused the call, as its gate reported with the refusal. */
+	#recordOccupancy(now: number): void {
+		const occupancy = this.#chooser.occupancyOf(this.#currentEndpoint(), now);
+		if (occupancy !== undefined) {
+			this.#refusedAt = Math.min(occupancy, this.#refusedAt ?? occupancy);
+		}
+	}
+
 	#hasOtherEndpoint(): boolean {
 		const {pinned, endpoints, fallback = endpoints} = this.#options;
 		return pinned === undefined && fallback.some(({node}) => !this.#triedNodes.has(node));
@@ -329,8 +351,8 @@
 		// After a failure the call goes wherever it can run. Otherwise the target decides whether a remote
 		// endpoint is worth its cost.
 		const targetAt = this.#hasOnlyLackedCapacity ? this.#options.targetAt : undefined;
-		const endpoint =
-			pinned ?? this.#chooser.choose(endpoints, this.#triedNodes, now, {group, targetAt, bytes});
+		const profile = {group, targetAt, bytes, refusedAt: this.#refusedAt};
+		const endpoint = pinned ?? this.#chooser.choose(endpoints, this.#triedNodes, now, profile);
 		if (endpoint === undefined) {
 			return undefined;
 		}
--- a/test/matrix/even-load.test.ts
+++ b/test/matrix/even-load.test.ts
@@ -93,3 +93,25 @@
 		});
 	}
 });
+
+describe('the deployed policy under more load than the replicas can run', () => {
+	const plan = standardEvenLoads.find(({name}) => name === '52 replicas')!;
+
+	for (const load of [1.2, 1.5]) {
+		describe(`of ${load} times their capacity`, () => {
+			let outcome: EvenLoadOutcome;
+			before(() => {
+				const overload = {...plan, load, durationMs: 3000, seed};
+				outcome = new EvenLoadSimulation(overload, deployedPolicy()).run();
+			});
+
+			it('asks at most two gates each time that a caller sends a call', () => {
+				expect(outcome.attemptsPerTry).to.be.at.most(2);
+			});
+
+			it('leaves no more than a twentieth of the capacity unused by calls that are refused', () => {
+				expect(outcome.refused).to.be.at.most(1 - 0.95 / load);
+			});
+		});
+	}
+});
