Answer every request that a planned stop meets, and refuse what can't end in time

It happened here: the check for a stop was made at a request's head, none once its body was whole, and whatever was still open at the end of the drain was cut.

The entry now knows when the stop ends. A call is begun, at its head and again once its body has arrived, only if the usual time to an answer on its route fits; otherwise it is refused before any gate is asked (503, not run). When the drain ends, calls in progress get an answer of unknown outcome (502, `node-stopped`), and requests whose body is still arriving a refusal, before the ports close.

--- a/packages/redwingmill-core/src/call/outcome.ts
+++ b/packages/redwingmill-core/src/call/outcome.ts
@@ -42,6 +42,7 @@
 	'evicted',
 	'cancelled',
 	'deadline-passed',
+	'node-stopped',
 ] as const;
 export type UnknownReason = (typeof unknownReasons)[number];
 
--- a/packages/redwingmill-node/src/call/entry-exchange.ts
+++ b/packages/redwingmill-node/src/call/entry-exchange.ts
@@ -5,6 +5,7 @@
 	type EntryAction,
 	type EntryCall,
 	type GateAnswer,
+	type UnknownReason,
 } from 'redwingmill-core';
 import {type Disarm} from './deadline-timer.js';
 import {
@@ -53,7 +54,7 @@
 	constructor(options: EntryExchangeOptions) {
 		this.#options = options;
 		this.#disarm = options.service.armDeadline(options.deadlineAt, () => {
-			this.#onDeadline();
+			this.giveUp('deadline-passed');
 		});
 	}
 
@@ -67,6 +68,15 @@
 		}
 	}
 
+	/** Answers the caller before the outcome is known, as it or this node doesn't wait any longer. */
+	giveUp(reason: Extract<UnknownReason, 'deadline-passed' | 'node-stopped'>): void {
+		if (!this.#isFinished) {
+			const outcome = {type: 'unknown', reason} as const;
+			this.#abort({outcome});
+			this.#options.onAnswer({outcome, isRetried: false});
+		}
+	}
+
 	#perform(action: EntryAction<Payload>): void {
 		switch (action.type) {
 			case 'attempt': {
@@ -169,14 +179,6 @@
 		});
 	}
 
-	#onDeadline(): void {
-		if (!this.#isFinished) {
-			const outcome = {type: 'unknown', reason: 'deadline-passed'} as const;
-			this.#abort({outcome});
-			this.#options.onAnswer({outcome, isRetried: false});
-		}
-	}
-
 	#abort(answer?: Answer<Payload>): void {
 		this.#finish(answer);
 		this.#exchange?.abort();
--- a/packages/redwingmill-node/src/call/entry-server.ts
+++ b/packages/redwingmill-node/src/call/entry-server.ts
@@ -72,7 +72,10 @@
 	#bodyLimitBytes: number;
 	#headerLimitBytes = defaultHeaderBytes;
 	readonly #openRequests = new OpenRequests();
-	#isKeepAliveDisabled = false;
+	/** Calls whose body is arriving. */
+	readonly #arriving = new Set<Arrival>();
+	/** Monotonic milliseconds at which a stop no longer waits for calls; undefined while there is no stop. */
+	#stopEndsAt: number | undefined;
 	#isRefusing = false;
 
 	constructor(service: EntryService, options: EntryServerOptions) {
@@ -119,9 +122,24 @@
 		await listenOn(this.#server, address, 'callers');
 	}
 
-	/** Closes each connection once all requests that have arrived on it are answered. */
-	disableKeepAlive(): void {
-		this.#isKeepAliveDisabled = true;
+	/**
+	 * Begins a stop: closes each connection once all requests that have arrived on it are answered, and
+	 * refuses calls whose work can't end before the stop does.
+	 *
+	 * @param endsAt - monotonic milliseconds at which the stop no longer waits for calls.
+	 */
+	beginStop(endsAt: number): void {
+		this.#stopEndsAt = endsAt;
+	}
+
+	/** Answers all calls that are still open when a stop no longer waits for them. */
+	answerOpenCalls(): void {
+		for (const arrival of this.#arriving) {
+			this.#refuseDuringStop(arrival, performance.now());
+		}
+
+		this.#arriving.clear();
+		this.#service.stopCalls();
 	}
 
 	/** Accepts no new connections, and refuses new calls on those that are open. */
@@ -207,6 +225,14 @@
 		this.#respond(arrival, {outcome, retryAfterMs, isRetried: false}, startedAt);
 	}
 
+	/** Whether a call that begins now usually ends before a stop no longer waits for it. */
+	#canEnd(route: Route): boolean {
+		return (
+			this.#stopEndsAt === undefined ||
+			performance.now() + this.#service.usualAnswerMs(route) < this.#stopEndsAt
+		);
+	}
+
 	/** Refuses a call during a stop and asks the caller to retry after {@link restartRetryMs}. */
 	#refuseDuringStop(arrival: Arrival, startedAt: number): void {
 		const {request} = arrival;
@@ -233,6 +259,12 @@
 		startedAt: number,
 	): void {
 		const {request, response} = arrival;
+		if (!this.#canEnd(route)) {
+			this.#service.refundQuota(workspace);
+			this.#refuseDuringStop(arrival, startedAt);
+			return;
+		}
+
 		const requestedMs = numberHeader(request.headers, this.#options.protocol.deadlineHeader);
 		const waitMs = Math.min(route.deadlineMs, requestedMs ?? route.deadlineMs);
 		const linkWaitMs = route.isBulk ? (this.#options.link?.expectedWaitMs(startedAt) ?? 0) : 0;
@@ -254,10 +286,22 @@
 			// The target time runs from the caller's first try, also for its retries.
 			targetAt: targetMs === undefined ? undefined : firstTryAt + targetMs,
 		};
+		this.#arriving.add(arrival);
 		readConnectedRequest(request, this.#bodyLimitBytes, (result) => {
+			if (!this.#arriving.delete(arrival)) {
+				// It has been answered, as the node stops.
+				return;
+			}
+
 			switch (result.type) {
 				case 'complete': {
-					this.#begin(arrival, result.body, {route, workspace, ...details});
+					if (this.#canEnd(route)) {
+						this.#begin(arrival, result.body, {route, workspace, ...details});
+					} else {
+						this.#service.refundQuota(workspace);
+						this.#refuseDuringStop(arrival, startedAt);
+					}
+
 					break;
 				}
 
@@ -344,7 +388,7 @@
 			...payload?.headers,
 			...protocol.headersOf({outcome, isRetried, retryAfterMs}),
 			'content-length': payload?.body.length ?? 0,
-			...(this.#isKeepAliveDisabled && open.closeConnection() ? {connection: 'close'} : {}),
+			...(this.#stopEndsAt !== undefined && open.closeConnection() ? {connection: 'close'} : {}),
 		};
 		response.writeHead(payload?.status ?? protocol.statusOf(outcome), headers);
 		response.end(payload?.body);
--- a/packages/redwingmill-node/src/call/entry-service.ts
+++ b/packages/redwingmill-node/src/call/entry-service.ts
@@ -109,6 +109,8 @@
 	readonly #versionChooser: VersionChooser | undefined;
 	#endpointsByNode: ReadonlyMap<string, Endpoint> = new Map();
 	readonly #refusedCalls = new RefusedCalls();
+	/** Mean time to the answer of a worker in milliseconds, by route. */
+	readonly #answerMs = new GroupMeans(0);
 	/** Mean response size in bytes, by route. */
 	readonly #responseBytes = new GroupMeans(initialResponseBytes);
 	readonly #onAnswered: ((record: EntryCallRecord) => void) | undefined;
@@ -266,6 +268,18 @@
 		return this.#refusedCalls.takeFirstTry(request, now);
 	}
 
+	/** Returns the usual time to an answer on a route, in milliseconds; 0 while it isn't known. */
+	usualAnswerMs(route: Route): number {
+		return this.#answerMs.expected(route.path);
+	}
+
+	/** Answers all calls in progress, whose outcome isn't known, as this node stops. */
+	stopCalls(): void {
+		for (const exchange of this.#exchanges) {
+			exchange.giveUp('node-stopped');
+		}
+	}
+
 	/** Carries out a call. `onAnswer` is called exactly once, unless the call is cancelled. */
 	begin(call: CallerCall, onAnswer: (answer: EntryAnswer) => void): EntryHandle {
 		const {request, route} = call;
@@ -376,6 +390,7 @@
 		const {call, answer} = record;
 		if (answer?.payload) {
 			this.#responseBytes.record(call.route.path, answer.payload.body.length);
+			this.#answerMs.record(call.route.path, performance.now() - call.startedAt);
 		}
 
 		if (answer?.outcome.type === 'not-run') {
--- a/packages/redwingmill-node/src/daemon.ts
+++ b/packages/redwingmill-node/src/daemon.ts
@@ -311,22 +311,24 @@
 		const startedAt = performance.now();
 		this.#stoppingSince = startedAt;
 		this.#control.requestStop();
-		this.#entryServer.disableKeepAlive();
 		const {stopping, drainTimeoutMs} = this.#settings;
 		const limitMs = (stopping.withinSeconds ?? Number.POSITIVE_INFINITY) * msPerSecond;
+		// After a linger the others have long learned of the departure.
+		const afterDrainMs = stopping.lingerMs > 0 ? 0 : closeDelayMs;
+		const usedMs = stopping.lingerMs + leavePropagationMs + afterDrainMs + closeReserveMs;
+		const drainLimitMs = Math.min(drainTimeoutMs, limitMs - usedMs);
+		this.#entryServer.beginStop(startedAt + stopping.lingerMs + leavePropagationMs + drainLimitMs);
 		await delay(stopping.lingerMs);
 		this.#entryServer.refuseCalls();
 		this.#control.leave();
 		await delay(leavePropagationMs);
 		this.#gate.stop();
 		const lingeredAt = performance.now();
-		// After a linger the others have long learned of the departure.
-		const afterDrainMs = stopping.lingerMs > 0 ? 0 : closeDelayMs;
-		const usedMs = stopping.lingerMs + leavePropagationMs + afterDrainMs + closeReserveMs;
-		const isDrained = await this.#drain(Math.min(drainTimeoutMs, limitMs - usedMs));
+		const isDrained = await this.#drain(drainLimitMs);
 		const drainedAt = performance.now();
 		if (!isDrained) {
 			this.#log.write(logEvents.drainTimedOut, this.openCalls);
+			this.#entryServer.answerOpenCalls();
 		}
 
 		await delay(afterDrainMs);
