--- a/packages/redwingmill-node/src/call/headers.ts
+++ b/packages/redwingmill-node/src/call/headers.ts
@@ -2,12 +2,6 @@
 
 /** Names of the headers that redwingmill sets or reads, in lower case. */
 export const headerNames = {
-	/** Details of an attempt, see `AttemptHeader`; only between nodes. */
-	attempt: 'redwingmill-attempt',
-	/** Details of a gate's answer, see `AnswerHeader`; only between nodes. */
-	answer: 'redwingmill-answer',
-	/** Age of a withdrawn attempt in milliseconds; only between nodes. */
-	age: 'redwingmill-age-ms',
 	/** Remaining time of a call in milliseconds; callers and workers may set it. */
 	deadline: 'redwingmill-deadline-ms',
 	/** `ran`, `not-run` or `unknown`; on every answer. */
