--- a/packages/redwingmill-node/src/settings/settings.ts
+++ b/packages/redwingmill-node/src/settings/settings.ts
@@ -40,6 +40,8 @@
 		readonly bodyLimitBytes: number;
 		readonly answerLimitBytes: number;
 		readonly maximumAttempts: number;
+		/** Accepted for earlier settings files, without effect: a node has one connection to each gate. */
+		readonly connectionsPerGate: number;
 		readonly workerConnections: number;
 		readonly choice: ChoicePolicy;
 		readonly slowStartMs: number;
@@ -155,6 +157,7 @@
 					default: 4_194_304,
 				},
 				maximumAttempts: {type: 'integer', minimum: 1, maximum: 10, default: 3},
+				connectionsPerGate: {type: 'integer', minimum: 1, maximum: 1000, default: 32},
 				workerConnections: {type: 'integer', minimum: 1, maximum: 1000, default: 100},
 				choice: {type: 'string', enum: choicePolicies, default: 'two-choices'},
 				slowStartMs: {...durationMsSchema, default: 10_000},
