Grant usable numbers while silent data centres may use the whole quota

Cause: a grant's credit was the node's share of the level, divided by the part of the quota of all data centres that are heard from. That part is 0 once those that are silent have asked for all of it, and the credit 0 / 0. What the server then counted for a silent node made the level NaN as well, and each later reply and summary failed to encode. It takes other data centres that fall silent one after the other: when they do so at once, nothing is left of the level and the workspace is closed.

The share by demand is computed before it is multiplied by that part, so that nothing is divided by it. The test failed before (credit at 12500 ms: expected NaN to be within 0..100).

--- a/packages/redwingmill-core/src/__tests__/unit/quota-server.test.ts
+++ b/packages/redwingmill-core/src/__tests__/unit/quota-server.test.ts
@@ -99,6 +99,35 @@
 		expect(server.stateOf(id)?.level).to.equal(level - 40);
 	});
 
+	it('grants usable numbers while others fall silent one after the other that ask for the whole quota', () => {
+		const names = ['b', 'c', 'd'];
+		const peers = new Map(names.map((name) => [name, {server: name, share: 0.25}]));
+		const small = new QuotaIndex([{...workspace, quota: {perSecond: 10, burst: 0}}]);
+		const server = createServer(2);
+		server.setLimits(small, {nodes: 2, lapsedShare: 0, peers});
+		let calls = 0;
+		for (let now = 1000; now < 20_000; now += 100) {
+			for (const [place, name] of names.entries()) {
+				if (now < startAt + place * 700) {
+					server.onPeerDemand(name, demandOf(now, {askedPerSecond: 20}), now);
+				}
+			}
+
+			server.tick(now);
+			const replies = [...server.pushes(['n', 'm'], now).values()].flat();
+			if (now % 2500 === 0) {
+				calls += 1;
+				server.onReport('n', reportOf(calls, calls), now);
+				replies.push(...server.replyTo('n', reportOf(calls, calls), now));
+			}
+
+			for (const {credit, perSecond} of replies.flatMap(({grants}) => grants)) {
+				expect(credit, `credit at ${now} ms`).to.be.within(0, 100);
+				expect(perSecond, `rate at ${now} ms`).to.be.within(0, 100);
+			}
+		}
+	});
+
 	it('sends other data centres nothing while no workspace is used', () => {
 		const server = createServer();
 		server.tick(startAt);
--- a/packages/redwingmill-core/src/quota/peer-uses.ts
+++ b/packages/redwingmill-core/src/quota/peer-uses.ts
@@ -39,8 +39,10 @@
 export type QuotaParts = {
 	/** Part of this data centre. */
 	readonly own: number;
-	/** Sum of the parts of this data centre and those that are heard from. */
+	/** Sum of the parts of this data centre and those that are heard from; 0 if silent ones may use it all. */
 	readonly heard: number;
+	/** Share of this data centre in `heard`, by demand. */
+	readonly ownOfHeard: number;
 };
 
 /** State of a workspace's bucket before calls are set aside. */
@@ -141,7 +143,8 @@
 				heardPart < majority ? heardPart * lateShare : heardPart + latePart * (1 - lateShare);
 		}
 
-		return {own: (heardPart * own) / heard, heard: heardPart};
+		const ownOfHeard = own / heard;
+		return {own: heardPart * ownOfHeard, heard: heardPart, ownOfHeard};
 	}
 
 	/** Returns the calls to set aside for the time that has elapsed, by which the level sinks. */
