--- a/packages/redwingmill-core/src/quota/peer-uses.ts
+++ b/packages/redwingmill-core/src/quota/peer-uses.ts
@@ -39,10 +39,8 @@
 export type QuotaParts = {
 	/** Part of this data centre. */
 	readonly own: number;
-	/** Sum of the parts of this data centre and those that are heard from; 0 if silent ones may use it all. */
+	/** Sum of the parts of this data centre and those that are heard from. */
 	readonly heard: number;
-	/** Share of this data centre in `heard`, by demand. */
-	readonly ownOfHeard: number;
 };
 
 /** State of a workspace's bucket before calls are set aside. */
@@ -143,8 +141,7 @@
 				heardPart < majority ? heardPart * lateShare : heardPart + latePart * (1 - lateShare);
 		}
 
-		const ownOfHeard = own / heard;
-		return {own: heardPart * ownOfHeard, heard: heardPart, ownOfHeard};
+		return {own: (heardPart * own) / heard, heard: heardPart};
 	}
 
 	/** Returns the calls to set aside for the time that has elapsed, by which the level sinks. */
--- a/packages/redwingmill-core/src/quota/server-account.ts
+++ b/packages/redwingmill-core/src/quota/server-account.ts
@@ -214,8 +214,9 @@
 		const equal = perSecond * equalShare;
 		const sum = Math.max(this.#slow.perSecond(now), demand) + equal;
 		const share = (demand + equal / nodeCount) / sum;
-		const {own, ownOfHeard} = this.#parts(now, silence);
-		// What silent data centres may use is no longer in the level.
+		const {own, heard} = this.#parts(now, silence);
+		// What silent data centres may use is no longer in the level. If that is the whole quota, none is left.
+		const ownOfHeard = heard === 0 ? 0 : own / heard;
 		const ofLevel = share * ownOfHeard * Math.max(0, this.#level);
 		const tolerated = share * overdraftShare * this.#excess;
 		// A demand far beyond the quota would otherwise be granted more than a window tolerates.
