Take a message for sent only when the operating system has taken it

By reading: an answer counted as sent as soon as its last frame had left the queue. A planned stop of the gate's node that no longer waits for it destroys the connection, and with it bytes that a full link has not taken yet; the link's scheduler, too, took the answer for sent too early. Callbacks now follow the write of the last frame.

--- a/packages/redwingmill-node/src/__tests__/unit/frames.test.ts
+++ b/packages/redwingmill-node/src/__tests__/unit/frames.test.ts
@@ -1,4 +1,7 @@
 import {Buffer} from 'node:buffer';
+import {type Socket} from 'node:net';
+import {Writable} from 'node:stream';
+import {setImmediate as nextTurn} from 'node:timers/promises';
 import {expect} from 'chai';
 import {FrameError} from '../../errors.js';
 import {
@@ -8,6 +11,7 @@
 	FrameReader,
 	frameTypes,
 } from '../../frames/frame.js';
+import {FrameConnection} from '../../frames/frame-connection.js';
 import {FrameQueue} from '../../frames/frame-queue.js';
 import {SilenceDetector, type SilenceAction} from '../../frames/silence-detector.js';
 
@@ -95,6 +99,34 @@
 	});
 });
 
+describe('a connection of frames', () => {
+	it('does not take a message for sent while its bytes wait to be written', async () => {
+		let onWritten = () => undefined as void;
+		const socket = new Writable({
+			write(_bytes, _encoding, callback) {
+				onWritten = callback;
+			},
+		});
+		const connection = new FrameConnection(socket as Socket, {
+			onHead: () => false,
+			onMessage: () => undefined,
+			onReset: () => undefined,
+		});
+		let isTaken = false;
+		connection.send(1, {
+			head: '[]',
+			onTaken() {
+				isTaken = true;
+			},
+		});
+		await nextTurn();
+		expect(isTaken).to.equal(false);
+		onWritten();
+		await nextTurn();
+		expect(isTaken).to.equal(true);
+	});
+});
+
 describe('the detector of silent connections', () => {
 	function check(detector: SilenceDetector, times: number, isAwaiting = true): SilenceAction[] {
 		return Array.from({length: times}, () => detector.check(isAwaiting)).filter(
--- a/packages/redwingmill-node/src/frames/frame-connection.ts
+++ b/packages/redwingmill-node/src/frames/frame-connection.ts
@@ -45,6 +45,8 @@
 	readonly #reader = new FrameReader();
 	readonly #queue = new FrameQueue();
 	readonly #incoming = new Map<number, Incoming>();
+	/** Callbacks of the messages whose last frame is about to be written. */
+	readonly #taken: Array<() => void> = [];
 	#isFlushing = false;
 
 	/** @param socket - sends what is written before it is connected once it is. */
@@ -72,8 +74,16 @@
 		}
 	}
 
-	send(exchange: number, message: OutgoingMessage): void {
-		this.#queue.addMessage(exchange, message);
+	/** Sends a message. Its `onTaken` is called when the operating system has taken all of it. */
+	send(exchange: number, {onTaken, ...message}: OutgoingMessage): void {
+		this.#queue.addMessage(exchange, {
+			...message,
+			...(onTaken && {
+				onTaken: () => {
+					this.#taken.push(onTaken);
+				},
+			}),
+		});
 		this.#scheduleFlush();
 	}
 
@@ -169,7 +179,13 @@
 
 	#flush(): void {
 		while (!this.#queue.isEmpty && !this.#socket.writableNeedDrain && !this.#socket.destroyed) {
-			this.#socket.write(this.#queue.take() ?? noBytes);
+			const bytes = this.#queue.take() ?? noBytes;
+			const taken = this.#taken.splice(0);
+			this.#socket.write(bytes, (error) => {
+				for (const onTaken of error ? [] : taken) {
+					onTaken();
+				}
+			});
 		}
 	}
 }
