--- a/packages/redwingmill-core/src/call/endpoint-chooser.ts
+++ b/packages/redwingmill-core/src/call/endpoint-chooser.ts
@@ -8,10 +8,9 @@
 	type StrategyFactory,
 } from './choice/choice-policy.js';
 import {EarliestAnswer} from './choice/earliest-answer.js';
-import {EvenLoad} from './choice/even-load.js';
+import {EvenLoad, forecastOf} from './choice/even-load.js';
 import {EndpointStates} from './choice/endpoint-state.js';
 import {OwnLoad} from './choice/own-load.js';
-import {forecastLoad} from './choice/load-forecast.js';
 import {type CompletionState} from './expected-completion.js';
 import {GroupMeans} from './group-means.js';
 import {ReportedNotices, type KnownLimit, type ReportedNotice} from './reported-notices.js';
@@ -90,19 +89,13 @@
 	 */
 	occupancyOf(endpoint: Endpoint, now: number): number | undefined {
 		const state = this.#states.of(endpoint);
-		const {completion, history, relativeRunTime} = state;
-		const {load, loadAt} = completion;
+		const {load} = state.completion;
 		if (load === undefined) {
 			return undefined;
 		}
 
-		const {callsPerSlot} = forecastLoad({
-			callsPerSlot: load.callsPerSlot,
-			meanBusyShare: history.busyShare ?? Math.min(1, load.callsPerSlot),
-			ageMs: Math.max(0, now - loadAt),
-			runMs: load.runMs,
-		});
-		return callsPerSlot * relativeRunTime;
+		const {callsPerSlot} = forecastOf(state, Math.min(1, load.callsPerSlot), load.runMs, now);
+		return callsPerSlot * state.relativeRunTime;
 	}
 
 	/** Records that an attempt was sent to the endpoint. */
--- a/packages/redwingmill-core/src/call/entry-call.ts
+++ b/packages/redwingmill-core/src/call/entry-call.ts
@@ -100,15 +100,6 @@
 	'worker-shed',
 	'worker-replaced',
 ]);
-/** Refusals for lack of capacity. */
-const capacityReasons: ReadonlySet<NotRunReason> = new Set<NotRunReason>([
-	'worker-limited',
-	'queue-full',
-	'queue-too-slow',
-	'waited-too-long',
-	'displaced',
-	'deadline-too-close',
-]);
 /** Refusals of a gate whose worker has more calls than it can run in time. */
 const occupancyReasons: ReadonlySet<NotRunReason> = new Set<NotRunReason>([
 	'queue-full',
@@ -117,6 +108,11 @@
 	'displaced',
 	'deadline-too-close',
 ]);
+/** Refusals for lack of capacity. */
+const capacityReasons: ReadonlySet<NotRunReason> = new Set<NotRunReason>([
+	'worker-limited',
+	...occupancyReasons,
+]);
 /** Refusals that contradict what the endpoint announced, and so count as its failures. */
 const workerFaultReasons: ReadonlySet<NotRunReason> = new Set<NotRunReason>([
 	'worker-absent',
