--- a/packages/redwingmill-bench/src/simulation/load-simulation.ts
+++ b/packages/redwingmill-bench/src/simulation/load-simulation.ts
@@ -20,7 +20,9 @@
 } from 'redwingmill-core';
 import {Random} from 'redwingmill-shared';
 import {LimitMeter, type LimitResult} from './limit-meter.js';
+import {LoadMeter, type WindowResult} from './load-meter.js';
 import {SimulatedLink} from './simulated-link.js';
+import {SimulatedProcessor} from './simulated-processor.js';
 import {VirtualClock} from './virtual-clock.js';
 
 /** A class of calls, with the behaviour of its callers. */
@@ -47,8 +49,17 @@
 	readonly responseBytes?: number;
 	/** Times at which the rate differs. */
 	readonly changes?: readonly Phase[];
+	/** Service that runs it; by default the only one. */
+	readonly service?: string;
+	/** What answers are worth, in time and late; by default 1 and a half. */
+	readonly worth?: Worth;
+	/** Call that part of its runs make, and wait for with their slot; if it fails, so do they. */
+	readonly innerCall?: {readonly callClass: LoadClass; readonly share: number};
 };
 
+/** What the answers of a class are worth to their callers. */
+export type Worth = {readonly inTarget: number; readonly late: number};
+
 /** Time in which something differs by a factor. */
 export type Phase = {
 	readonly fromMs: number;
@@ -93,6 +104,26 @@
 	readonly gateRestartsMs?: readonly number[];
 	/** When its gate's node stands still, and for how long. */
 	readonly freezes?: ReadonlyArray<{readonly atMs: number; readonly forMs: number}>;
+	/** Service that it belongs to; by default the only one. */
+	readonly service?: string;
+	/** Part of a core that its node may use, where the plan has the work of nodes; by default a whole one. */
+	readonly processorShare?: number;
+};
+
+/** Processor time that nodes spend, in milliseconds of a whole core. */
+export type NodeWork = {
+	/** On a caller's request, and on the answer to it. */
+	readonly entryMs: number;
+	/** On a choice of an endpoint with the request that is sent there, and on the answer to it. */
+	readonly attemptMs: number;
+	/** On an attempt of another node, and on the answer to it if it is refused. */
+	readonly gateMs: number;
+	/** On a request to the worker, and on its answer. */
+	readonly workerMs: number;
+	/** On each million bytes of an answer, at every node that it passes. */
+	readonly millionBytesMs: number;
+	/** On all else that goes on, in pieces. */
+	readonly rest: {readonly everyMs: number; readonly workMs: number};
 };
 
 /** Workers, load and policy of a simulation. */
@@ -113,6 +144,11 @@
 	readonly knowsScarcity?: boolean;
 	/** A data centre that is lost; its callers turn to the others. */
 	readonly loss?: {readonly dataCentre: string; readonly atMs: number};
+	/**
+	 * Work of the nodes. With it, every worker's node is an entry too and runs its work on its share of a
+	 * processor; without, each data centre has one entry, and nodes take no time.
+	 */
+	readonly nodeWork?: NodeWork;
 	readonly durationMs: number;
 	readonly seed: number;
 };
@@ -128,6 +164,14 @@
 /** Results by the name of the class, and the bytes sent between data centres. */
 export type LoadOutcome = {
 	readonly classes: ReadonlyMap<string, LoadResult>;
+	/** Worth earned by the name of the class, as a share of that of all its calls in time. */
+	readonly worthByClass: ReadonlyMap<string, number>;
+	/** Results of all classes by the time of their calls' arrival. */
+	readonly windows: readonly WindowResult[];
+	/** Attempts at gates per request of a caller. */
+	readonly attemptsPerRequest: number;
+	/** Mean share of the time in which nodes were busy; 0 without their work. */
+	readonly nodeBusyShare: number;
 	readonly remoteBytes: number;
 	/** What became of the limits that workers stated. */
 	readonly limits: LimitResult;
@@ -140,6 +184,8 @@
 	readonly waiters: Map<string, AttemptHandler>;
 	frozenUntil: number;
 	readonly link?: SimulatedLink;
+	/** Absent where the plan has no work of nodes. */
+	readonly processor?: SimulatedProcessor;
 	/** Calls that occupy a slot of the worker. */
 	running: number;
 	/** Calls that the gate has dispatched and that wait at the worker for a slot. */
@@ -152,13 +198,27 @@
 	readonly dataCentre: string;
 	readonly chooser: EndpointChooser;
 	readonly budget: RetryBudget;
+	/** Host whose node it is; absent where a data centre has one entry for all. */
+	readonly host?: Host;
+};
+
+/** A request of a caller, or of a worker for one of its runs. */
+type Request = {
+	readonly callClass: LoadClass;
+	readonly arrivedAt: number;
+	readonly deadlineAt: number;
+	readonly retriesLeft: number;
+	/** When its entry saw it first; absent before that. */
+	readonly firstTryAt?: number;
+	/** Called at the end of a worker's request; absent for those of callers. */
+	readonly onEnd?: (isServed: boolean) => void;
 };
 
 const localHopMs = 0.2;
 const remoteHopMs = 1;
 const loadReportIntervalMs = 500;
 const gateTickMs = 20;
-const service = 'service';
+const onlyService = 'service';
 const workerStartedAt = 1000;
 /** Callers wait at most this share of the time to their deadline before they retry. */
 const maximumRetryWaitShare = 1 / 3;
@@ -167,11 +227,14 @@
 const failingRunFactor = 0.1;
 const failedPayload = 'failed';
 const smallResponseBytes = 1000;
+const seedsPerPlan = 1000;
+const bytesPerMillion = 1e6;
 
 /**
  * Simulates callers and workers around the production code of entry nodes and gates: endpoint
  * choice, retries, queueing and refusals. A worker runs each call in a slot for its run time and
- * queues the rest. Networks only add a fixed delay, and nodes don't fail.
+ * queues the rest. Networks only add a fixed delay, and nodes don't fail. Where the plan has the work of
+ * nodes, calls wait for their processors too.
  */
 export class LoadSimulation {
 	readonly #plan: LoadPlan;
@@ -179,8 +242,11 @@
 	readonly #random: Random;
 	readonly #hosts: readonly Host[];
 	readonly #entries: readonly Entry[];
-	readonly #results = new Map<string, LoadResult>();
+	readonly #endpoints = new Map<string, readonly Endpoint[]>();
+	readonly #hostsByNode: ReadonlyMap<string, Host>;
+	readonly #meter = new LoadMeter();
 	readonly #limitMeter: LimitMeter;
+	#requests = 0;
 	#attempts = 0;
 	#remoteBytes = 0;
 
@@ -189,36 +255,97 @@
 		this.#random = new Random(plan.seed);
 		this.#limitMeter = new LimitMeter(plan.workers, plan.durationMs);
 		this.#hosts = plan.workers.map((worker, index) => this.#newHost(worker, index));
+		this.#hostsByNode = new Map(this.#hosts.map((host) => [host.endpoint.node, host]));
 		const dataCentres = new Set(plan.workers.map(({dataCentre}) => dataCentre));
-		this.#entries = [...dataCentres].map((dataCentre) => ({
-			dataCentre,
-			chooser: new EndpointChooser({policy: plan.policy, slowStartMs: 0, dataCentre}, this.#random),
-			budget: new RetryBudget(10_000),
-		}));
+		this.#entries = plan.nodeWork
+			? this.#hosts.map((host, index) => this.#newEntry(host.worker.dataCentre, host, index))
+			: [...dataCentres].map((dataCentre) => this.#newEntry(dataCentre));
 	}
 
 	run(): LoadOutcome {
-		for (const entry of this.#entries) {
+		for (const callClass of this.#plan.classes) {
+			this.#meter.add(callClass);
+		}
+
+		const dataCentres = new Set(this.#entries.map(({dataCentre}) => dataCentre));
+		for (const dataCentre of dataCentres) {
+			const entries = this.#entries.filter((entry) => entry.dataCentre === dataCentre);
 			for (const callClass of this.#plan.classes) {
-				this.#results.set(callClass.name, {asked: 0, inTarget: 0, late: 0, unserved: 0});
-				this.#scheduleArrival(entry, callClass);
+				this.#scheduleArrival(entries, callClass);
 			}
 		}
 
 		for (const host of this.#hosts) {
 			this.#scheduleFaults(host);
+			this.#scheduleRest(host);
 		}
 
 		this.#tick();
 		this.#reportLoads();
 		this.#clock.runUntil(this.#plan.durationMs);
-		const limits = this.#limitMeter.result();
-		return {classes: this.#results, remoteBytes: this.#remoteBytes, limits};
+		return {
+			classes: this.#meter.classes,
+			worthByClass: this.#meter.worthByClass,
+			windows: this.#meter.windows,
+			attemptsPerRequest: this.#attempts / Math.max(1, this.#requests),
+			nodeBusyShare: this.#nodeBusyShare,
+			remoteBytes: this.#remoteBytes,
+			limits: this.#limitMeter.result(),
+		};
+	}
+
+	get #nodeBusyShare(): number {
+		const busyMs = this.#hosts.reduce((sum, {processor}) => sum + (processor?.busyMs ?? 0), 0);
+		return busyMs / (this.#hosts.length * this.#plan.durationMs);
+	}
+
+	#newEntry(dataCentre: string, host?: Host, index = 0): Entry {
+		const {policy, seed} = this.#plan;
+		// Entries of the same data centre must not draw the same numbers.
+		const random = host ? new Random(seed * seedsPerPlan + index) : this.#random;
+		return {
+			dataCentre,
+			chooser: new EndpointChooser({policy, slowStartMs: 0, dataCentre}, random),
+			budget: new RetryBudget(10_000),
+			host,
+		};
+	}
+
+	#scheduleRest(host: Host): void {
+		const {nodeWork} = this.#plan;
+		const {processor} = host;
+		if (nodeWork === undefined || processor === undefined) {
+			return;
+		}
+
+		const {everyMs, workMs} = nodeWork.rest;
+		this.#clock.after(everyMs, () => {
+			processor.run(workMs, () => undefined);
+			this.#scheduleRest(host);
+		});
+	}
+
+	/** Runs something at a node, after its work on a request or, with its bytes, on an answer. */
+	#work(
+		host: Host | undefined,
+		kind: Exclude<keyof NodeWork, 'rest' | 'millionBytesMs'>,
+		run: () => void,
+		bytes = 0,
+	): void {
+		const {nodeWork} = this.#plan;
+		if (nodeWork === undefined || host?.processor === undefined) {
+			run();
+			return;
+		}
+
+		const bytesMs = (bytes / bytesPerMillion) * nodeWork.millionBytesMs;
+		// Half of the work is for the request, half for the answer.
+		host.processor.run(nodeWork[kind] / 2 + bytesMs, run);
 	}
 
 	#newHost(worker: LoadWorker, index: number): Host {
 		const node = `node ${index}`;
-		const {dataCentre, slots} = worker;
+		const {dataCentre, slots, service = onlyService, processorShare = 1} = worker;
 		const endpoint = {
 			node,
 			gateAddress: node,
@@ -234,11 +361,13 @@
 				? undefined
 				: new SimulatedLink(this.#clock, linkMbps, this.#knowsScarcity);
 		const gate = this.#newGate(endpoint, 0, link);
+		this.#endpoints.set(service, [...(this.#endpoints.get(service) ?? []), endpoint]);
 		return {
 			worker,
 			endpoint,
 			gate,
 			link,
+			processor: this.#plan.nodeWork && new SimulatedProcessor(this.#clock, processorShare),
 			waiters: new Map(),
 			frozenUntil: 0,
 			running: 0,
@@ -250,7 +379,7 @@
 		return this.#plan.knowsScarcity ?? true;
 	}
 
-	#newGate({node, slots}: Endpoint, now: number, link?: SimulatedLink): Gate<string> {
+	#newGate({node, slots, service}: Endpoint, now: number, link?: SimulatedLink): Gate<string> {
 		const {isLimiting} = this.#plan;
 		const limits = {...defaultGateLimits, isLimiting};
 		const knownLink = this.#knowsScarcity ? link?.scheduler : undefined;
@@ -281,7 +410,7 @@
 	}
 
 	#scheduleState(host: Host, state: 'absent' | 'ready', atMs: number): void {
-		const {node, slots} = host.endpoint;
+		const {node, slots, service} = host.endpoint;
 		const identity = {instance: node, startedAt: workerStartedAt};
 		this.#clock.after(atMs, () => {
 			const worker = {service, address: node, slots, state, ...identity};
@@ -311,14 +440,21 @@
 		}
 	}
 
-	#scheduleArrival(entry: Entry, callClass: LoadClass): void {
-		const {perSecond, changes} = callClass;
+	#scheduleArrival(entries: readonly Entry[], callClass: LoadClass): void {
+		const {perSecond, changes, deadlineMs, retries} = callClass;
 		const meanMs = 1000 / (perSecond * factorAt(changes, this.#clock.now));
 		this.#clock.after(-Math.log(1 - this.#random.fraction()) * meanMs, () => {
-			this.#resultOf(callClass).asked += 1;
-			const arrivedAt = this.#clock.now;
-			this.#startCall(this.#presentEntry(entry), callClass, arrivedAt, callClass.retries);
-			this.#scheduleArrival(entry, callClass);
+			this.#meter.onAsked(callClass);
+			const {now} = this.#clock;
+			const [first] = entries;
+			const entry = entries.length === 1 ? first : entries[this.#random.below(entries.length)];
+			this.#begin(this.#presentEntry(entry), {
+				callClass,
+				arrivedAt: now,
+				deadlineAt: now + deadlineMs,
+				retriesLeft: retries,
+			});
+			this.#scheduleArrival(entries, callClass);
 		});
 	}
 
@@ -335,20 +471,34 @@
 		return loss?.dataCentre === dataCentre && this.#clock.now >= loss.atMs;
 	}
 
-	#startCall(entry: Entry, callClass: LoadClass, arrivedAt: number, retriesLeft: number): void {
-		const {now} = this.#clock;
-		const deadlineAt = arrivedAt + callClass.deadlineMs;
+	/** Has the entry handle a request, which it knows of only once it has read it. */
+	#begin(entry: Entry, request: Request): void {
+		this.#requests += 1;
+		const leftMs = request.deadlineAt - this.#clock.now;
+		this.#work(entry.host, 'entryMs', () => {
+			const {now} = this.#clock;
+			const {firstTryAt = now} = request;
+			this.#startCall(entry, {...request, firstTryAt}, {startedAt: now, deadlineAt: now + leftMs});
+		});
+	}
+
+	#startCall(
+		entry: Entry,
+		request: Request & {readonly firstTryAt: number},
+		{startedAt, deadlineAt}: {readonly startedAt: number; readonly deadlineAt: number},
+	): void {
+		const {callClass, firstTryAt} = request;
+		const targetAt = firstTryAt + callClass.targetMs;
+		const endpoints = this.#endpoints.get(callClass.service ?? onlyService) ?? [];
 		const call = new EntryCall<string>(
 			{
 				group: callClass.group ?? callClass.name,
 				bytes: this.#plan.weighsBytes ? callClass.bytes : undefined,
 				retryAllowance: {share: 0.1, slack: 5},
 				isIdempotent: true,
-				targetAt: arrivedAt + callClass.targetMs,
+				targetAt,
 				deadlineAt,
-				endpoints: this.#hosts
-					.map(({endpoint}) => endpoint)
-					.filter(({dataCentre}) => !this.#isLost(dataCentre)),
+				endpoints: endpoints.filter(({dataCentre}) => !this.#isLost(dataCentre)),
 				withdraws: true,
 				maximumAttempts: 2,
 			},
@@ -359,18 +509,22 @@
 			switch (action.type) {
 				case 'attempt': {
 					const {endpoint, knownLimit} = action;
-					this.#send(entry, callClass, {arrivedAt, endpoint, knownLimit}, (result) => {
+					const sent = {targetAt, deadlineAt, endpoint, knownLimit};
+					this.#send(entry, callClass, sent, (result) => {
 						perform(call.onAttempt(result, this.#clock.now));
 					});
 					break;
 				}
 
 				case 'answer': {
-					this.#onAnswer(entry, callClass, action.answer, {
-						arrivedAt,
-						retriesLeft,
-						startedAt: now,
-					});
+					const {answer} = action;
+					const {responseBytes = smallResponseBytes} = callClass;
+					const respond = () => {
+						this.#onAnswer(entry, request, answer, startedAt);
+					};
+
+					const bytes = answer.outcome.type === 'ran' ? responseBytes : 0;
+					this.#work(entry.host, 'entryMs', respond, bytes);
 					break;
 				}
 
@@ -382,54 +536,90 @@
 			}
 		};
 
-		perform(call.begin(now));
+		perform(call.begin(startedAt));
 	}
 
 	#send(
 		entry: Entry,
 		callClass: LoadClass,
 		{
-			arrivedAt,
+			targetAt,
+			deadlineAt,
 			endpoint,
 			knownLimit,
 		}: {
-			readonly arrivedAt: number;
+			readonly targetAt: number;
+			readonly deadlineAt: number;
 			readonly endpoint: Endpoint;
 			readonly knownLimit?: KnownLimit;
 		},
 		onResult: AttemptHandler,
 	): void {
-		const host = this.#hosts.find((candidate) => candidate.endpoint === endpoint)!;
+		const host = this.#hostsByNode.get(endpoint.node)!;
 		const isRemote = endpoint.dataCentre !== entry.dataCentre;
 		const hopMs = isRemote ? remoteHopMs : localHopMs;
 		this.#remoteBytes += isRemote ? callClass.bytes : 0;
 		this.#attempts += 1;
 		const id = `attempt ${this.#attempts}`;
-		const call: GateCall = {
-			id,
-			service,
-			group: callClass.group ?? callClass.name,
-			rank: callClass.rank,
-			...(this.#knowsScarcity && {workspace: callClass.workspace, isBulk: callClass.isBulk}),
-			targetAt: arrivedAt + callClass.targetMs,
-			deadlineAt: arrivedAt + callClass.deadlineMs,
-			crashedNodes: [],
-			knownLimit,
-			fingerprint: () => id,
-		};
-		const submit = () => {
+		const targetMs = targetAt - this.#clock.now;
+		const leftMs = deadlineAt - this.#clock.now;
+		const submit = (onEnd: AttemptHandler) => {
+			const {now} = this.#clock;
+			const call: GateCall = {
+				id,
+				service: endpoint.service,
+				group: callClass.group ?? callClass.name,
+				rank: callClass.rank,
+				...(this.#knowsScarcity && {workspace: callClass.workspace, isBulk: callClass.isBulk}),
+				targetAt: now + targetMs,
+				deadlineAt: now + leftMs,
+				crashedNodes: [],
+				knownLimit,
+				fingerprint: () => id,
+			};
 			host.waiters.set(id, (result) => {
 				this.#sendAnswer(host, callClass, call, result, () => {
-					this.#clock.after(hopMs, () => {
+					onEnd(result);
+				});
+			});
+			this.#applyEffects(host, host.gate.submit(call, now));
+		};
+
+		if (host === entry.host) {
+			submit(onResult);
+			return;
+		}
+
+		this.#transfer({from: entry.host, to: host, hopMs, isAnswer: false}, () => {
+			this.#atGate(host, () => {
+				submit((result) => {
+					this.#transfer({from: host, to: entry.host, hopMs, isAnswer: true}, () => {
 						onResult(result);
 					});
 				});
 			});
-			this.#applyEffects(host, host.gate.submit(call, this.#clock.now));
-		};
+		});
+	}
 
-		this.#clock.after(hopMs, () => {
-			this.#atGate(host, submit);
+	/** Takes an attempt to a gate, or its answer back, by way of the nodes' processors. */
+	#transfer(
+		{
+			from,
+			to,
+			hopMs,
+			isAnswer,
+		}: {
+			readonly from: Host | undefined;
+			readonly to: Host | undefined;
+			readonly hopMs: number;
+			readonly isAnswer: boolean;
+		},
+		onArrived: () => void,
+	): void {
+		this.#work(from, isAnswer ? 'gateMs' : 'attemptMs', () => {
+			this.#clock.after(hopMs, () => {
+				this.#work(to, isAnswer ? 'attemptMs' : 'gateMs', onArrived);
+			});
 		});
 	}
 
@@ -488,7 +678,9 @@
 			return;
 		}
 
-		this.#run(host, call, now);
+		this.#work(host, 'workerMs', () => {
+			this.#run(host, call, now);
+		});
 	}
 
 	#run(host: Host, call: GateCall, sentAt: number): void {
@@ -498,28 +690,75 @@
 		}
 
 		host.running += 1;
-		const callClass = this.#plan.classes.find(({name, group = name}) => group === call.group)!;
+		const callClass = this.#classOf(call);
 		const {isFailing = false, slowPhases} = host.worker;
 		const slowness = host.worker.slowness * factorAt(slowPhases, this.#clock.now);
 		const factor =
 			(minimumRunFactor + this.#random.fraction()) * (isFailing ? failingRunFactor : 1);
 		this.#clock.after(callClass.runMs * factor * slowness, () => {
-			host.running -= 1;
-			const next = host.queued.shift();
-			if (next) {
-				this.#run(host, next.call, next.sentAt);
-			}
+			this.#callInner(host, callClass, call, (isServed) => {
+				this.#endRun(host, {call, callClass, sentAt, isFailure: isFailing || !isServed});
+			});
+		});
+	}
 
-			const payload = isFailing ? failedPayload : '';
-			const bytes = callClass.responseBytes ?? smallResponseBytes;
-			const result = {type: 'answered', payload, bytes, isFailure: isFailing} as const;
-			const notice = {...this.#noticeOf(host.worker), load: this.#loadOf(host)};
+	/** Makes the call that a run needs, if it does; `onEnd` gets whether the run can go on. */
+	#callInner(
+		host: Host,
+		{innerCall}: LoadClass,
+		{deadlineAt}: GateCall,
+		onEnd: (isServed: boolean) => void,
+	): void {
+		if (innerCall === undefined || this.#random.fraction() >= innerCall.share) {
+			onEnd(true);
+			return;
+		}
+
+		const {now} = this.#clock;
+		const {callClass} = innerCall;
+		const entry = this.#entries.find((each) => each.host === host) ?? this.#entries[0];
+		this.#begin(entry, {
+			callClass,
+			arrivedAt: now,
+			deadlineAt: Math.min(deadlineAt, now + callClass.deadlineMs),
+			retriesLeft: 0,
+			onEnd,
+		});
+	}
+
+	#endRun(
+		host: Host,
+		{
+			call,
+			callClass,
+			sentAt,
+			isFailure,
+		}: {
+			readonly call: GateCall;
+			readonly callClass: LoadClass;
+			readonly sentAt: number;
+			readonly isFailure: boolean;
+		},
+	): void {
+		host.running -= 1;
+		const next = host.queued.shift();
+		if (next) {
+			this.#run(host, next.call, next.sentAt);
+		}
+
+		const payload = isFailure ? failedPayload : '';
+		const bytes = callClass.responseBytes ?? smallResponseBytes;
+		const result = {type: 'answered', payload, bytes, isFailure} as const;
+		const notice = {...this.#noticeOf(host.worker), load: this.#loadOf(host)};
+		const finish = () => {
 			this.#atGate(host, () => {
 				const {now} = this.#clock;
 				this.#applyEffects(host, host.gate.onNotice(notice, sentAt, now));
 				this.#applyEffects(host, host.gate.finish(call.id, result, now));
 			});
-		});
+		};
+
+		this.#work(host, 'workerMs', finish, bytes);
 	}
 
 	/** Returns what a worker says of itself now, as far as its gate takes it into account. */
@@ -549,44 +788,47 @@
 
 	#onAnswer(
 		entry: Entry,
-		callClass: LoadClass,
+		request: Request,
 		{outcome, retryAfterMs, payload}: Answer<string>,
-		{
-			arrivedAt,
-			retriesLeft,
-			startedAt,
-		}: {readonly arrivedAt: number; readonly retriesLeft: number; readonly startedAt: number},
+		startedAt: number,
 	): void {
 		const {now} = this.#clock;
+		const {callClass, arrivedAt, deadlineAt, retriesLeft, onEnd} = request;
 		if (outcome.type === 'not-run') {
 			this.#limitMeter.onRefusal(now - startedAt);
 		}
 
-		const elapsedMs = now - arrivedAt;
-		const result = this.#resultOf(callClass);
-		if (payload === failedPayload) {
-			result.unserved += 1;
+		const isServed = outcome.type === 'ran' && payload !== failedPayload && now <= deadlineAt;
+		if (onEnd) {
+			onEnd(isServed);
 			return;
 		}
 
-		if (outcome.type === 'ran' && elapsedMs <= callClass.deadlineMs) {
-			result.inTarget += elapsedMs <= callClass.targetMs ? 1 : 0;
-			result.late += elapsedMs <= callClass.targetMs ? 0 : 1;
+		if (isServed) {
+			this.#meter.onServed(callClass, arrivedAt, now);
 			return;
 		}
 
-		const remainingMs = arrivedAt + callClass.deadlineMs - now;
+		const remainingMs = deadlineAt - now;
 		if (outcome.type !== 'not-run' || retriesLeft === 0 || remainingMs <= 0) {
-			result.unserved += 1;
+			this.#meter.onUnserved(callClass, arrivedAt);
 			return;
 		}
 
 		const retryWaitMs = (retryAfterMs ?? 0) * (1 + this.#random.fraction());
 		this.#clock.after(Math.min(retryWaitMs, remainingMs * maximumRetryWaitShare), () => {
-			this.#startCall(this.#presentEntry(entry), callClass, arrivedAt, retriesLeft - 1);
+			this.#begin(this.#presentEntry(entry), {...request, retriesLeft: retriesLeft - 1});
 		});
 	}
 
+	/** Returns the class of a call, which may be one that workers' runs make. */
+	#classOf({group}: GateCall): LoadClass {
+		const classes = this.#plan.classes.flatMap((callClass) =>
+			callClass.innerCall ? [callClass, callClass.innerCall.callClass] : [callClass],
+		);
+		return classes.find(({name, group: own = name}) => own === group)!;
+	}
+
 	#tick(): void {
 		for (const host of this.#hosts) {
 			this.#atGate(host, () => {
@@ -612,10 +854,6 @@
 			this.#reportLoads();
 		});
 	}
-
-	#resultOf({name}: LoadClass): LoadResult {
-		return this.#results.get(name)!;
-	}
 }
 
 /** Returns the factor of the phase at a time; 1 outside of all phases. */
