Tell entries of the worker beside them

Class: an option that only a test sets.

The entry service passes its node and the load of its gate. entry-service.test.ts fails without (calls at the other node), the simulation of overload passes it too.

--- a/packages/redwingmill-bench/src/simulation/load-meter.ts
+++ b/packages/redwingmill-bench/src/simulation/load-meter.ts
@@ -3,6 +3,7 @@
 /** What callers got whose calls arrived in a part of the time; `asked` counts those that have ended. */
 export type WindowResult = LoadResult & {
 	readonly fromMs: number;
+	readonly earned: number;
 	/** Worth earned, as a share of that of all calls in time. */
 	readonly worth: number;
 	/** Median time to an answer of those that were served, in milliseconds. */
@@ -41,6 +42,7 @@
 		return this.#windows.map(({owed, earned, tookMs, ...result}, index) => ({
 			...result,
 			fromMs: index * windowMs,
+			earned,
 			worth: earned / Math.max(1, owed),
 			p50Ms: tookMs.toSorted((a, b) => a - b)[Math.floor(tookMs.length / 2)] ?? 0,
 		}));
--- a/packages/redwingmill-bench/src/simulation/load-simulation.ts
+++ b/packages/redwingmill-bench/src/simulation/load-simulation.ts
@@ -301,11 +301,15 @@
 
 	#newEntry(dataCentre: string, host?: Host, index = 0): Entry {
 		const {policy, seed} = this.#plan;
+		const ownNode = host && {
+			node: host.endpoint.node,
+			load: () => host.gate.loadAt(this.#clock.now),
+		};
 		// Entries of the same data centre must not draw the same numbers.
 		const random = host ? new Random(seed * seedsPerPlan + index) : this.#random;
 		return {
 			dataCentre,
-			chooser: new EndpointChooser({policy, slowStartMs: 0, dataCentre}, random),
+			chooser: new EndpointChooser({policy, slowStartMs: 0, dataCentre, ownNode}, random),
 			budget: new RetryBudget(10_000),
 			host,
 		};
--- a/packages/redwingmill-node/src/call/entry-service.ts
+++ b/packages/redwingmill-node/src/call/entry-service.ts
@@ -143,11 +143,12 @@
 		this.#metrics = dependencies.metrics;
 		this.#random = dependencies.random;
 		const {choice, slowStartMs} = calls;
+		const {address, incarnation} = dependencies.control.self;
+		const ownNode = {node: address, load: () => dependencies.gate.load};
 		this.#chooser = new EndpointChooser(
-			{policy: choice, slowStartMs, dataCentre},
+			{policy: choice, slowStartMs, dataCentre, ownNode},
 			dependencies.random,
 		);
-		const {address, incarnation} = dependencies.control.self;
 		this.#idPrefix = idPrefixOf(address, incarnation);
 	}
 
