Allow for late ends when a call is admitted to wait

A gate admits a call that has to wait if wait and run end by the target, both by their means; while the queue is full, the calls admitted are those that just fit, and half of them take longer.

The gate keeps moving averages of how much later than expected calls that waited were done, and of the deviation, and takes both off the target of a call that has to wait.

--- a/packages/redwingmill-core/src/__tests__/unit/admission.test.ts
+++ b/packages/redwingmill-core/src/__tests__/unit/admission.test.ts
@@ -2,7 +2,15 @@
 import {decideAdmission, type AdmissionInputs} from '../../call/admission.js';
 
 function inputsWith(fields: Partial<AdmissionInputs>): AdmissionInputs {
-	return {now: 1000, deadlineAt: 2200, targetAt: 1200, waitMs: 0, runMs: 60, ...fields};
+	return {
+		now: 1000,
+		deadlineAt: 2200,
+		targetAt: 1200,
+		waitMs: 0,
+		runMs: 60,
+		marginMs: 0,
+		...fields,
+	};
 }
 
 describe('decideAdmission', () => {
--- a/packages/redwingmill-core/src/call/admission.ts
+++ b/packages/redwingmill-core/src/call/admission.ts
@@ -11,6 +11,8 @@
 	readonly waitMs: number;
 	/** Expected run time of the call at the worker. */
 	readonly runMs: number;
+	/** Time by which calls that wait may be done later than expected. */
+	readonly marginMs: number;
 };
 
 /** Decision on whether a call may wait for the worker. */
@@ -34,7 +36,7 @@
  * than the target makes every call late, so the call should be retried at another worker or later.
  */
 export function decideAdmission(inputs: AdmissionInputs): AdmissionDecision {
-	const {now, deadlineAt, targetAt, waitMs, runMs} = inputs;
+	const {now, deadlineAt, targetAt, waitMs, runMs, marginMs} = inputs;
 	if (waitMs === 0) {
 		return now + runMs * minimumRunShare > deadlineAt ? refuseTooClose(inputs) : admitted;
 	}
@@ -45,7 +47,8 @@
 	}
 
 	// A call that misses its target anyway may still wait briefly: a retry would end even later.
-	const latestEndAt = Math.max(targetAt ?? deadlineAt, now + runMs + lateWaitMs);
+	const dueAt = (targetAt ?? deadlineAt) - marginMs;
+	const latestEndAt = Math.max(dueAt, now + runMs + lateWaitMs);
 	return targetAt !== undefined && endAt > latestEndAt
 		? {type: 'refused', reason: 'queue-too-slow', retryAfterMs: endAt - latestEndAt}
 		: admitted;
--- a/packages/redwingmill-core/src/call/gate-admission.ts
+++ b/packages/redwingmill-core/src/call/gate-admission.ts
@@ -3,6 +3,7 @@
 import {decideAdmission, isLate, type AdmissionDecision} from './admission.js';
 import {type CrashTracker} from './crash-tracker.js';
 import {type Dispatcher} from './dispatcher.js';
+import {ForecastErrors} from './forecast-errors.js';
 import {type GateCall} from './gate-call.js';
 import {type GateLimits} from './gate-limits.js';
 import {type NotRunReason} from './outcome.js';
@@ -30,6 +31,9 @@
 /** Decides whether a call may wait for the worker, and for how long. */
 export class GateAdmission {
 	readonly #parts: AdmissionParts;
+	readonly #errors = new ForecastErrors();
+	/** When calls that had to wait are expected to be done. */
+	readonly #expectedEnds = new WeakMap<GateCall, number>();
 
 	constructor(parts: AdmissionParts) {
 		this.#parts = parts;
@@ -78,8 +82,13 @@
 		// The response waits for the link after the run, unless the link is free before.
 		const waitMs = Math.max(slotWaitMs, this.linkWaitMs(call, now) - workerMs);
 		const runMs = workerMs + bulk.transferMs(call);
-		const decision = decideAdmission({now, deadlineAt, targetAt, waitMs, runMs});
+		const {marginMs} = this.#errors;
+		const decision = decideAdmission({now, deadlineAt, targetAt, waitMs, runMs, marginMs});
 		if (decision.type === 'admitted') {
+			if (waitMs > 0) {
+				this.#expectedEnds.set(call, now + waitMs + runMs);
+			}
+
 			return decision;
 		}
 
@@ -91,6 +100,19 @@
 		};
 	}
 
+	/** Learns from the time at which the worker has answered a call. */
+	onAnswered(call: GateCall, now: number): void {
+		const expectedAt = this.#expectedEnds.get(call);
+		if (expectedAt !== undefined) {
+			this.#errors.record(now - expectedAt);
+		}
+	}
+
+	/** Begins anew with another worker process. */
+	reset(): void {
+		this.#errors.reset();
+	}
+
 	/** Returns the sort key within a rank: calls that can still meet their target come first. */
 	dueAtOf({targetAt, deadlineAt, group}: GateCall, now: number): number {
 		if (targetAt === undefined) {
--- a/packages/redwingmill-core/src/call/gate-answers.ts
+++ b/packages/redwingmill-core/src/call/gate-answers.ts
@@ -117,11 +117,12 @@
 		result: Extract<WorkerResult<Payload>, {type: 'answered'}>,
 		now: number,
 	): Array<GateEffect<Payload>> {
-		const {bulk, crashes, dispatcher, failures, runTimes} = this.#parts;
+		const {admission, bulk, crashes, dispatcher, failures, runTimes} = this.#parts;
 		const {call, startedAt, started} = running;
 		const {payload, bytes, isFailure, isExpired = false} = result;
 		const ranMs = isFailure ? undefined : now - startedAt;
 		dispatcher.onAccepted(running);
+		admission.onAnswered(call, now);
 		failures.record(isFailure, now);
 		if (ranMs !== undefined) {
 			runTimes.record(call.group, started, now);
--- a/packages/redwingmill-core/src/call/gate.ts
+++ b/packages/redwingmill-core/src/call/gate.ts
@@ -124,6 +124,7 @@
 		if (isNewInstance) {
 			this.#dispatcher.reset(now);
 			this.#runTimes.reset();
+			this.#admission.reset();
 			this.#reports.reset(now);
 			this.#failures.reset();
 			this.#notices = new WorkerNotices();
