Count the time of calls on their way against their target

Gates tell with each answer how long they held the call. An entry keeps the mean and the deviation of the rest, and gives gates that much less time. Attempts of bulk calls don't count, as their answers wait for a link.

--- a/packages/redwingmill-bench/src/simulation/load-simulation.ts
+++ b/packages/redwingmill-bench/src/simulation/load-simulation.ts
@@ -499,6 +499,7 @@
 				group: callClass.group ?? callClass.name,
 				bytes: this.#plan.weighsBytes ? callClass.bytes : undefined,
 				retryAllowance: {share: 0.1, slack: 5},
+				isBulk: callClass.isBulk,
 				isIdempotent: true,
 				targetAt,
 				deadlineAt,
@@ -512,8 +513,13 @@
 		const perform = (action: EntryAction<string>) => {
 			switch (action.type) {
 				case 'attempt': {
-					const {endpoint, knownLimit} = action;
-					const sent = {targetAt, deadlineAt, endpoint, knownLimit};
+					const {endpoint, knownLimit, transitMs} = action;
+					const sent = {
+						targetAt: targetAt - transitMs,
+						deadlineAt: deadlineAt - transitMs,
+						endpoint,
+						knownLimit,
+					};
 					this.#send(entry, callClass, sent, (result) => {
 						perform(call.onAttempt(result, this.#clock.now));
 					});
@@ -596,9 +602,11 @@
 
 		this.#transfer({from: entry.host, to: host, hopMs, isAnswer: false}, () => {
 			this.#atGate(host, () => {
+				const arrivedAt = this.#clock.now;
 				submit((result) => {
+					const heldMs = this.#clock.now - arrivedAt;
 					this.#transfer({from: host, to: entry.host, hopMs, isAnswer: true}, () => {
-						onResult(result);
+						onResult(withHeldMs(result, heldMs));
 					});
 				});
 			});
@@ -860,6 +868,12 @@
 	}
 }
 
+function withHeldMs(result: AttemptResult<string>, heldMs: number): AttemptResult<string> {
+	return result.type === 'answered'
+		? {type: 'answered', answer: {...result.answer, heldMs}}
+		: result;
+}
+
 /** Returns the factor of the phase at a time; 1 outside of all phases. */
 function factorAt(phases: readonly Phase[] | undefined, now: number): number {
 	return phases?.find(({fromMs, toMs}) => now >= fromMs && now < toMs)?.factor ?? 1;
--- a/packages/redwingmill-core/src/call/endpoint-chooser.ts
+++ b/packages/redwingmill-core/src/call/endpoint-chooser.ts
@@ -14,6 +14,7 @@
 import {type CompletionState} from './expected-completion.js';
 import {GroupMeans} from './group-means.js';
 import {ReportedNotices, type KnownLimit, type ReportedNotice} from './reported-notices.js';
+import {TransitTimes} from './transit-times.js';
 import {type WorkerLoad} from './worker-load.js';
 
 const failuresToEject = 3;
@@ -32,6 +33,7 @@
 	/** Run times by group, scaled to a worker of the service's mean speed. */
 	readonly #runTimes = new GroupMeans(initialRunMs);
 	readonly #notices = new ReportedNotices();
+	readonly #transitTimes = new TransitTimes();
 	readonly #strategy: ChoiceStrategy;
 	/** For services whose workers say how long work takes on their hosts. */
 	readonly #evenLoad: ChoiceStrategy;
@@ -158,6 +160,16 @@
 		return this.#notices.limitOf(endpoint);
 	}
 
+	/** Records how long an attempt was on its way to the gate of another node and back, in milliseconds. */
+	onTransit(transitMs: number): void {
+		this.#transitTimes.record(transitMs);
+	}
+
+	/** Returns how long an attempt is expected to be on its way there and back, in milliseconds. */
+	transitMsTo({node}: Endpoint): number {
+		return node === this.#options.ownNode?.node ? 0 : this.#transitTimes.expectedMs;
+	}
+
 	/** Returns why the endpoint was chosen last; undefined under policies that give no reason. */
 	reasonOf(endpoint: Endpoint): ChoiceReason | undefined {
 		return this.#states.of(endpoint).choiceReason;
--- a/packages/redwingmill-core/src/call/entry-call.ts
+++ b/packages/redwingmill-core/src/call/entry-call.ts
@@ -16,6 +16,8 @@
 	readonly notice?: ReportedNotice;
 	/** Whether a node further along the call's path has already retried. */
 	readonly isRetried: boolean;
+	/** Time from the attempt's arrival at the gate to the answer, in milliseconds; absent if it isn't known. */
+	readonly heldMs?: number;
 };
 
 /** Result of an attempt's exchange with a gate. */
@@ -47,6 +49,11 @@
 			readonly crashedNodes: readonly string[];
 			/** Limit that the endpoint's worker has stated; absent when none is known. */
 			readonly knownLimit?: KnownLimit;
+			/**
+			 * Expected time of the attempt on its way there and back, in milliseconds: the gate has to answer by so much
+			 * before the call's target and deadline.
+			 */
+			readonly transitMs: number;
 			/** Why the endpoint was chosen; absent when it is pinned or the policy gives no reason. */
 			readonly reason?: ChoiceReason;
 	  }
@@ -66,6 +73,8 @@
 	readonly group: string;
 	/** Size of the request and its expected answer; absent when it doesn't count. */
 	readonly bytes?: number;
+	/** Whether the answer is so large that it is scheduled by the host's link. */
+	readonly isBulk?: boolean;
 	readonly retryAllowance: RetryAllowance;
 	readonly isIdempotent: boolean;
 	/** Latency target in monotonic milliseconds; absent when only the deadline counts. */
@@ -129,6 +138,8 @@
 	readonly #budget: RetryBudget;
 	readonly #triedNodes = new Set<string>();
 	#endpoint: Endpoint | undefined;
+	/** When the attempt in progress was begun. */
+	#sentAt = 0;
 	/** Why an earlier attempt may have run; if so, no later refusal makes the call `not-run`. */
 	#unknownReason: UnknownReason | undefined;
 	/** Number of attempts begun, including those that a gate refused. */
@@ -161,6 +172,7 @@
 		switch (result.type) {
 			case 'answered': {
 				this.#chooser.onFinished(endpoint, result.answer.load, now);
+				this.#recordTransit(result.answer, now);
 				return this.#onAnswer(result.answer, now);
 			}
 
@@ -336,6 +348,13 @@
 		}
 	}
 
+	/** Bulk answers wait for the host's link, which gates and entries expect by other means. */
+	#recordTransit({heldMs}: GateAnswer<Payload>, now: number): void {
+		if (heldMs !== undefined && !this.#options.isBulk) {
+			this.#chooser.onTransit(now - this.#sentAt - heldMs);
+		}
+	}
+
 	#hasOtherEndpoint(): boolean {
 		const {pinned, endpoints, fallback = endpoints} = this.#options;
 		return pinned === undefined && fallback.some(({node}) => !this.#triedNodes.has(node));
@@ -355,6 +374,7 @@
 
 		const reason = pinned ? undefined : this.#chooser.reasonOf(endpoint);
 		this.#endpoint = endpoint;
+		this.#sentAt = now;
 		this.#attempts += 1;
 		this.#triedNodes.add(endpoint.node);
 		this.#chooser.onSent(endpoint, now);
@@ -363,6 +383,7 @@
 			endpoint,
 			crashedNodes: this.#crashedNodes,
 			knownLimit: this.#chooser.limitOf(endpoint),
+			transitMs: this.#chooser.transitMsTo(endpoint),
 			...(reason !== undefined && {reason}),
 		};
 	}
--- /dev/null
+++ b/packages/redwingmill-core/src/call/transit-times.ts
@@ -0,0 +1,27 @@
+/** Share of a new sample in the moving averages. */
+const smoothing = 0.1;
+/** Bound on a sample: a peer that was held up for longer says nothing of the others. */
+const maximumSampleMs = 300;
+
+/**
+ * Estimates how long the attempts of an entry are on their way to the gates of other nodes and back: all the
+ * time between sending an attempt and its answer for which the gate doesn't account. Keeps moving averages of
+ * the mean and of the absolute deviation, as RFC 6298 does for round trips.
+ */
+export class TransitTimes {
+	#meanMs: number | undefined;
+	#deviationMs = 0;
+
+	/** Time in milliseconds within which most attempts make both ways; 0 while nothing is known. */
+	get expectedMs(): number {
+		return this.#meanMs === undefined ? 0 : this.#meanMs + this.#deviationMs;
+	}
+
+	/** @param transitMs - time for which an attempt was on its way, in milliseconds. */
+	record(transitMs: number): void {
+		const sampleMs = Math.min(maximumSampleMs, Math.max(0, transitMs));
+		const meanMs = this.#meanMs ?? sampleMs;
+		this.#deviationMs += smoothing * (Math.abs(sampleMs - meanMs) - this.#deviationMs);
+		this.#meanMs = meanMs + smoothing * (sampleMs - meanMs);
+	}
+}
--- a/packages/redwingmill-node/src/__tests__/unit/node-headers.test.ts
+++ b/packages/redwingmill-node/src/__tests__/unit/node-headers.test.ts
@@ -53,6 +53,13 @@
 
 	it('parses a formatted answer back to an equal one', () => {
 		const answers: readonly AnswerHeader[] = [
+			{
+				outcome: {type: 'ran'},
+				ranMs: 12.5,
+				retryAfterMs: undefined,
+				load: {callsPerSlot: 1.5, waitMs: 20, runMs: 60, failureShare: 0.25},
+				heldMs: 40.25,
+			},
 			{
 				outcome: {type: 'ran'},
 				ranMs: 12.5,
--- a/packages/redwingmill-node/src/call/answer-header.ts
+++ b/packages/redwingmill-node/src/call/answer-header.ts
@@ -15,14 +15,16 @@
 const decimals = 2;
 /** Number of fields of an answer whose worker states no limit, doesn't leave and reports no load. */
 const basicFieldCount = 8;
-/** Position of the host time among the fields after the notice. */
+/** Positions among the fields after the notice. */
 const hostTimeIndex = 2;
+const heldIndex = 3;
 
 /**
- * Formats the header: its fields in a fixed order, separated by semicolons. Only the answers of workers
- * that state a limit, leave or report their host's speed have more than the first eight.
+ * Formats the header: its fields in a fixed order, separated by semicolons. Fields at the end that are absent
+ * are left out.
  */
-export function formatAnswer({outcome, retryAfterMs, ranMs, load, notice}: AnswerHeader): string {
+export function formatAnswer(answer: AnswerHeader): string {
+	const {outcome, retryAfterMs, ranMs, load, notice, heldMs} = answer;
 	const {callsPerSlot, waitMs, runMs, failureShare, allowance, hostTime} = load ?? {};
 	const numbers = [retryAfterMs, ranMs, callsPerSlot, waitMs, runMs, failureShare];
 	const fields = [
@@ -30,7 +32,9 @@
 		outcome.type === 'ran' ? '' : outcome.reason,
 		...numbers.map((number) => formatNumber(number)),
 	];
-	if (notice !== undefined || allowance !== undefined || hostTime !== undefined) {
+	const lastNumbers = heldMs === undefined ? [hostTime] : [hostTime, heldMs];
+	const hasLastNumbers = hostTime !== undefined || heldMs !== undefined;
+	if (notice !== undefined || allowance !== undefined || hasLastNumbers) {
 		fields.push(
 			encodeURIComponent(notice?.worker ?? ''),
 			formatNumber(notice?.limitPerSecond),
@@ -40,8 +44,8 @@
 		);
 	}
 
-	if (hostTime !== undefined) {
-		fields.push(formatNumber(hostTime));
+	if (hasLastNumbers) {
+		fields.push(...lastNumbers.map((number) => formatNumber(number)));
 	}
 
 	return fields.join(separator);
@@ -76,7 +80,15 @@
 				isLeaving: isLeaving === '1',
 			}
 		: undefined;
-	return {outcome: toOutcome(type, reason), retryAfterMs, ranMs, load, ...(notice && {notice})};
+	const heldMs = parseNumber(loadParts.at(heldIndex));
+	return {
+		outcome: toOutcome(type, reason),
+		retryAfterMs,
+		ranMs,
+		load,
+		...(notice && {notice}),
+		...(heldMs !== undefined && {heldMs}),
+	};
 }
 
 function parseAllowance(parts: readonly string[]): Allowance | undefined {
--- a/packages/redwingmill-node/src/call/entry-exchange.ts
+++ b/packages/redwingmill-node/src/call/entry-exchange.ts
@@ -101,6 +101,7 @@
 		endpoint,
 		crashedNodes,
 		knownLimit,
+		transitMs,
 		reason,
 	}: Extract<EntryAction<Payload>, {type: 'attempt'}>): void {
 		const {service, route, request, ticket, caller, targetAt, deadlineAt, workspace} =
@@ -116,8 +117,8 @@
 			caller,
 			crashedNodes,
 			knownLimit,
-			targetAt,
-			deadlineAt,
+			targetAt: targetAt === undefined ? undefined : targetAt - transitMs,
+			deadlineAt: deadlineAt - transitMs,
 			startedAt: performance.now(),
 			request,
 		};
--- a/packages/redwingmill-node/src/call/entry-service.ts
+++ b/packages/redwingmill-node/src/call/entry-service.ts
@@ -436,6 +436,7 @@
 			{
 				group: route.path,
 				bytes: (request.body?.length ?? 0) + this.#responseBytes.expected(route.path),
+				isBulk: route.isBulk,
 				retryAllowance: allowanceOfNode(
 					{share: nodeRetryShare * route.retryShare, slack: nodeRetryShare * meshRetrySlack},
 					this.#control.nodeCount,
--- a/packages/redwingmill-node/src/call/gate-connection.ts
+++ b/packages/redwingmill-node/src/call/gate-connection.ts
@@ -32,6 +32,8 @@
 
 /** Response to a request, sent once; nothing is sent after the other side has left. */
 class FrameResponse implements OutgoingResponse {
+	/** When its request began to arrive, in monotonic milliseconds. */
+	readonly openedAt = performance.now();
 	destroyed = false;
 	writableFinished = false;
 	isSent = false;
@@ -250,7 +252,12 @@
 		const {load, notice} = this.#service;
 		const head = formatHead({
 			type: 'answer',
-			answer: formatAnswer({...answer, load, notice}),
+			answer: formatAnswer({
+				...answer,
+				load,
+				notice,
+				heldMs: performance.now() - response.openedAt,
+			}),
 			status: payload?.status ?? 0,
 			headers: payload?.headers ?? {},
 		});
