Space the parts of large answers between nodes by the link's rate

A frame connection wrote parts of a body as fast as the socket took them, so that the operating system held much of a sheet, which takes 60 ms on a link of 11.9 Mbit/s, ahead of small answers.

A pacer for each host spaces the parts by the rate of the link; small frames pass between them.

--- a/packages/redwingmill-core/src/index.ts
+++ b/packages/redwingmill-core/src/index.ts
@@ -72,6 +72,7 @@
 export {WorkerAllowance, type Allowance} from './call/worker-allowance.js';
 export * from './call/worker-notice.js';
 export * from './call/worker-report.js';
+export {LinkPacer} from './call/link-pacer.js';
 export {LinkScheduler, type Transfer} from './call/link-scheduler.js';
 export {type ResponseLink} from './call/bulk-forecast.js';
 export type {NoticeChange} from './call/worker-notices.js';
--- a/packages/redwingmill-node/src/__tests__/unit/frames.test.ts
+++ b/packages/redwingmill-node/src/__tests__/unit/frames.test.ts
@@ -100,6 +100,35 @@
 });
 
 describe('a connection of frames', () => {
+	it('gives the operating system a large body in parts, between which a small message passes', async () => {
+		const written: Buffer[] = [];
+		const socket = new Writable({
+			write(bytes: Buffer, _encoding, callback) {
+				written.push(bytes);
+				callback();
+			},
+		});
+		let isLinkFree = true;
+		const pacer = {
+			delayMs: () => (isLinkFree ? 0 : 5),
+			onWritten() {
+				isLinkFree = false;
+			},
+		};
+		const receiver = {
+			onHead: () => false,
+			onMessage: () => undefined,
+			onReset: () => undefined,
+		};
+		const connection = new FrameConnection(socket as Socket, receiver, pacer);
+		connection.send(1, {head: 'large', body: Buffer.alloc(largeBytes)});
+		await nextTurn();
+		connection.send(2, {head: 'small', body: Buffer.from('x')});
+		await nextTurn();
+		const frames = new FrameReader().read(Buffer.concat(written));
+		expect(frames.map(({exchange}) => exchange)).to.deep.equal([1, 2]);
+	});
+
 	it('does not take a message for sent while its bytes wait to be written', async () => {
 		let onWritten = () => undefined as void;
 		const socket = new Writable({
--- a/packages/redwingmill-node/src/call/gate-connection.ts
+++ b/packages/redwingmill-node/src/call/gate-connection.ts
@@ -1,7 +1,7 @@
 import {type Buffer} from 'node:buffer';
 import {type Socket} from 'node:net';
 import {type Answer} from 'redwingmill-core';
-import {FrameConnection, frameTypes} from '../frames/index.js';
+import {FrameConnection, frameTypes, type FrameReceiver} from '../frames/index.js';
 import {formatAnswer} from './answer-header.js';
 import {parseAttempt, type AttemptHeader} from './attempt-header.js';
 import {type GateRequest, type GateService} from './gate-service.js';
@@ -76,7 +76,7 @@
 		this.#socket = socket;
 		this.#service = service;
 		this.#options = options;
-		this.#connection = new FrameConnection(socket, {
+		const receiver: FrameReceiver = {
 			onHead: (exchange, head, bodyBytes) => this.#onHead(exchange, head, bodyBytes),
 			onMessage: (exchange, _head, body) => {
 				this.#onCall(exchange, body);
@@ -84,7 +84,8 @@
 			onReset: (exchange) => {
 				this.#close(exchange);
 			},
-		});
+		};
+		this.#connection = new FrameConnection(socket, receiver, options.link?.pacer);
 	}
 
 	/** Number of requests that have arrived, at least in part, and whose response isn't sent yet. */
--- a/packages/redwingmill-node/src/call/link-sender.ts
+++ b/packages/redwingmill-node/src/call/link-sender.ts
@@ -1,4 +1,4 @@
-import {LinkScheduler, type ResponseLink, type Transfer} from 'redwingmill-core';
+import {LinkPacer, LinkScheduler, type ResponseLink, type Transfer} from 'redwingmill-core';
 
 /** Responses up to this size are sent at once: they hardly delay others. */
 const smallBytes = 32 * 1024;
@@ -15,12 +15,15 @@
 
 /** Sends large responses one after the other on the host's link, see {@link LinkScheduler}. */
 export class LinkSender implements ResponseLink {
+	/** Spaces the parts of responses whose sender writes them in parts. */
+	readonly pacer: LinkPacer;
 	readonly #scheduler: LinkScheduler;
 	readonly #writers = new Map<number, () => void>();
 	#timer: NodeJS.Timeout | undefined;
 
 	/** @param linkMbps - bandwidth of the host's link, above 0. */
 	constructor(linkMbps: number) {
+		this.pacer = new LinkPacer(linkMbps);
 		this.#scheduler = new LinkScheduler(linkMbps);
 	}
 
--- a/packages/redwingmill-node/src/frames/frame-connection.ts
+++ b/packages/redwingmill-node/src/frames/frame-connection.ts
@@ -25,6 +25,12 @@
 	readonly onBytes?: () => void;
 };
 
+/** Decides when the next part of a large body may be written. Times are monotonic milliseconds. */
+export type Pacer = {
+	readonly delayMs: (now: number) => number;
+	readonly onWritten: (bytes: number, now: number) => void;
+};
+
 /** A message of which a part has arrived. */
 type Incoming = {
 	readonly head: string;
@@ -47,12 +53,18 @@
 	readonly #incoming = new Map<number, Incoming>();
 	/** Callbacks of the messages whose last frame is about to be written. */
 	readonly #taken: Array<() => void> = [];
+	readonly #pacer: Pacer | undefined;
 	#isFlushing = false;
+	#isPartDelayed = false;
 
-	/** @param socket - sends what is written before it is connected once it is. */
-	constructor(socket: Socket, receiver: FrameReceiver) {
+	/**
+	 * @param socket - sends what is written before it is connected once it is.
+	 * @param pacer - spaces the parts of large bodies; absent if they are written as fast as the socket takes them.
+	 */
+	constructor(socket: Socket, receiver: FrameReceiver, pacer?: Pacer) {
 		this.#socket = socket;
 		this.#receiver = receiver;
+		this.#pacer = pacer;
 		socket.on('drain', () => {
 			this.#flush();
 		});
@@ -177,9 +189,28 @@
 		}
 	}
 
+	/** Whether the next part of a body is to be written later; if so, arranges for it. */
+	#delaysPart(): boolean {
+		const delayMs = this.#pacer?.delayMs(performance.now()) ?? 0;
+		if (delayMs > 0 && !this.#isPartDelayed) {
+			this.#isPartDelayed = true;
+			setTimeout(() => {
+				this.#isPartDelayed = false;
+				this.#flush();
+			}, Math.ceil(delayMs));
+		}
+
+		return delayMs > 0;
+	}
+
 	#flush(): void {
 		while (!this.#queue.isEmpty && !this.#socket.writableNeedDrain && !this.#socket.destroyed) {
+			if (this.#queue.hasOnlyParts && this.#delaysPart()) {
+				return;
+			}
+
 			const bytes = this.#queue.take() ?? noBytes;
+			this.#pacer?.onWritten(bytes.length, performance.now());
 			const taken = this.#taken.splice(0);
 			this.#socket.write(bytes, (error) => {
 				for (const onTaken of error ? [] : taken) {
--- a/packages/redwingmill-node/src/frames/frame-queue.ts
+++ b/packages/redwingmill-node/src/frames/frame-queue.ts
@@ -33,6 +33,11 @@
 		return this.#first.length === 0 && this.#rests.length === 0;
 	}
 
+	/** Whether only further parts of bodies are left. */
+	get hasOnlyParts(): boolean {
+		return this.#first.length === 0 && this.#rests.length > 0;
+	}
+
 	/** Adds a frame that isn't part of a message. */
 	addSignal(frame: Buffer): void {
 		this.#first.push({frame});
