Refuse part of the calls at their entry while gates refuse many

Each refusal costs two nodes an exchange, on hosts with a quarter of a core whose time the admitted calls lack; calls that runs wait for took 72 ms at first and 203 to 212 ms from 4 to 10 s, and a third of the runs that made one failed when it reached its deadline.

Each entry keeps, for each service and route, the share of calls that it sends: it rises for each call that gates admitted and falls for each that they refused for lack of capacity. The rest is refused at once, unless the own worker has a free slot, with the time to retry that gates state. Calls with a ticket and those of workers' runs are not refused.

--- a/packages/redwingmill-bench/src/simulation/even-load/even-load-simulation.ts
+++ b/packages/redwingmill-bench/src/simulation/even-load/even-load-simulation.ts
@@ -1,4 +1,5 @@
 import {
+	AdaptiveThrottle,
 	defaultGateLimits,
 	EntryCall,
 	Gate,
@@ -35,6 +36,7 @@
 	readonly dataCentre: string;
 	readonly chooser: EndpointChooser;
 	readonly budget: RetryBudget;
+	readonly throttle: AdaptiveThrottle;
 };
 
 type Snapshot = {readonly at: number; readonly loads: readonly WorkerLoad[]};
@@ -89,6 +91,7 @@
 					new Random(plan.seed * msPerSecond + index * entryCount + place),
 				),
 				budget: new RetryBudget(10_000),
+				throttle: new AdaptiveThrottle(this.#random),
 			})),
 		);
 	}
@@ -212,6 +215,7 @@
 			},
 			entry.chooser,
 			entry.budget,
+			entry.throttle,
 		);
 		let attempts = 0;
 		const perform = (action: EntryAction<string>) => {
--- a/packages/redwingmill-bench/src/simulation/load-simulation.ts
+++ b/packages/redwingmill-bench/src/simulation/load-simulation.ts
@@ -1,4 +1,5 @@
 import {
+	AdaptiveThrottle,
 	defaultGateLimits,
 	EndpointChooser,
 	EntryCall,
@@ -198,6 +199,7 @@
 	readonly dataCentre: string;
 	readonly chooser: EndpointChooser;
 	readonly budget: RetryBudget;
+	readonly throttle: AdaptiveThrottle;
 	/** Host whose node it is; absent where a data centre has one entry for all. */
 	readonly host?: Host;
 };
@@ -311,6 +313,7 @@
 			dataCentre,
 			chooser: new EndpointChooser({policy, slowStartMs: 0, dataCentre, ownNode}, random),
 			budget: new RetryBudget(10_000),
+			throttle: new AdaptiveThrottle(random),
 			host,
 		};
 	}
@@ -509,6 +512,7 @@
 			},
 			entry.chooser,
 			entry.budget,
+			request.onEnd ? undefined : entry.throttle,
 		);
 		const perform = (action: EntryAction<string>) => {
 			switch (action.type) {
--- /dev/null
+++ b/packages/redwingmill-core/src/__tests__/unit/adaptive-throttle.test.ts
@@ -0,0 +1,68 @@
+import {expect} from 'chai';
+import {Random} from 'redwingmill-shared';
+import {AdaptiveThrottle} from '../../index.js';
+
+const group = 'orders';
+/** Calls for which a gate that was idle has room at once. */
+const roomLimit = 8;
+
+/** Sends calls to gates that admit the given number a second. Returns the shares refused here and sent. */
+function play(
+	throttle: AdaptiveThrottle,
+	perSecond: number,
+	admittedPerSecond: number,
+	fromMs = 0,
+) {
+	let refused = 0;
+	let sent = 0;
+	let room = 0;
+	const calls = perSecond * 5;
+	for (let call = 0; call < calls; call += 1) {
+		const now = fromMs + (call / perSecond) * 1000;
+		room = Math.min(roomLimit, room + admittedPerSecond / perSecond);
+		if (throttle.refuses(group, now)) {
+			refused += 1;
+			continue;
+		}
+
+		sent += 1;
+		if (room >= 1) {
+			room -= 1;
+			throttle.onAdmitted(group, now);
+		} else {
+			throttle.onRefused(group, 400, now);
+		}
+	}
+
+	return {refused: refused / calls, sentPerSecond: sent / 5};
+}
+
+describe('the throttle of an entry', () => {
+	it('refuses no call while gates admit all of them', () => {
+		expect(play(new AdaptiveThrottle(new Random(1)), 100, 100).refused).to.equal(0);
+	});
+
+	it('lets hardly more calls cost an exchange than gates admit when twice as many are sent', () => {
+		const {sentPerSecond} = play(new AdaptiveThrottle(new Random(1)), 100, 50);
+		expect(sentPerSecond).to.be.within(50, 70);
+	});
+
+	it('goes on asking when gates admit nothing, and refuses nothing soon after there is room', () => {
+		const throttle = new AdaptiveThrottle(new Random(1));
+		expect(play(throttle, 100, 0).sentPerSecond).to.be.above(1);
+		play(throttle, 100, 100, 5000);
+		expect(play(throttle, 100, 100, 10_000).refused).to.equal(0);
+	});
+
+	it('refuses no calls of another group', () => {
+		const throttle = new AdaptiveThrottle(new Random(1));
+		play(throttle, 100, 0);
+		expect(throttle.refuses('others', 5000)).to.equal(false);
+	});
+
+	it('states the time to retry that gates state', () => {
+		const throttle = new AdaptiveThrottle(new Random(1));
+		play(throttle, 100, 0);
+		expect(throttle.retryAfterMs(group)).to.be.closeTo(400, 10);
+	});
+});
--- a/packages/redwingmill-core/src/__tests__/unit/entry-call.test.ts
+++ b/packages/redwingmill-core/src/__tests__/unit/entry-call.test.ts
@@ -1,6 +1,7 @@
 import {expect} from 'chai';
 import {Random} from 'redwingmill-shared';
 import {
+	AdaptiveThrottle,
 	EndpointChooser,
 	EntryCall,
 	RetryBudget,
@@ -47,7 +48,42 @@
 		chooser,
 		new RetryBudget(10_000),
 	);
-	return {call, first: call.begin(now)};
+	return {call, first: call.begin(now), chooser};
+}
+
+/** Returns a throttle whose gates have refused all calls of the group lately. */
+function fullThrottle(): AdaptiveThrottle {
+	const throttle = new AdaptiveThrottle(new Random(1));
+	for (let call = 0; call < 100; call += 1) {
+		throttle.onRefused('g', 300, now);
+	}
+
+	return throttle;
+}
+
+/** Starts a call at a node whose own worker has these calls per slot. */
+function startThrottledCall(ownCallsPerSlot: number) {
+	const own = {node: 'own', load: () => loadOf(ownCallsPerSlot)};
+	const options = {policy: 'even-load', slowStartMs: 0, dataCentre: 'dc-a', ownNode: own} as const;
+	const chooser = new EndpointChooser(options, new Random(1));
+	const endpoints = [endpointOf('own'), endpointOf('other')];
+	chooser.retain(endpoints, now);
+	const call = new EntryCall<string>(
+		{
+			group: 'g',
+			retryAllowance: {share: 0.1, slack: 5},
+			isIdempotent: true,
+			targetAt: now + 400,
+			deadlineAt: now + 1000,
+			endpoints,
+			withdraws: true,
+			maximumAttempts: 2,
+		},
+		chooser,
+		new RetryBudget(10_000),
+		fullThrottle(),
+	);
+	return call.begin(now);
 }
 
 function refusal(reason: NotRunReason, callsPerSlot: number): AttemptResult<string> {
@@ -95,3 +131,30 @@
 		expect(nodes.length).to.be.above(1);
 	});
 });
+
+describe('a call while gates refuse nearly all of its group', () => {
+	it('is refused before any gate is asked, with the time to retry that they state', () => {
+		const action = startThrottledCall(1);
+		expect(action.type === 'answer' && action).to.deep.include({attempts: 0});
+		const {outcome, retryAfterMs} = (action as Extract<EntryAction<string>, {type: 'answer'}>)
+			.answer;
+		expect(outcome).to.deep.equal({type: 'not-run', reason: 'throttled'});
+		expect(retryAfterMs).to.be.closeTo(300, 1);
+	});
+
+	it('still runs at the own worker while that has a free slot', () => {
+		const action = startThrottledCall(0.5);
+		expect(action.type === 'attempt' && action.endpoint.node).to.equal('own');
+	});
+});
+
+describe('the time of attempts on their way', () => {
+	it('is taken off the time that the gates of later calls have', () => {
+		const {call, first, chooser} = startCall({a: 0});
+		expect(first.type === 'attempt' && first.transitMs).to.equal(0);
+		const load = loadOf(0);
+		const answer = {outcome: {type: 'ran'}, load, isRetried: false, heldMs: 100} as const;
+		call.onAttempt({type: 'answered', answer}, now + 160);
+		expect(chooser.transitMsTo(endpointOf('b'))).to.be.at.least(60);
+	});
+});
--- a/packages/redwingmill-core/src/call/choice/choice-policy.ts
+++ b/packages/redwingmill-core/src/call/choice/choice-policy.ts
@@ -86,4 +86,6 @@
 /** Chooses between endpoints that are all fit to get a call. */
 export type ChoiceStrategy = {
 	choose: (inputs: ChoiceInputs) => Endpoint | undefined;
+	/** Whether the call would run at this node; absent for policies that don't prefer it. */
+	hasRoomAtOwnNode?: (inputs: ChoiceInputs) => boolean;
 };
--- a/packages/redwingmill-core/src/call/choice/even-load.ts
+++ b/packages/redwingmill-core/src/call/choice/even-load.ts
@@ -117,6 +117,11 @@
 		return chosen;
 	}
 
+	hasRoomAtOwnNode(inputs: ChoiceInputs): boolean {
+		const groupRunMs = this.#runTimes.expected(inputs.profile.group);
+		return this.#ownReplica(inputs, groupRunMs) !== undefined;
+	}
+
 	/** Returns the replica of this node if it should run the call. */
 	#ownReplica({usable, now, profile}: ChoiceInputs, groupRunMs: number): Endpoint | undefined {
 		const {ownNode} = this.#options;
--- a/packages/redwingmill-core/src/call/endpoint-chooser.ts
+++ b/packages/redwingmill-core/src/call/endpoint-chooser.ts
@@ -170,6 +170,18 @@
 		return node === this.#options.ownNode?.node ? 0 : this.#transitTimes.expectedMs;
 	}
 
+	/** Whether the worker of this node is among the endpoints and should run a new call. */
+	hasRoomAtOwnNode(endpoints: readonly Endpoint[], now: number, profile: CallProfile): boolean {
+		const {ownNode} = this.#options;
+		const own = ownNode && endpoints.find(({node}) => node === ownNode.node);
+		if (own === undefined || this.#notices.isLeaving(own)) {
+			return false;
+		}
+
+		const strategy = this.#knowsHostTimes(endpoints) ? this.#evenLoad : this.#strategy;
+		return strategy.hasRoomAtOwnNode?.({usable: endpoints, hasLocal: true, now, profile}) ?? false;
+	}
+
 	/** Returns why the endpoint was chosen last; undefined under policies that give no reason. */
 	reasonOf(endpoint: Endpoint): ChoiceReason | undefined {
 		return this.#states.of(endpoint).choiceReason;
--- a/packages/redwingmill-core/src/call/entry-call.ts
+++ b/packages/redwingmill-core/src/call/entry-call.ts
@@ -1,7 +1,8 @@
 import {invariant} from 'redwingmill-shared';
 import {type Endpoint} from '../model/routing-table.js';
+import {type AdaptiveThrottle} from './adaptive-throttle.js';
 import {type Answer} from './call-ledger.js';
-import {type ChoiceReason} from './choice/choice-policy.js';
+import {type CallProfile, type ChoiceReason} from './choice/choice-policy.js';
 import {type EndpointChooser} from './endpoint-chooser.js';
 import {isTransient, type NotRunReason, type Outcome, type UnknownReason} from './outcome.js';
 import {type KnownLimit, type ReportedNotice} from './reported-notices.js';
@@ -136,6 +137,7 @@
 	readonly #options: EntryCallOptions;
 	readonly #chooser: EndpointChooser;
 	readonly #budget: RetryBudget;
+	readonly #throttle: AdaptiveThrottle | undefined;
 	readonly #triedNodes = new Set<string>();
 	#endpoint: Endpoint | undefined;
 	/** When the attempt in progress was begun. */
@@ -154,16 +156,28 @@
 	/** Lowest occupancy of a worker whose gate has refused the call for it, see `EndpointChooser`. */
 	#refusedAt: number | undefined;
 
-	constructor(options: EntryCallOptions, chooser: EndpointChooser, budget: RetryBudget) {
+	/** @param throttle - may refuse the call before any gate is asked; absent if nothing may. */
+	constructor(
+		options: EntryCallOptions,
+		chooser: EndpointChooser,
+		budget: RetryBudget,
+		throttle?: AdaptiveThrottle,
+	) {
 		this.#options = options;
 		this.#chooser = chooser;
 		this.#budget = budget;
+		this.#throttle = throttle;
 	}
 
 	/** Returns the first action. */
 	begin(now: number): EntryAction<Payload> {
 		this.#budget.recordFirstAttempt(now);
-		return this.#attempt(now) ?? this.#refuse('no-endpoint', noEndpointRetryMs);
+		const {group} = this.#options;
+		if (this.#throttle && !this.#hasRoomAtOwnNode(now) && this.#throttle.refuses(group, now)) {
+			return this.#refuse('throttled', this.#throttle.retryAfterMs(group), now);
+		}
+
+		return this.#attempt(now) ?? this.#refuse('no-endpoint', noEndpointRetryMs, now);
 	}
 
 	/** Returns the action after an attempt has ended. */
@@ -181,7 +195,7 @@
 				this.#chooser.onFailure(endpoint, now);
 				if (this.#options.pinned) {
 					// An earlier attempt with the same ticket may have run at this gate.
-					return this.#final({outcome: {type: 'unknown', reason: 'gate-gone'}});
+					return this.#final({outcome: {type: 'unknown', reason: 'gate-gone'}}, now);
 				}
 
 				return this.#onNotRun(
@@ -260,7 +274,7 @@
 			case 'ran': {
 				this.#chooser.onSuccess(this.#currentEndpoint());
 				this.#chooser.onRunTime(this.#currentEndpoint(), this.#options.group, answer.ranMs);
-				return this.#final(answer);
+				return this.#final(answer, now);
 			}
 
 			case 'not-run': {
@@ -268,7 +282,7 @@
 					this.#chooser.onFailure(this.#currentEndpoint(), now);
 				}
 
-				return answer.isRetried ? this.#final(answer) : this.#onNotRun(answer, now);
+				return answer.isRetried ? this.#final(answer, now) : this.#onNotRun(answer, now);
 			}
 
 			case 'unknown': {
@@ -277,7 +291,9 @@
 					this.#chooser.onFailure(this.#currentEndpoint(), now);
 				}
 
-				return answer.isRetried ? this.#final(answer) : this.#onUnknown(answer.outcome.reason, now);
+				return answer.isRetried
+					? this.#final(answer, now)
+					: this.#onUnknown(answer.outcome.reason, now);
 			}
 		}
 	}
@@ -296,11 +312,11 @@
 
 		this.#hasOnlyLackedCapacity &&= reason !== undefined && capacityReasons.has(reason);
 		if (!mayRetry || isQuarantined) {
-			return this.#final(answer);
+			return this.#final(answer, now);
 		}
 
 		const retry = hasReachedWorker ? this.#tryAnotherWorker(now) : this.#tryAnotherGate(now);
-		return retry ?? this.#final({...answer, retryAfterMs: this.#retryAfterMs});
+		return retry ?? this.#final({...answer, retryAfterMs: this.#retryAfterMs}, now);
 	}
 
 	/** Handles an attempt that may have run, after which only idempotent calls are retried. */
@@ -308,7 +324,7 @@
 		this.#unknownReason ??= reason;
 		this.#hasOnlyLackedCapacity = false;
 		const retry = this.#options.isIdempotent ? this.#tryAnotherWorker(now) : undefined;
-		return retry ?? this.#final({outcome: {type: 'unknown', reason}});
+		return retry ?? this.#final({outcome: {type: 'unknown', reason}}, now);
 	}
 
 	/** Tries another worker, within the retry budget since one may have been reached already. */
@@ -360,14 +376,23 @@
 		return pinned === undefined && fallback.some(({node}) => !this.#triedNodes.has(node));
 	}
 
-	#attempt(now: number): EntryAction<Payload> | undefined {
-		const {pinned, fallback, group, bytes} = this.#options;
-		const endpoints = (this.#attempts > 0 ? fallback : undefined) ?? this.#options.endpoints;
+	#hasRoomAtOwnNode(now: number): boolean {
+		return this.#chooser.hasRoomAtOwnNode(this.#options.endpoints, now, this.#profile);
+	}
+
+	get #profile(): CallProfile {
+		const {group, bytes} = this.#options;
 		// After a failure the call goes wherever it can run. Otherwise the target decides whether a remote
 		// endpoint is worth its cost.
 		const targetAt = this.#hasOnlyLackedCapacity ? this.#options.targetAt : undefined;
-		const profile = {group, targetAt, bytes, refusedAt: this.#refusedAt};
-		const endpoint = pinned ?? this.#chooser.choose(endpoints, this.#triedNodes, now, profile);
+		return {group, targetAt, bytes, refusedAt: this.#refusedAt};
+	}
+
+	#attempt(now: number): EntryAction<Payload> | undefined {
+		const {pinned, fallback} = this.#options;
+		const endpoints = (this.#attempts > 0 ? fallback : undefined) ?? this.#options.endpoints;
+		const endpoint =
+			pinned ?? this.#chooser.choose(endpoints, this.#triedNodes, now, this.#profile);
 		if (endpoint === undefined) {
 			return undefined;
 		}
@@ -388,13 +413,26 @@
 		};
 	}
 
-	#refuse(reason: NotRunReason, retryAfterMs: number): EntryAction<Payload> {
+	#refuse(reason: NotRunReason, retryAfterMs: number, now: number): EntryAction<Payload> {
 		const outcome: Outcome = {type: 'not-run', reason};
-		return this.#final({outcome, retryAfterMs});
+		return this.#final({outcome, retryAfterMs}, now);
 	}
 
-	#final(answer: Answer<Payload>): EntryAction<Payload> {
+	#recordAdmission({outcome, retryAfterMs}: Answer<Payload>, now: number): void {
+		const {group} = this.#options;
+		if (outcome.type === 'not-run' && capacityReasons.has(outcome.reason)) {
+			this.#throttle?.onRefused(group, retryAfterMs, now);
+		} else {
+			this.#throttle?.onAdmitted(group, now);
+		}
+	}
+
+	#final(answer: Answer<Payload>, now: number): EntryAction<Payload> {
 		const attempts = this.#attempts;
+		if (attempts > 0) {
+			this.#recordAdmission(answer, now);
+		}
+
 		if (this.#unknownReason !== undefined && answer.outcome.type === 'not-run') {
 			const outcome: Outcome = {type: 'unknown', reason: this.#unknownReason};
 			return {type: 'answer', answer: {...answer, outcome}, attempts};
--- a/packages/redwingmill-core/src/index.ts
+++ b/packages/redwingmill-core/src/index.ts
@@ -62,6 +62,7 @@
 export {EndpointStates, type EndpointState} from './call/choice/endpoint-state.js';
 export {expectedCompletionMs} from './call/expected-completion.js';
 export {EndpointChooser} from './call/endpoint-chooser.js';
+export * from './call/adaptive-throttle.js';
 export * from './call/entry-call.js';
 export * from './call/gate.js';
 export type * from './call/gate-call.js';
--- a/packages/redwingmill-node/src/call/entry-service.ts
+++ b/packages/redwingmill-node/src/call/entry-service.ts
@@ -1,4 +1,5 @@
 import {
+	AdaptiveThrottle,
 	allowanceOfNode,
 	EndpointChooser,
 	EntryCall,
@@ -103,6 +104,7 @@
 	readonly #client: GateClient;
 	readonly #metrics: Metrics;
 	readonly #random: Random;
+	readonly #throttles = new Map<string, AdaptiveThrottle>();
 	readonly #budgets = new Map<string, RetryBudget>();
 	readonly #splitChooser: SplitChooser;
 	/** Absent where operators order no rollouts. */
@@ -169,6 +171,12 @@
 		this.#endpointsByNode = new Map(endpoints.map((endpoint) => [endpoint.node, endpoint]));
 		this.#client.retain(new Set(endpoints.map((endpoint) => endpoint.gateAddress)));
 		this.#splitChooser.retain(routing.routes.map(({route}) => route));
+		for (const service of this.#throttles.keys()) {
+			if (!routing.endpoints.has(service)) {
+				this.#throttles.delete(service);
+			}
+		}
+
 		for (const [service, budget] of this.#budgets) {
 			// A later configuration may have the service again.
 			if (!routing.endpoints.has(service) && budget.isUnusedAt(now)) {
@@ -426,12 +434,14 @@
 	}
 
 	#newCall(
-		{request, route, targetAt, deadlineAt}: CallerCall,
+		{request, route, workspace, targetAt, deadlineAt}: CallerCall,
 		service: string,
 		pinned: Endpoint | undefined,
 	): EntryCall<Payload> {
 		const {withdraws, maximumAttempts, meshRetrySlack} = this.#settings.calls;
 		const {idempotent} = route;
+		// Without a workspace it is a call of a worker, one of whose slots waits for it.
+		const mayBeThrottled = pinned === undefined && (workspace !== undefined || !this.hasWorkspaces);
 		return new EntryCall(
 			{
 				group: route.path,
@@ -451,6 +461,7 @@
 			},
 			this.#chooser,
 			this.#budgetOf(service),
+			mayBeThrottled ? this.#throttleOf(service) : undefined,
 		);
 	}
 
@@ -479,6 +490,12 @@
 		return {node: address, gateAddress, dataCentre, incarnation, service, slots, worker: identity};
 	}
 
+	#throttleOf(service: string): AdaptiveThrottle {
+		const throttle = this.#throttles.get(service) ?? new AdaptiveThrottle(this.#random);
+		this.#throttles.set(service, throttle);
+		return throttle;
+	}
+
 	#budgetOf(service: string): RetryBudget {
 		const existing = this.#budgets.get(service);
 		if (existing) {
