--- a/packages/redwingmill-core/src/call/endpoint-chooser.ts
+++ b/packages/redwingmill-core/src/call/endpoint-chooser.ts
@@ -165,9 +165,14 @@
 		this.#transitTimes.record(transitMs);
 	}
 
-	/** Returns how long an attempt is expected to be on its way there and back, in milliseconds. */
+	/** Expected time of an attempt on its way to the gate of another node and back, in milliseconds. */
+	get transitMs(): number {
+		return this.#transitTimes.expectedMs;
+	}
+
+	/** Returns the same for the gate of an endpoint, which may be in this process. */
 	transitMsTo({node}: Endpoint): number {
-		return node === this.#options.ownNode?.node ? 0 : this.#transitTimes.expectedMs;
+		return node === this.#options.ownNode?.node ? 0 : this.transitMs;
 	}
 
 	/** Whether the worker of this node is among the endpoints and should run a new call. */
--- a/packages/redwingmill-node/src/call/entry-service.ts
+++ b/packages/redwingmill-node/src/call/entry-service.ts
@@ -204,6 +204,11 @@
 		}
 	}
 
+	/** Expected time of a call on its way to the gate of another node and back, in milliseconds. */
+	get transitMs(): number {
+		return this.#chooser.transitMs;
+	}
+
 	/** How unevenly the replicas of each service in this data centre are loaded, see `EndpointChooser`. */
 	get busyShareSpreads(): ReadonlyMap<string, number> {
 		const spreads = new Map<string, number>();
--- a/packages/redwingmill-node/src/daemon.ts
+++ b/packages/redwingmill-node/src/daemon.ts
@@ -438,6 +438,7 @@
 			workerRequests: this.#gate.sentCount,
 			workerLimitPerSecond: this.#gate.limitPerSecond ?? Number.POSITIVE_INFINITY,
 			eventLoopDelaySeconds: this.#eventLoopDelay.meanMs / msPerSecond,
+			transitSeconds: this.#entry.transitMs / msPerSecond,
 			processorSeconds: processorSecondsOf(process.cpuUsage()),
 			taskSeconds: this.#eventLoopDelay.taskSeconds,
 			isRelay,
--- a/packages/redwingmill-node/src/observe/metrics-page.ts
+++ b/packages/redwingmill-node/src/observe/metrics-page.ts
@@ -201,6 +201,11 @@
 				'Mean time for which events wait for their turn in this process.',
 				(values) => values.eventLoopDelaySeconds,
 			],
+			[
+				'transit_seconds',
+				'Expected time of a call on its way to the gate of another node and back; 0 before the first answer.',
+				(values) => values.transitSeconds,
+			],
 			[
 				'is_relay',
 				'1 if this node is the relay of its data centre, otherwise 0.',
--- a/packages/redwingmill-node/src/observe/metrics.ts
+++ b/packages/redwingmill-node/src/observe/metrics.ts
@@ -14,6 +14,8 @@
 	readonly workerLimitPerSecond: number;
 	/** Mean time for which events wait for their turn in this process. */
 	readonly eventLoopDelaySeconds: number;
+	/** Expected time of a call on its way to the gate of another node and back. */
+	readonly transitSeconds: number;
 	/** Processor time of this process since its start. */
 	readonly processorSeconds: number;
 	/** Time spent in control tasks since the start, by task. */
