--- a/packages/redwingmill-node/src/__tests__/unit/entry-service.test.ts
+++ b/packages/redwingmill-node/src/__tests__/unit/entry-service.test.ts
@@ -18,7 +18,7 @@
 	methods: [],
 	idempotent: ['*'],
 	rank: 1,
-	deadlineMs: 600_000,
+	deadlineMs: 60_000,
 	targetMs: 30_000,
 	retryShare: 0.1,
 };
@@ -56,13 +56,15 @@
 		nodeCount: 2,
 		routing,
 	};
-	const gate: Pick<GateService, 'load' | 'submit'> = {
+	const gate: Pick<GateService, 'load' | 'submit' | 'cancel'> = {
 		load,
+		cancel: () => undefined,
 		submit(_request: GateRequest) {
 			nodes.push(ownNode);
 		},
 	};
-	const client: Pick<GateClient, 'send'> = {
+	const client: Pick<GateClient, 'send' | 'cancel'> = {
+		cancel: () => undefined,
 		send({endpoint}: Attempt) {
 			nodes.push(endpoint.node);
 			return {abort: () => undefined};
@@ -96,6 +98,7 @@
 		entry.begin(callAt(performance.now()), () => undefined);
 	}
 
+	entry.stopCalls();
 	return nodes;
 }
 
