--- a/packages/redwingmill-core/src/__tests__/unit/entry-call.test.ts
+++ b/packages/redwingmill-core/src/__tests__/unit/entry-call.test.ts
@@ -24,17 +24,14 @@
 	return {callsPerSlot, waitMs: 0, runMs: 100, failureShare: 0};
 }
 
-/** Starts a call among replicas whose gates have just reported these calls per slot. */
-function startCall(callsPerSlot: Readonly<Record<string, number>>) {
-	const options = {policy: 'even-load', slowStartMs: 0, dataCentre: 'dc-a'} as const;
-	const chooser = new EndpointChooser(options, new Random(1));
-	const endpoints = Object.keys(callsPerSlot).map((node) => endpointOf(node));
+/** Returns a new call among these endpoints. */
+function newCall(
+	chooser: EndpointChooser,
+	endpoints: readonly Endpoint[],
+	throttle?: AdaptiveThrottle,
+): EntryCall<string> {
 	chooser.retain(endpoints, now);
-	for (const endpoint of endpoints) {
-		chooser.onLoad(endpoint, loadOf(callsPerSlot[endpoint.node]), now);
-	}
-
-	const call = new EntryCall<string>(
+	return new EntryCall<string>(
 		{
 			group: 'g',
 			retryAllowance: {share: 0.1, slack: 5},
@@ -47,7 +44,20 @@
 		},
 		chooser,
 		new RetryBudget(10_000),
+		throttle,
 	);
+}
+
+/** Starts a call among replicas whose gates have just reported these calls per slot. */
+function startCall(callsPerSlot: Readonly<Record<string, number>>) {
+	const options = {policy: 'even-load', slowStartMs: 0, dataCentre: 'dc-a'} as const;
+	const chooser = new EndpointChooser(options, new Random(1));
+	const endpoints = Object.keys(callsPerSlot).map((node) => endpointOf(node));
+	const call = newCall(chooser, endpoints);
+	for (const endpoint of endpoints) {
+		chooser.onLoad(endpoint, loadOf(callsPerSlot[endpoint.node]), now);
+	}
+
 	return {call, first: call.begin(now), chooser};
 }
 
@@ -67,23 +77,7 @@
 	const options = {policy: 'even-load', slowStartMs: 0, dataCentre: 'dc-a', ownNode: own} as const;
 	const chooser = new EndpointChooser(options, new Random(1));
 	const endpoints = [endpointOf('own'), endpointOf('other')];
-	chooser.retain(endpoints, now);
-	const call = new EntryCall<string>(
-		{
-			group: 'g',
-			retryAllowance: {share: 0.1, slack: 5},
-			isIdempotent: true,
-			targetAt: now + 400,
-			deadlineAt: now + 1000,
-			endpoints,
-			withdraws: true,
-			maximumAttempts: 2,
-		},
-		chooser,
-		new RetryBudget(10_000),
-		fullThrottle(),
-	);
-	return call.begin(now);
+	return newCall(chooser, endpoints, fullThrottle()).begin(now);
 }
 
 function refusal(reason: NotRunReason, callsPerSlot: number): AttemptResult<string> {
