Throttle the workspaces that send most

The throttle still decides how many calls are refused, now by the rank of their workspaces, and water-filling whose: a workspace that sends less than the common limit is never refused. The simulation tells entries of workspaces only where gates know them.

--- a/packages/redwingmill-bench/src/simulation/load-simulation.ts
+++ b/packages/redwingmill-bench/src/simulation/load-simulation.ts
@@ -500,6 +500,7 @@
 		const call = new EntryCall<string>(
 			{
 				group: callClass.group ?? callClass.name,
+				...(this.#knowsScarcity && {workspace: callClass.workspace}),
 				bytes: this.#plan.weighsBytes ? callClass.bytes : undefined,
 				retryAllowance: {share: 0.1, slack: 5},
 				isBulk: callClass.isBulk,
--- a/packages/redwingmill-core/src/__tests__/unit/adaptive-throttle.test.ts
+++ b/packages/redwingmill-core/src/__tests__/unit/adaptive-throttle.test.ts
@@ -2,7 +2,7 @@
 import {Random} from 'redwingmill-shared';
 import {AdaptiveThrottle} from '../../index.js';
 
-const group = 'orders';
+const orders = {group: 'orders'};
 /** Calls for which a gate that was idle has room at once. */
 const roomLimit = 8;
 
@@ -20,7 +20,7 @@
 	for (let call = 0; call < calls; call += 1) {
 		const now = fromMs + (call / perSecond) * 1000;
 		room = Math.min(roomLimit, room + admittedPerSecond / perSecond);
-		if (throttle.refuses(group, now)) {
+		if (throttle.refuses(orders, now)) {
 			refused += 1;
 			continue;
 		}
@@ -28,9 +28,9 @@
 		sent += 1;
 		if (room >= 1) {
 			room -= 1;
-			throttle.onAdmitted(group, now);
+			throttle.onAdmitted(orders, now);
 		} else {
-			throttle.onRefused(group, 400, now);
+			throttle.onRefused(orders, 400, now);
 		}
 	}
 
@@ -57,12 +57,35 @@
 	it('refuses no calls of another group', () => {
 		const throttle = new AdaptiveThrottle(new Random(1));
 		play(throttle, 100, 0);
-		expect(throttle.refuses('others', 5000)).to.equal(false);
+		expect(throttle.refuses({group: 'others'}, 5000)).to.equal(false);
 	});
 
 	it('states the time to retry that gates state', () => {
 		const throttle = new AdaptiveThrottle(new Random(1));
 		play(throttle, 100, 0);
-		expect(throttle.retryAfterMs(group)).to.be.closeTo(400, 10);
+		expect(throttle.retryAfterMs(orders)).to.be.closeTo(400, 10);
+	});
+
+	it('refuses calls of the workspace that sends most, not those of the others', () => {
+		const throttle = new AdaptiveThrottle(new Random(1));
+		const refused = {hot: 0, calm: 0};
+		let room = 0;
+		for (let now = 0; now < 5000; now += 10) {
+			// Every tenth call is of the calm workspace; gates have room for half of all.
+			const name = now % 100 === 0 ? 'calm' : 'hot';
+			const call = {group: 'orders', workspace: {name, rank: 1}};
+			room = Math.min(roomLimit, room + 0.5);
+			if (throttle.refuses(call, now)) {
+				refused[name] += 1;
+			} else if (room >= 1) {
+				room -= 1;
+				throttle.onAdmitted(call, now);
+			} else {
+				throttle.onRefused(call, 400, now);
+			}
+		}
+
+		expect(refused.hot).to.be.above(100);
+		expect(refused.calm).to.equal(0);
 	});
 });
--- a/packages/redwingmill-core/src/__tests__/unit/entry-call.test.ts
+++ b/packages/redwingmill-core/src/__tests__/unit/entry-call.test.ts
@@ -65,7 +65,7 @@
 function fullThrottle(): AdaptiveThrottle {
 	const throttle = new AdaptiveThrottle(new Random(1));
 	for (let call = 0; call < 100; call += 1) {
-		throttle.onRefused('g', 300, now);
+		throttle.onRefused({group: 'g'}, 300, now);
 	}
 
 	return throttle;
--- a/packages/redwingmill-core/src/call/entry-call.ts
+++ b/packages/redwingmill-core/src/call/entry-call.ts
@@ -1,6 +1,6 @@
 import {invariant} from 'redwingmill-shared';
 import {type Endpoint} from '../model/routing-table.js';
-import {type AdaptiveThrottle} from './adaptive-throttle.js';
+import {type AdaptiveThrottle, type ThrottledCall} from './adaptive-throttle.js';
 import {type Answer} from './call-ledger.js';
 import {type CallProfile, type ChoiceReason} from './choice/choice-policy.js';
 import {type EndpointChooser} from './endpoint-chooser.js';
@@ -69,9 +69,7 @@
 	| {readonly type: 'answer'; readonly answer: Answer<Payload>; readonly attempts: number};
 
 /** Options of a call at its entry node. */
-export type EntryCallOptions = {
-	/** Identifies calls with similar run times. */
-	readonly group: string;
+export type EntryCallOptions = ThrottledCall & {
 	/** Size of the request and its expected answer; absent when it doesn't count. */
 	readonly bytes?: number;
 	/** Whether the answer is so large that it is scheduled by the host's link. */
@@ -172,9 +170,9 @@
 	/** Returns the first action. */
 	begin(now: number): EntryAction<Payload> {
 		this.#budget.recordFirstAttempt(now);
-		const {group} = this.#options;
-		if (this.#throttle && !this.#hasRoomAtOwnNode(now) && this.#throttle.refuses(group, now)) {
-			return this.#refuse('throttled', this.#throttle.retryAfterMs(group), now);
+		const throttle = this.#hasRoomAtOwnNode(now) ? undefined : this.#throttle;
+		if (throttle?.refuses(this.#options, now)) {
+			return this.#refuse('throttled', throttle.retryAfterMs(this.#options), now);
 		}
 
 		return this.#attempt(now) ?? this.#refuse('no-endpoint', noEndpointRetryMs, now);
@@ -419,11 +417,10 @@
 	}
 
 	#recordAdmission({outcome, retryAfterMs}: Answer<Payload>, now: number): void {
-		const {group} = this.#options;
 		if (outcome.type === 'not-run' && capacityReasons.has(outcome.reason)) {
-			this.#throttle?.onRefused(group, retryAfterMs, now);
+			this.#throttle?.onRefused(this.#options, retryAfterMs, now);
 		} else {
-			this.#throttle?.onAdmitted(group, now);
+			this.#throttle?.onAdmitted(this.#options, now);
 		}
 	}
 
--- a/packages/redwingmill-node/src/call/entry-service.ts
+++ b/packages/redwingmill-node/src/call/entry-service.ts
@@ -450,6 +450,7 @@
 		return new EntryCall(
 			{
 				group: route.path,
+				workspace,
 				bytes: (request.body?.length ?? 0) + this.#responseBytes.expected(route.path),
 				isBulk: route.isBulk,
 				retryAllowance: allowanceOfNode(
