Read of the diff: own node only looked at for throttled calls, one constant for link rates

Calls that no throttle may refuse no longer scan the endpoints for the own worker twice. LinkPacer uses the constant of LinkScheduler, formatAnswer writes its last two fields without a list in between, and the simulation no longer handles a single entry apart from many, as Random.below(1) draws nothing.

--- a/packages/redwingmill-bench/src/simulation/load-simulation.ts
+++ b/packages/redwingmill-bench/src/simulation/load-simulation.ts
@@ -453,8 +453,7 @@
 		this.#clock.after(-Math.log(1 - this.#random.fraction()) * meanMs, () => {
 			this.#meter.onAsked(callClass);
 			const {now} = this.#clock;
-			const [first] = entries;
-			const entry = entries.length === 1 ? first : entries[this.#random.below(entries.length)];
+			const entry = entries[this.#random.below(entries.length)];
 			this.#begin(this.#presentEntry(entry), {
 				callClass,
 				arrivedAt: now,
--- a/packages/redwingmill-core/src/call/entry-call.ts
+++ b/packages/redwingmill-core/src/call/entry-call.ts
@@ -170,8 +170,8 @@
 	/** Returns the first action. */
 	begin(now: number): EntryAction<Payload> {
 		this.#budget.recordFirstAttempt(now);
-		const throttle = this.#hasRoomAtOwnNode(now) ? undefined : this.#throttle;
-		if (throttle?.refuses(this.#options, now)) {
+		const throttle = this.#throttle;
+		if (throttle && !this.#hasRoomAtOwnNode(now) && throttle.refuses(this.#options, now)) {
 			return this.#refuse('throttled', throttle.retryAfterMs(this.#options), now);
 		}
 
--- a/packages/redwingmill-core/src/call/link-pacer.ts
+++ b/packages/redwingmill-core/src/call/link-pacer.ts
@@ -1,5 +1,5 @@
-/** Bytes that a link of one Mbit/s carries in a millisecond. */
-const bytesPerMsAtOneMbps = 125;
+import {bytesPerMsAtOneMbps} from './link-scheduler.js';
+
 /** Time for which the link may have bytes to send beyond those that are being written. */
 const leadMs = 4;
 /** Time that a writer may have been late and still makes up for. */
--- a/packages/redwingmill-core/src/call/link-scheduler.ts
+++ b/packages/redwingmill-core/src/call/link-scheduler.ts
@@ -17,7 +17,7 @@
 };
 
 /** Bytes that a link of one Mbit/s carries in a millisecond. */
-const bytesPerMsAtOneMbps = 125;
+export const bytesPerMsAtOneMbps = 125;
 /**
  * Multiple of the time on the link after which a response that the socket hasn't taken no longer holds the
  * link: its receiver is slower than the link, and the rest is free for others.
--- a/packages/redwingmill-node/src/call/answer-header.ts
+++ b/packages/redwingmill-node/src/call/answer-header.ts
@@ -32,9 +32,8 @@
 		outcome.type === 'ran' ? '' : outcome.reason,
 		...numbers.map((number) => formatNumber(number)),
 	];
-	const lastNumbers = heldMs === undefined ? [hostTime] : [hostTime, heldMs];
-	const hasLastNumbers = hostTime !== undefined || heldMs !== undefined;
-	if (notice !== undefined || allowance !== undefined || hasLastNumbers) {
+	const hasLaterFields = hostTime !== undefined || heldMs !== undefined;
+	if (notice !== undefined || allowance !== undefined || hasLaterFields) {
 		fields.push(
 			encodeURIComponent(notice?.worker ?? ''),
 			formatNumber(notice?.limitPerSecond),
@@ -44,8 +43,12 @@
 		);
 	}
 
-	if (hasLastNumbers) {
-		fields.push(...lastNumbers.map((number) => formatNumber(number)));
+	if (hasLaterFields) {
+		fields.push(formatNumber(hostTime));
+	}
+
+	if (heldMs !== undefined) {
+		fields.push(formatNumber(heldMs));
 	}
 
 	return fields.join(separator);
