Bound what endless messages of workers and callers cost a node

What callers saw: a faulty worker that sends chunks of one byte without end ended the process of the node beside it (out of memory at the deployed heap), and the requests of its other callers with it. A caller that does the same in a request body, or that pipelines requests without reading answers, ended the node as well.

Cause: each chunk was kept as an object of its own, of which only the payload counted; bytes that an HTTP parser reports to nobody (empty lines, chunk extensions, zeros before a size, interim responses) had no bound; pipelined requests had none either. undici creates an error for each header line over its limit, which held the process up for 100 ms.

Change: BodyBuffer keeps small chunks together; FramingMeter bounds the bytes of a message besides its body, for responses of workers, the store and other nodes' configuration, and for chunked requests; ByteBudget bounds what is received beside each other, but receives small messages in any case; connections with many open requests are paused, then closed. Callers of a refused body get 503, reason `entry-full`.

--- a/packages/redwingmill-node/src/call/entry-server.ts
+++ b/packages/redwingmill-node/src/call/entry-server.ts
@@ -17,7 +17,7 @@
 } from './entry-service.js';
 import {forwardedHeaders, headerNames, numberHeader, textHeader} from './headers.js';
 import {type LinkSender} from './link-sender.js';
-import {OpenRequests, type OpenRequest} from './open-requests.js';
+import {OpenRequests, type OpenRequest, type PipelineLimits} from './open-requests.js';
 import {readConnectedRequest} from './read-request.js';
 
 /** Path at which callers request tickets; the `path` parameter selects the route. */
@@ -37,6 +37,9 @@
 const closingCheckIntervalMs = 20;
 /** Retry delay for calls refused during a stop, after which the node may have restarted. */
 const restartRetryMs = 500;
+/** Retry delay for calls refused for lack of room for their bodies. */
+const entryFullRetryMs = 500;
+const pipelineLimits: PipelineLimits = {pauseAt: 32, closeAt: 256};
 /** Time for a caller to read the response to a malformed request. */
 const malformedLingerMs = 500;
 /** Added to the idle time-out that callers expect, for requests sent just before it passes. */
@@ -71,7 +74,7 @@
 	readonly #options: EntryServerOptions;
 	#bodyLimitBytes: number;
 	#headerLimitBytes = defaultHeaderBytes;
-	readonly #openRequests = new OpenRequests();
+	readonly #openRequests = new OpenRequests(pipelineLimits);
 	/** Calls whose body is arriving. */
 	readonly #arriving = new Set<Arrival>();
 	/** Monotonic milliseconds at which a stop no longer waits for calls; undefined while there is no stop. */
@@ -258,7 +261,7 @@
 		{route, workspace}: Extract<RouteLookup, {type: 'found'}>,
 		startedAt: number,
 	): void {
-		const {request, response} = arrival;
+		const {request} = arrival;
 		if (!this.#canEnd(route)) {
 			this.#service.refundQuota(workspace);
 			this.#refuseDuringStop(arrival, startedAt);
@@ -306,12 +309,14 @@
 				}
 
 				case 'too-large': {
-					const outcome = refusalOf(request, 'body-too-large');
 					this.#service.refundQuota(workspace);
-					// The rest of the body is never read, so nothing can follow on this connection.
-					arrival.open.closeConnection();
-					response.setHeader('connection', 'close');
-					this.#respond(arrival, {outcome, isRetried: false}, startedAt);
+					this.#refuseUnread(arrival, 'body-too-large', startedAt);
+					break;
+				}
+
+				case 'no-room': {
+					this.#service.refundQuota(workspace);
+					this.#refuseUnread(arrival, 'entry-full', startedAt, entryFullRetryMs);
 					break;
 				}
 
@@ -324,6 +329,20 @@
 		});
 	}
 
+	/** Refuses a call whose body isn't read to its end, so that nothing can follow on its connection. */
+	#refuseUnread(
+		arrival: Arrival,
+		reason: NotRunReason,
+		startedAt: number,
+		retryAfterMs?: number,
+	): void {
+		const {request, response, open} = arrival;
+		const outcome = refusalOf(request, reason);
+		open.closeConnection();
+		response.setHeader('connection', 'close');
+		this.#respond(arrival, {outcome, retryAfterMs, isRetried: false}, startedAt);
+	}
+
 	#begin(
 		arrival: Arrival,
 		body: Buffer | undefined,
--- a/packages/redwingmill-node/src/call/exchange.ts
+++ b/packages/redwingmill-node/src/call/exchange.ts
@@ -1,11 +1,12 @@
-import {Buffer} from 'node:buffer';
+import {type Buffer} from 'node:buffer';
 import {type IncomingHttpHeaders} from 'node:http';
 import {type Dispatcher} from 'undici';
 import {AbortedExchangeError} from '../errors.js';
-import {releaseBytes, reserveBytes} from './buffered-bytes.js';
+import {BodyBuffer} from '../body-buffer.js';
+import {responseBudget} from './byte-budget.js';
 import {forwardedHeaders} from './headers.js';
+import {isFirstOnConnection} from './http-pool.js';
 import {type CallRequest, type Payload} from './payload.js';
-import {isFirstOnConnection} from './worker-pool.js';
 
 /** Result of an HTTP exchange. */
 export type ExchangeResult =
@@ -129,8 +130,7 @@
 	readonly #isMatching: (status: number, headers: IncomingHttpHeaders) => boolean;
 	readonly #abandoned: AbortSignal | undefined;
 	#controller: Dispatcher.DispatchController | undefined;
-	#chunks: Buffer[] = [];
-	#bytes = 0;
+	readonly #body = new BodyBuffer();
 	#status = 0;
 	#headers: IncomingHttpHeaders = {};
 	#isFinished = false;
@@ -195,22 +195,19 @@
 			return;
 		}
 
-		this.#bytes += chunk.length;
-		if (!reserveBytes(chunk.length) || this.#bytes > this.#limitBytes) {
+		this.#body.append(chunk);
+		const {bytes} = this.#body;
+		if (!responseBudget.reserve(chunk.length, bytes) || bytes > this.#limitBytes) {
 			this.#finish({type: 'too-large'});
 			controller.abort(new AbortedExchangeError(`The response exceeds ${this.#limitBytes} bytes`));
-			return;
 		}
-
-		this.#chunks.push(chunk);
 	}
 
 	onResponseEnd(): void {
-		const body = this.#chunks.length === 1 ? this.#chunks[0] : Buffer.concat(this.#chunks);
 		const headers = forwardedHeaders(this.#headers);
 		this.#finish({
 			type: 'complete',
-			payload: {status: this.#status, headers, body},
+			payload: {status: this.#status, headers, body: this.#body.toBuffer()},
 			headers: this.#headers,
 		});
 	}
@@ -225,9 +222,8 @@
 	#finish(result: ExchangeResult): void {
 		if (!this.#isFinished) {
 			this.#isFinished = true;
-			this.#chunks = [];
-			releaseBytes(this.#bytes);
-			this.#bytes = 0;
+			responseBudget.release(this.#body.bytes);
+			this.#body.clear();
 			this.#onResult(result);
 		}
 	}
--- a/packages/redwingmill-node/src/call/gate-service.ts
+++ b/packages/redwingmill-node/src/call/gate-service.ts
@@ -24,9 +24,9 @@
 import {EvidenceCounter} from './evidence-counter.js';
 import {beginExchange, type Exchange, type ExchangeResult} from './exchange.js';
 import {fingerprintOf} from './fingerprint.js';
+import {createWorkerPool} from './http-pool.js';
 import {isAlive} from './is-alive.js';
 import {type CallRequest, type Payload} from './payload.js';
-import {createWorkerPool} from './worker-pool.js';
 import {type WorkerProtocol, type WorkerResponseClass} from './worker-protocol.js';
 
 /** A call submitted to the gate, with the caller's request. */
--- a/packages/redwingmill-node/src/call/open-requests.ts
+++ b/packages/redwingmill-node/src/call/open-requests.ts
@@ -12,6 +12,19 @@
 	readonly closeConnection: () => boolean;
 };
 
+/** Limits on the open requests of one connection, whose responses have to wait for each other. */
+export type PipelineLimits = {
+	/** Number from which on no more of the connection is read. What has been read by then is still parsed. */
+	readonly pauseAt: number;
+	/** Number at which the connection is closed. */
+	readonly closeAt: number;
+};
+
+const noLimits: PipelineLimits = {
+	pauseAt: Number.POSITIVE_INFINITY,
+	closeAt: Number.POSITIVE_INFINITY,
+};
+
 type Entry = {
 	readonly response: ServerResponse;
 	onAbandoned: (() => void) | undefined;
@@ -22,6 +35,8 @@
 	readonly entries: Set<Entry>;
 	/** Whether a response to one of them closes the connection. */
 	isClosing: boolean;
+	/** Whether it isn't read until fewer requests are open. */
+	isPaused: boolean;
 };
 
 /**
@@ -31,8 +46,14 @@
  */
 export class OpenRequests {
 	readonly #connections = new WeakMap<Socket, Connection>();
+	readonly #limits: PipelineLimits;
 	#count = 0;
 
+	/** @param limits - without them, connections may have any number of open requests. */
+	constructor(limits: PipelineLimits = noLimits) {
+		this.#limits = limits;
+	}
+
 	get count(): number {
 		return this.#count;
 	}
@@ -44,11 +65,19 @@
 			return undefined;
 		}
 
+		if (connection.entries.size >= this.#limits.closeAt) {
+			connection.isClosing = true;
+			socket.destroy();
+			return undefined;
+		}
+
 		const entry: Entry = {response, onAbandoned: undefined};
 		connection.entries.add(entry);
 		this.#count += 1;
+		this.#pauseOrResume(connection, socket);
 		response.once('close', () => {
 			this.#remove(connection, entry);
+			this.#pauseOrResume(connection, socket);
 		});
 		return {
 			onAbandoned(listener) {
@@ -68,7 +97,7 @@
 			return known;
 		}
 
-		const connection: Connection = {entries: new Set(), isClosing: false};
+		const connection: Connection = {entries: new Set(), isClosing: false, isPaused: false};
 		this.#connections.set(socket, connection);
 		socket.once('close', () => {
 			for (const entry of connection.entries) {
@@ -78,6 +107,17 @@
 		return connection;
 	}
 
+	#pauseOrResume(connection: Connection, socket: Socket): void {
+		const isFull = connection.entries.size >= this.#limits.pauseAt;
+		if (isFull && !connection.isPaused) {
+			connection.isPaused = true;
+			socket.pause();
+		} else if (!isFull && connection.isPaused) {
+			connection.isPaused = false;
+			socket.resume();
+		}
+	}
+
 	#remove(connection: Connection, entry: Entry): void {
 		if (!connection.entries.delete(entry)) {
 			return;
--- a/packages/redwingmill-node/src/call/peer-connection.ts
+++ b/packages/redwingmill-node/src/call/peer-connection.ts
@@ -8,7 +8,7 @@
 	SilenceDetector,
 	type OutgoingMessage,
 } from '../frames/index.js';
-import {releaseBytes, reserveBytes} from './buffered-bytes.js';
+import {peerResponseBudget} from './byte-budget.js';
 import {describeError, type Exchange} from './exchange.js';
 
 /** Result of an exchange with another node. */
@@ -211,7 +211,7 @@
 		}
 
 		pending.reservedBytes = bodyBytes;
-		if (reserveBytes(bodyBytes) && bodyBytes <= this.#answerLimitBytes) {
+		if (peerResponseBudget.reserve(bodyBytes, bodyBytes) && bodyBytes <= this.#answerLimitBytes) {
 			return true;
 		}
 
@@ -227,7 +227,7 @@
 		}
 
 		this.#exchanges.delete(exchange);
-		releaseBytes(pending.reservedBytes);
+		peerResponseBudget.release(pending.reservedBytes);
 		pending.onResult(result);
 		if (this.#isClosing) {
 			this.close();
--- a/packages/redwingmill-node/src/control/store-control-plane.ts
+++ b/packages/redwingmill-node/src/control/store-control-plane.ts
@@ -1,4 +1,3 @@
-import {Client} from 'undici';
 import {
 	configurationBehindMs,
 	confirmingPollMs,
@@ -34,6 +33,7 @@
 import {Random, type Teardown} from 'redwingmill-shared';
 import {exchange} from '../call/exchange.js';
 import {configurationPath} from '../call/gate-server.js';
+import {createHttpClient} from '../call/http-pool.js';
 import {logDirectoryNotice} from '../observe/directory-log.js';
 import {logEvents} from '../observe/log-event.js';
 import {type Log} from '../observe/log.js';
@@ -573,8 +573,8 @@
 	}
 
 	async #askNode(gateAddress: string, since?: number): Promise<ConfigurationReply> {
-		const connect = {timeout: configurationRequestTimeoutMs};
-		const client = new Client(`http://${gateAddress}`, {connect});
+		const connectTimeoutMs = configurationRequestTimeoutMs;
+		const client = createHttpClient(gateAddress, {connectTimeoutMs});
 		const result = await exchange(
 			client,
 			{method: 'GET', path: configurationPath(since), headers: acceptGzip, body: undefined},
--- a/packages/redwingmill-node/src/errors.ts
+++ b/packages/redwingmill-node/src/errors.ts
@@ -15,5 +15,8 @@
 /** The connection failed while reading an answer whose end is marked by the connection's close. */
 export const TruncatedAnswerError = BaseError.subclass('TruncatedAnswerError');
 
+/** A connection was broken as its message had too many bytes besides its body. */
+export const ExcessFramingError = BaseError.subclass('ExcessFramingError');
+
 /** Bytes on a connection between nodes are no frame, or break the order of frames. */
 export const FrameError = BaseError.subclass('FrameError');
--- a/packages/redwingmill-node/src/frames/frame-connection.ts
+++ b/packages/redwingmill-node/src/frames/frame-connection.ts
@@ -1,6 +1,7 @@
 import {Buffer} from 'node:buffer';
 import {type Socket} from 'node:net';
 import process from 'node:process';
+import {BodyBuffer} from '../body-buffer.js';
 import {FrameError} from '../errors.js';
 import {
 	decodeMessage,
@@ -35,8 +36,7 @@
 type Incoming = {
 	readonly head: string;
 	readonly bodyBytes: number;
-	readonly parts: Buffer[];
-	receivedBytes: number;
+	readonly body: BodyBuffer;
 };
 
 const noBytes = Buffer.alloc(0);
@@ -155,7 +155,9 @@
 		if (part.length === bodyBytes) {
 			this.#receiver.onMessage(exchange, head, part);
 		} else {
-			this.#incoming.set(exchange, {head, bodyBytes, parts: [part], receivedBytes: part.length});
+			const body = new BodyBuffer();
+			body.append(part);
+			this.#incoming.set(exchange, {head, bodyBytes, body});
 		}
 	}
 
@@ -166,15 +168,15 @@
 			return;
 		}
 
-		incoming.parts.push(part);
-		incoming.receivedBytes += part.length;
-		if (incoming.receivedBytes > incoming.bodyBytes) {
+		const {head, bodyBytes, body} = incoming;
+		body.append(part);
+		if (body.bytes > bodyBytes) {
 			throw new FrameError(`The body of exchange ${exchange} is longer than announced`);
 		}
 
-		if (incoming.receivedBytes === incoming.bodyBytes) {
+		if (body.bytes === bodyBytes) {
 			this.#incoming.delete(exchange);
-			this.#receiver.onMessage(exchange, incoming.head, Buffer.concat(incoming.parts));
+			this.#receiver.onMessage(exchange, head, body.toBuffer());
 		}
 	}
 
--- a/packages/redwingmill-node/src/index.ts
+++ b/packages/redwingmill-node/src/index.ts
@@ -43,6 +43,7 @@
 	type StatusWriteResult,
 } from './control/store-ports.js';
 export {describeError, exchange, type ExchangeResult} from './call/exchange.js';
+export {createHttpPool} from './call/http-pool.js';
 export {readRequestBody} from './call/read-request.js';
 export {listenOn} from './listen.js';
 export {registerErrorGuard, type ErrorSource} from './observe/error-guard.js';
