Count a replica's failures only beyond what its service fails

Cause: three failures in a row ejected a replica, which is likely at a share of 0.55, and a replica's failures were compared with those of the luckiest one. Differences by chance looked like better replicas elsewhere.

Change: ServiceFailures keeps the share of a node's attempts that fail at a service; a replica is ejected after a series that would be unlikely there, and its failures count by what exceeds the common share by two deviations.

--- a/packages/redwingmill-core/src/call/choice/earliest-answer.ts
+++ b/packages/redwingmill-core/src/call/choice/earliest-answer.ts
@@ -1,5 +1,9 @@
 import {type Endpoint} from '../../model/routing-table.js';
-import {expectedCompletionMs} from '../expected-completion.js';
+import {
+	excessFailureShareOf,
+	expectedCompletionMs,
+	type ServiceFailureShares,
+} from '../expected-completion.js';
 import {type GroupMeans} from '../group-means.js';
 import {type WorkerLoad} from '../worker-load.js';
 import {type ChoiceInputs, type ChoiceStrategy} from './choice-policy.js';
@@ -33,7 +37,7 @@
 		const {usable, now, profile} = inputs;
 		const meanRunMs = meanRunMsOf(usable, this.#states);
 		const groupRunMs = this.#runTimes.expected(profile.group);
-		const baseFailureShare = commonFailureShare(usable, this.#states);
+		const failures = serviceFailureShares(usable, this.#states);
 		let earliest: Candidate | undefined;
 		let earliestLocal: Candidate | undefined;
 		for (const endpoint of usable) {
@@ -42,8 +46,7 @@
 			const isLocal = endpoint.dataCentre === this.#dataCentre;
 			state.relativeRunTime = relativeRunTimeOf(completion.load, meanRunMs);
 			const runMs = groupRunMs * state.relativeRunTime;
-			const excessFailureShare =
-				(completion.load?.failureShare ?? baseFailureShare) - baseFailureShare;
+			const excessFailureShare = excessFailureShareOf(completion, failures);
 			const {slots} = endpoint;
 			const estimate = {slots, inFlight, isLocal, excessFailureShare, runMs, now};
 			const expectedMs = expectedCompletionMs(completion, estimate);
@@ -98,14 +101,21 @@
 	return targetAt === undefined ? Number.POSITIVE_INFINITY : targetAt - now;
 }
 
-/** Returns the failure share that all workers have in common; its cause lies elsewhere. */
-export function commonFailureShare(endpoints: readonly Endpoint[], states: EndpointStates): number {
-	let least = Number.POSITIVE_INFINITY;
+/** Returns the failure shares that all endpoints have in common; their cause lies elsewhere. */
+export function serviceFailureShares(
+	endpoints: readonly Endpoint[],
+	states: EndpointStates,
+): ServiceFailureShares {
+	let sum = 0;
 	for (const endpoint of endpoints) {
-		least = Math.min(least, states.of(endpoint).completion.load?.failureShare ?? 0);
+		sum += states.of(endpoint).completion.load?.failureShare ?? 0;
 	}
 
-	return least;
+	const service = endpoints.at(0)?.service ?? '';
+	return {
+		reported: sum / Math.max(1, endpoints.length),
+		observed: states.failures.shareOf(service),
+	};
 }
 
 /** Returns the mean run time over the endpoints whose load is known; undefined if none is. */
--- a/packages/redwingmill-core/src/call/choice/endpoint-state.ts
+++ b/packages/redwingmill-core/src/call/choice/endpoint-state.ts
@@ -2,6 +2,7 @@
 import {initialCompletion, type CompletionState} from '../expected-completion.js';
 import {type ChoiceReason} from './choice-policy.js';
 import {LoadHistory} from './load-history.js';
+import {ServiceFailures} from './service-failures.js';
 
 /** State of an endpoint, from this node's calls and the gate's reports. */
 export type EndpointState = {
@@ -31,6 +32,7 @@
 
 /** States of all endpoints that a node knows of. */
 export class EndpointStates {
+	readonly failures = new ServiceFailures();
 	#states = new Map<string, EndpointState>();
 	/** Spares composing the key for each endpoint at each choice. */
 	#statesByEndpoint = new WeakMap<Endpoint, EndpointState>();
--- a/packages/redwingmill-core/src/call/choice/even-load.ts
+++ b/packages/redwingmill-core/src/call/choice/even-load.ts
@@ -1,6 +1,12 @@
 import {type Random} from 'redwingmill-shared';
 import {type Endpoint} from '../../model/routing-table.js';
-import {failureMsOf, limitedWaitMs, remoteCostMs} from '../expected-completion.js';
+import {
+	excessFailureShareOf,
+	failureCostMs,
+	limitedWaitMs,
+	remoteCostMs,
+	type ServiceFailureShares,
+} from '../expected-completion.js';
 import {type GroupMeans} from '../group-means.js';
 import {
 	type ChoiceInputs,
@@ -10,11 +16,11 @@
 } from './choice-policy.js';
 import {
 	boundedRunTime,
-	commonFailureShare,
 	isLocalInTime,
 	localOrEarliest,
 	meanRunMsOf,
 	relativeRunTimeOf,
+	serviceFailureShares,
 	type Candidate,
 } from './earliest-answer.js';
 import {type EndpointState, type EndpointStates} from './endpoint-state.js';
@@ -51,7 +57,7 @@
 /** Means over the replicas of a service that a choice compares. */
 type Service = {
 	readonly meanBusyShare: number;
-	readonly baseFailureShare: number;
+	readonly failures: ServiceFailureShares;
 	/** Calls of this node in progress in the local data centre, per capacity. */
 	readonly ownCallsPerCapacity: number;
 	readonly groupRunMs: number;
@@ -100,7 +106,8 @@
 			state: this.#states.of(endpoint),
 			isLocal: endpoint.dataCentre === dataCentre,
 		}));
-		const service: Service = {...meansOf(replicas), groupRunMs, slowStartMs, now};
+		const failures = serviceFailureShares(usable, this.#states);
+		const service: Service = {...meansOf(replicas), failures, groupRunMs, slowStartMs, now};
 		const local = this.#draw(
 			replicas.filter(({isLocal}) => isLocal).map((replica) => weigh(replica, service)),
 		);
@@ -137,7 +144,7 @@
 			load,
 			relativeRunTime: state.relativeRunTime,
 			commonFailureShare:
-				load.failureShare > 0 ? commonFailureShare(usable, this.#states) : load.failureShare,
+				load.failureShare > 0 ? serviceFailureShares(usable, this.#states).reported : 0,
 			groupRunMs,
 			leftMs: (profile.targetAt ?? Number.POSITIVE_INFINITY) - now,
 		})
@@ -167,14 +174,12 @@
 /** Also sets the relative run times of the replicas. */
 function meansOf(
 	replicas: readonly Replica[],
-): Pick<Service, 'meanBusyShare' | 'baseFailureShare' | 'ownCallsPerCapacity'> {
+): Pick<Service, 'meanBusyShare' | 'ownCallsPerCapacity'> {
 	let runMs = 0;
 	let busy = 0;
 	let known = 0;
-	let baseFailureShare = Number.POSITIVE_INFINITY;
 	for (const {state} of replicas) {
-		const {history, completion} = state;
-		baseFailureShare = Math.min(baseFailureShare, completion.load?.failureShare ?? 0);
+		const {history} = state;
 		if (history.runMs !== undefined) {
 			runMs += history.runMs;
 			busy += history.busyShare ?? 0;
@@ -195,7 +200,6 @@
 
 	return {
 		meanBusyShare: known === 0 ? 0 : busy / known,
-		baseFailureShare,
 		ownCallsPerCapacity: ownCalls / Math.max(leastCapacity, capacity),
 	};
 }
@@ -229,8 +233,7 @@
 }
 
 function weigh({endpoint, state, isLocal}: Replica, service: Service): Weighed {
-	const {meanBusyShare, baseFailureShare, ownCallsPerCapacity, groupRunMs, slowStartMs, now} =
-		service;
+	const {meanBusyShare, failures, ownCallsPerCapacity, groupRunMs, slowStartMs, now} = service;
 	const {completion, history, inFlight, answeredAt} = state;
 	const {slots} = endpoint;
 	const runMs = groupRunMs * state.relativeRunTime;
@@ -244,8 +247,7 @@
 		inFlight / slots,
 		callsPerSlot + (completion.sentSinceReport / slots) * certainty,
 	);
-	const excessFailureShare = (completion.load?.failureShare ?? baseFailureShare) - baseFailureShare;
-	const failureMs = failureMsOf(completion, excessFailureShare);
+	const failureMs = excessFailureShareOf(completion, failures) * failureCostMs;
 	const limitMs = limitedWaitMs(completion, now);
 	const exponent =
 		(callsPerSlot - mean) * reportWeight +
--- a/packages/redwingmill-core/src/call/endpoint-chooser.ts
+++ b/packages/redwingmill-core/src/call/endpoint-chooser.ts
@@ -17,7 +17,6 @@
 import {TransitTimes} from './transit-times.js';
 import {type WorkerLoad} from './worker-load.js';
 
-const failuresToEject = 3;
 const ejectionBaseMs = 1000;
 const maximumEjectionMs = 30_000;
 const maximumEjectedShare = 0.5;
@@ -211,6 +210,7 @@
 		state.failures = 0;
 		state.ejections = 0;
 		state.completion = withOutcome(state.completion, 0);
+		this.#states.failures.record(endpoint.service, false);
 	}
 
 	/**
@@ -225,12 +225,16 @@
 		}
 	}
 
-	/** Records a failure of the endpoint itself; several in a row eject it for a limited time. */
+	/**
+	 * Records a failure of the endpoint itself; more in a row than the service's others make likely eject it for
+	 * a limited time.
+	 */
 	onFailure(endpoint: Endpoint, now: number): void {
 		const state = this.#states.of(endpoint);
 		state.failures += 1;
 		state.completion = withOutcome(state.completion, 1);
-		if (state.failures >= failuresToEject) {
+		this.#states.failures.record(endpoint.service, true);
+		if (state.failures >= this.#states.failures.failuresToEject(endpoint.service)) {
 			const durationMs = Math.min(maximumEjectionMs, ejectionBaseMs * 2 ** state.ejections);
 			state.ejections += 1;
 			state.failures = 0;
--- a/packages/redwingmill-core/src/call/expected-completion.ts
+++ b/packages/redwingmill-core/src/call/expected-completion.ts
@@ -19,7 +19,7 @@
 	readonly inFlight: number;
 	/** Whether the endpoint is in the entry node's data centre. */
 	readonly isLocal: boolean;
-	/** Share of the worker's runs that failed, less that of the service's most reliable worker. */
+	/** See {@link excessFailureShareOf}. */
 	readonly excessFailureShare: number;
 	/** Expected run time of the call at the worker in milliseconds. */
 	readonly runMs: number;
@@ -27,17 +27,28 @@
 	readonly now: number;
 };
 
+/** Failure shares that the endpoints of a service have in common. */
+export type ServiceFailureShares = {
+	/** Mean share of the workers' runs that failed, as gates reported. */
+	readonly reported: number;
+	/** Share of this node's attempts that failed through an endpoint's fault. */
+	readonly observed: number;
+};
+
 /** Initial state of an endpoint. */
 export const initialCompletion: CompletionState = {loadAt: 0, sentSinceReport: 0, failureShare: 0};
 
 /** Round trip to another data centre of the region, plus a penalty for the bytes on the link. */
 export const remoteCostMs = 10;
 /** Cost of a failed attempt: another one, at a worker that isn't informed of the call's urgency. */
-const failureCostMs = 400;
+export const failureCostMs = 400;
 /** Share of the elapsed time by which a reported queue shrinks; new calls make up for the rest. */
 const processedShare = 0.3;
 /** Share by which calls run longer at a worker whose slots are all taken than at an idle one. */
 const fullLoadSlowdown = 0.3;
+/** Standard deviation of a moving average over some twenty attempts, relative to that of one attempt. */
+const averageDeviation = 0.23;
+const likelyDeviations = 2;
 const msPerSecond = 1000;
 
 /**
@@ -54,18 +65,23 @@
 	const addedMs = busyShare > 1 ? (sentSinceReport * runMs) / slots : 0;
 	const loadedRunMs = runMs * (1 + fullLoadSlowdown * Math.min(1, busyShare));
 	const distanceMs = isLocal ? 0 : remoteCostMs;
-	const failureMs = failureMsOf(state, excessFailureShare);
+	const failureMs = excessFailureShare * failureCostMs;
 	const waitMs = Math.max(queueMs + addedMs, limitedWaitMs(state, now));
 	return waitMs + loadedRunMs + distanceMs + failureMs;
 }
 
-/**
- * Returns the time that the risk of a failure costs.
- *
- * @param excessFailureShare - share of the worker's runs that failed, less that of the most reliable one.
- */
-export function failureMsOf({failureShare}: CompletionState, excessFailureShare: number): number {
-	return (failureShare + excessFailureShare) * failureCostMs;
+/** Returns by how much more often an endpoint fails than its service: in what its gate reported, and for this node. */
+export function excessFailureShareOf(
+	{failureShare, load}: CompletionState,
+	{reported, observed}: ServiceFailureShares,
+): number {
+	return excessOf(load?.failureShare ?? reported, reported) + excessOf(failureShare, observed);
+}
+
+/** Returns the part of a share that is more than an endpoint like the others is likely to have by chance. */
+function excessOf(share: number, common: number): number {
+	const deviation = averageDeviation * Math.sqrt(common * (1 - common));
+	return Math.max(0, share - common - likelyDeviations * deviation);
 }
 
 /** Returns the time until the worker's limit allows a new call, with those that this node has added. */
