Send late calls that local replicas refused to others with room

Cause: a call that its local gates had refused went to another data centre only if it could still meet its target. A retry is past its target, so it was refused by the busy local replicas again and again.

Change: such a call goes to another data centre where it would run at once. Where no replica has room it is refused as before, so that overload everywhere doesn't load the links.

--- a/packages/redwingmill-bench/src/simulation/even-load/candidates.ts
+++ b/packages/redwingmill-bench/src/simulation/even-load/candidates.ts
@@ -41,7 +41,8 @@
 		const isLocal = endpoint.dataCentre === dataCentre;
 		const {slots} = endpoint;
 		const inputs = {slots, inFlight, isLocal, excessFailureShare: 0, runMs, now};
-		return {endpoint, expectedMs: expectedCompletionMs(completion, inputs)};
+		const expectedMs = expectedCompletionMs(completion, inputs);
+		return {endpoint, expectedMs, hasRoom: false};
 	});
 }
 
--- a/packages/redwingmill-core/src/call/choice/earliest-answer.ts
+++ b/packages/redwingmill-core/src/call/choice/earliest-answer.ts
@@ -2,6 +2,7 @@
 import {
 	excessFailureShareOf,
 	expectedCompletionMs,
+	type CompletionState,
 	type ServiceFailureShares,
 } from '../expected-completion.js';
 import {type GroupMeans} from '../group-means.js';
@@ -9,8 +10,14 @@
 import {type ChoiceInputs, type ChoiceStrategy} from './choice-policy.js';
 import {type EndpointStates} from './endpoint-state.js';
 
-/** An endpoint and the milliseconds until it is expected to answer. */
-export type Candidate = {readonly endpoint: Endpoint; readonly expectedMs: number};
+/** An endpoint with what is expected of a call there. */
+export type Candidate = {
+	readonly endpoint: Endpoint;
+	/** Milliseconds until it answers. */
+	readonly expectedMs: number;
+	/** Whether it has a free slot, so that the call need not wait. */
+	readonly hasRoom: boolean;
+};
 
 /** A local endpoint is preferred if expected to answer within this share of the time to the target. */
 const localTimeShare = 0.8;
@@ -50,12 +57,13 @@
 			const {slots} = endpoint;
 			const estimate = {slots, inFlight, isLocal, excessFailureShare, runMs, now};
 			const expectedMs = expectedCompletionMs(completion, estimate);
+			const candidate = {endpoint, expectedMs, hasRoom: hasRoom(completion, slots)};
 			if (earliest === undefined || expectedMs < earliest.expectedMs) {
-				earliest = {endpoint, expectedMs};
+				earliest = candidate;
 			}
 
 			if (isLocal && (earliestLocal === undefined || expectedMs < earliestLocal.expectedMs)) {
-				earliestLocal = {endpoint, expectedMs};
+				earliestLocal = candidate;
 			}
 		}
 
@@ -68,7 +76,8 @@
  * one is preferred while it can answer in time, since a call to another data centre costs bytes on the
  * links between them. A remote one is chosen only if it is expected to answer in time, and earlier by a
  * margin that grows with the call's size: under overload everywhere, calls refused by one data centre
- * after another would load the links for nothing. Without a local endpoint, the earliest one is chosen.
+ * after another would load the links for nothing. A call that is late anyway and that the local ones have
+ * refused goes to a remote one that has room. Without a local endpoint, the earliest one is chosen.
  */
 export function localOrEarliest(
 	earliest: Candidate | undefined,
@@ -79,13 +88,18 @@
 		return earliestLocal.endpoint;
 	}
 
-	const leftMs = leftMsOf(targetAt, now);
+	if (!hasLocal || earliest === undefined) {
+		return earliest?.endpoint;
+	}
+
+	const isInTime = earliest.expectedMs <= leftMsOf(targetAt, now);
+	if (earliestLocal === undefined) {
+		return isInTime || earliest.hasRoom ? earliest.endpoint : undefined;
+	}
 
 	const marginMs = (bytes / bytesPerKb) * remoteCostPerKbMs;
-	const isInTime = earliest !== undefined && earliest.expectedMs <= leftMs;
-	const isEarlierEnough =
-		earliestLocal === undefined || isEarlier(earliest, earliestLocal, marginMs);
-	return (!hasLocal || (isInTime && isEarlierEnough) ? earliest : earliestLocal)?.endpoint;
+	const isEarlierEnough = earliest.expectedMs + marginMs < earliestLocal.expectedMs;
+	return (isInTime && isEarlierEnough ? earliest : earliestLocal).endpoint;
 }
 
 /** Whether a local endpoint answers early enough that others need not be looked at. */
@@ -151,7 +165,6 @@
 	return Math.min(relativeRunTimeBounds.most, Math.max(relativeRunTimeBounds.least, relative));
 }
 
-/** Whether `one` is expected to answer more than `marginMs` before `other`. */
-function isEarlier(one: Candidate | undefined, other: Candidate, marginMs: number): boolean {
-	return one !== undefined && one.expectedMs + marginMs < other.expectedMs;
+function hasRoom({load, sentSinceReport}: CompletionState, slots: number): boolean {
+	return (load?.callsPerSlot ?? 0) + (sentSinceReport + 1) / slots <= 1;
 }
--- a/packages/redwingmill-core/src/call/choice/even-load.ts
+++ b/packages/redwingmill-core/src/call/choice/even-load.ts
@@ -259,7 +259,8 @@
 	const waitMs = Math.max(queueMs, limitMs);
 	const expectedMs = waitMs + runMs + (isLocal ? 0 : remoteCostMs) + failureMs;
 	const share = slowStartShare(now - state.addedAt, slowStartMs);
-	return {endpoint, expectedMs, weight: share * capacity * Math.exp(-exponent)};
+	const weight = share * capacity * Math.exp(-exponent);
+	return {endpoint, expectedMs, hasRoom: waitMs === 0, weight};
 }
 
 /** Returns how much room a service has, from 1 when it is idle to 0 from {@link spareBusyShare} on. */
