Throttle entries that are refused alike to the same share

Cause: the share of calls sent grew and fell by factors. Such steps keep the differences between entries, and a share that has fallen to 0.1 takes tens of admitted calls to rise. With three of ten refused it falls for good.

Change: while the time that calls need on their way shows that nodes have processor time to spare, the share grows by steps of the same size (additive increase, multiplicative decrease). While they lack it, it grows in proportion to itself as before, since each refused exchange then costs calls that were admitted.

--- a/packages/redwingmill-bench/src/simulation/load-simulation.ts
+++ b/packages/redwingmill-bench/src/simulation/load-simulation.ts
@@ -505,6 +505,7 @@
 				isBulk: callClass.isBulk,
 				isIdempotent: true,
 				targetAt,
+				targetMs: callClass.targetMs,
 				deadlineAt,
 				endpoints: endpoints.filter(({dataCentre}) => !this.#isLost(dataCentre)),
 				withdraws: true,
--- a/packages/redwingmill-core/src/call/adaptive-throttle.ts
+++ b/packages/redwingmill-core/src/call/adaptive-throttle.ts
@@ -2,18 +2,18 @@
 import {fairLimitOf} from './fair-limit.js';
 import {type CallWorkspace} from './gate-call.js';
 
-/**
- * Factors on the share of calls that are sent, for each that gates admitted and each that they refused. They
- * balance where gates admit about four of five.
- */
-const factors = {admitted: 1.05, refused: 0.8} as const;
+/** Steps of the share of calls that are sent: for each that gates admitted, and the factor for each refused. */
+const steps = {admitted: 0.05, refusedFactor: 0.8} as const;
 /**
  * Bounds of the share. Above 1 it has to fall first before a call is refused here, so that a few refusals by
  * gates throttle nothing; the lower bound keeps asking whether there is room again.
  */
 const shareBounds = {least: 0.1, most: 1.5} as const;
-/** Time in which the share doubles by itself: what gates refused a while ago says little of the present. */
-const doublingMs = 4000;
+/** Step of the share for each second: what gates refused a while ago says little of the present. */
+const recoveryPerSecond = 0.2;
+/** Time on the way, as a share of the time to a call's target, at which processor time begins to lack, and lacks. */
+const scarceTransit = {from: 0.03, to: 0.08} as const;
+const msPerSecond = 1000;
 /** Share of a new value in the mean time to retry. */
 const smoothing = 0.2;
 /** Time after which a call counts half in what its workspace has sent. */
@@ -28,6 +28,8 @@
 export type ThrottledCall = {
 	/** Identifies calls with similar run times. */
 	readonly group: string;
+	/** Expected time on the way to a gate and back, as a share of the time to the target; by default 0. */
+	readonly transitShare?: number;
 	/** Absent for calls without one. */
 	readonly workspace?: CallWorkspace;
 };
@@ -64,7 +66,7 @@
 			return false;
 		}
 
-		scale(state, 1, now);
+		age(state, call, now);
 		const name = call.workspace?.name ?? '';
 		const ownCalls = (state.sent.get(name) ?? 0) + 1;
 		state.sent.set(name, ownCalls);
@@ -84,7 +86,8 @@
 	onAdmitted(call: ThrottledCall, now: number): void {
 		const state = this.#groups.get(keyOf(call));
 		if (state) {
-			scale(state, factors.admitted, now);
+			age(state, call, now);
+			setShare(state, state.share + steps.admitted * growthOf(state, call));
 		}
 	}
 
@@ -100,7 +103,8 @@
 			return;
 		}
 
-		scale(state, factors.refused, now);
+		age(state, call, now);
+		setShare(state, state.share * steps.refusedFactor);
 		state.retryAfterMs += smoothing * ((retryAfterMs ?? state.retryAfterMs) - state.retryAfterMs);
 	}
 
@@ -127,15 +131,32 @@
 	return workspace === undefined ? group : `${workspace.rank} ${group}`;
 }
 
-function scale(group: Group, factor: number, now: number): void {
+function setShare(group: Group, share: number): void {
+	group.share = Math.min(shareBounds.most, Math.max(shareBounds.least, share));
+}
+
+/**
+ * Returns the factor on steps up. While nodes have processor time to spare, steps don't depend on the share, so
+ * that entries that are refused alike come to like shares (additive increase, multiplicative decrease). While they
+ * lack it, each refused exchange takes time from calls that were admitted, and a low share grows in proportion
+ * to itself only.
+ */
+function growthOf({share}: Group, {transitShare = 0}: ThrottledCall): number {
+	const {from, to} = scarceTransit;
+	const scarcity = Math.min(1, Math.max(0, (transitShare - from) / (to - from)));
+	return 1 - scarcity + scarcity * share;
+}
+
+/** Lets the share recover and the counts of calls fade since the last update. */
+function age(group: Group, call: ThrottledCall, now: number): void {
 	const elapsedMs = Math.max(0, now - group.updatedAt);
-	const grown = group.share * factor * 2 ** (elapsedMs / doublingMs);
-	group.share = Math.min(shareBounds.most, Math.max(shareBounds.least, grown));
 	group.updatedAt = now;
 	if (elapsedMs === 0) {
 		return;
 	}
 
+	const step = (elapsedMs / msPerSecond) * recoveryPerSecond;
+	setShare(group, group.share + step * growthOf(group, call));
 	for (const [name, calls] of group.sent) {
 		const left = calls * 0.5 ** (elapsedMs / halfLifeMs);
 		if (left < leastCalls) {
--- a/packages/redwingmill-core/src/call/entry-call.ts
+++ b/packages/redwingmill-core/src/call/entry-call.ts
@@ -69,7 +69,7 @@
 	| {readonly type: 'answer'; readonly answer: Answer<Payload>; readonly attempts: number};
 
 /** Options of a call at its entry node. */
-export type EntryCallOptions = ThrottledCall & {
+export type EntryCallOptions = Omit<ThrottledCall, 'transitShare'> & {
 	/** Size of the request and its expected answer; absent when it doesn't count. */
 	readonly bytes?: number;
 	/** Whether the answer is so large that it is scheduled by the host's link. */
@@ -78,6 +78,8 @@
 	readonly isIdempotent: boolean;
 	/** Latency target in monotonic milliseconds; absent when only the deadline counts. */
 	readonly targetAt?: number;
+	/** Time from a caller's first try to the target in milliseconds; absent when only the deadline counts. */
+	readonly targetMs?: number;
 	/** Monotonic milliseconds at which the caller stops waiting. */
 	readonly deadlineAt: number;
 	/** Endpoints of the route's service at the time the call arrived. */
@@ -171,7 +173,7 @@
 	begin(now: number): EntryAction<Payload> {
 		this.#budget.recordFirstAttempt(now);
 		const throttle = this.#throttle;
-		if (throttle && !this.#hasRoomAtOwnNode(now) && throttle.refuses(this.#options, now)) {
+		if (throttle && !this.#hasRoomAtOwnNode(now) && throttle.refuses(this.#throttled, now)) {
 			return this.#refuse('throttled', throttle.retryAfterMs(this.#options), now);
 		}
 
@@ -374,6 +376,12 @@
 		return pinned === undefined && fallback.some(({node}) => !this.#triedNodes.has(node));
 	}
 
+	get #throttled(): ThrottledCall {
+		const {group, workspace, targetMs} = this.#options;
+		const transitShare = targetMs === undefined ? 0 : this.#chooser.transitMs / targetMs;
+		return {group, workspace, transitShare};
+	}
+
 	#hasRoomAtOwnNode(now: number): boolean {
 		return this.#chooser.hasRoomAtOwnNode(this.#options.endpoints, now, this.#profile);
 	}
@@ -418,9 +426,9 @@
 
 	#recordAdmission({outcome, retryAfterMs}: Answer<Payload>, now: number): void {
 		if (outcome.type === 'not-run' && capacityReasons.has(outcome.reason)) {
-			this.#throttle?.onRefused(this.#options, retryAfterMs, now);
+			this.#throttle?.onRefused(this.#throttled, retryAfterMs, now);
 		} else {
-			this.#throttle?.onAdmitted(this.#options, now);
+			this.#throttle?.onAdmitted(this.#throttled, now);
 		}
 	}
 
--- a/packages/redwingmill-node/src/call/entry-service.ts
+++ b/packages/redwingmill-node/src/call/entry-service.ts
@@ -459,6 +459,7 @@
 				),
 				isIdempotent: idempotent.includes(anyMethod) || idempotent.includes(request.method),
 				targetAt,
+				targetMs: route.targetMs,
 				deadlineAt,
 				...(pinned ? {endpoints: [pinned]} : this.#chooseVersion(service)),
 				pinned,
