--- a/packages/redwingmill-soak/src/__tests__/unit/fault-plan.test.ts
+++ b/packages/redwingmill-soak/src/__tests__/unit/fault-plan.test.ts
@@ -40,6 +40,7 @@
 					}
 
 					case 'change':
+					case 'endless-request':
 					case 'store-return':
 					case 'silent-connections':
 					case 'power-loss': {
@@ -50,8 +51,8 @@
 			}
 		}
 
-		// Five behaviours of four streams, four of datagrams, four process faults, five worker faults,
-		// two notices, `change`, `store-return`, `silent-connections` and `power-loss`.
-		expect(kinds.size).to.equal(5 * 4 + 4 + 4 + 5 + 2 + 4);
+		// Five behaviours of four streams, four of datagrams, four process faults, six worker faults,
+		// two notices, `change`, `store-return`, `silent-connections`, `endless-request` and `power-loss`.
+		expect(kinds.size).to.equal(5 * 4 + 4 + 4 + 6 + 2 + 5);
 	});
 });
--- a/packages/redwingmill-soak/src/fault-plan.ts
+++ b/packages/redwingmill-soak/src/fault-plan.ts
@@ -1,5 +1,6 @@
 import {Random} from 'redwingmill-shared';
 import {
+	endlessAnswers,
 	linkPurposes,
 	processFaults,
 	workerFaults,
@@ -31,6 +32,8 @@
 const storeReturnSeedOffset = 1_000_003;
 const maximumSilences = 2;
 const silenceSeedOffset = 2_000_003;
+const maximumEndless = 2;
+const endlessSeedOffset = 4_000_037;
 const maximumNotices = 3;
 const noticeSeedOffset = 3_000_017;
 const minimumNoticeMs = 5000;
@@ -67,6 +70,7 @@
 		...planStoreReturns(new Random(seed + storeReturnSeedOffset), scope),
 		...planSilences(new Random(seed + silenceSeedOffset), scope),
 		...planNotices(new Random(seed + noticeSeedOffset), scope),
+		...planEndless(new Random(seed + endlessSeedOffset), scope),
 	);
 	return faults.toSorted((a, b) => a.atMs - b.atMs);
 }
@@ -86,6 +90,23 @@
 	});
 }
 
+/** Draws workers and callers that send without end, from a generator of their own. */
+function planEndless(random: Random, {hosts, durationMs}: PlanScope): readonly PlannedFault[] {
+	const count = random.below(maximumEndless + 1);
+	return Array.from({length: count}, (): PlannedFault => {
+		const forMs = minimumFaultMs + random.below(faultDurationSpreadMs);
+		const host = random.below(hosts);
+		const isOfWorker = random.fraction() < 0.5;
+		return {
+			atMs: random.below(Math.max(1, durationMs - forMs)),
+			forMs,
+			fault: isOfWorker
+				? {type: 'worker', host, fault: endlessAnswers}
+				: {type: 'endless-request', host},
+		};
+	});
+}
+
 /** Draws silences of connections, each with a change at the same time, from a generator of their own. */
 function planSilences(random: Random, {durationMs}: PlanScope): readonly PlannedFault[] {
 	const count = random.below(maximumSilences + 1);
--- a/packages/redwingmill-soak/src/index.ts
+++ b/packages/redwingmill-soak/src/index.ts
@@ -1,3 +1,4 @@
+export {sendChunksWithoutEnd} from './endless-sender.js';
 export {Soak, type SoakOptions, type SoakResult} from './soak.js';
 export {type Invariant, type InvariantViolation, type ObservedRun} from './invariant-checker.js';
 export {
--- a/packages/redwingmill-soak/src/soak-deployment.ts
+++ b/packages/redwingmill-soak/src/soak-deployment.ts
@@ -45,8 +45,14 @@
 /** A run as reported by the worker. */
 export type ReportedRun = Omit<ObservedRun, 'isHeldUp'>;
 
-/** Ends a run: sends a response, or closes the connection without a complete one. */
-export type RunReply = {readonly send: (body: string) => void; readonly drop: () => void};
+/** Ends a run. */
+export type RunReply = {
+	readonly send: (body: string) => void;
+	/** Closes the connection without a complete response. */
+	readonly drop: () => void;
+	/** Sends a response in chunks of one byte until the connection is closed. */
+	readonly sendWithoutEnd: () => void;
+};
 
 /** A worker of a host. Each start begins a new instance. */
 export type SoakWorker = {
--- a/packages/redwingmill-soak/src/soak-fault.ts
+++ b/packages/redwingmill-soak/src/soak-fault.ts
@@ -35,7 +35,10 @@
  * response, or leaves in an orderly way. A worker that crashed or left is replaced afterwards.
  */
 export const workerFaults = ['crash', 'hang', 'slow', 'drop-answers', 'leave'] as const;
-export type WorkerFault = (typeof workerFaults)[number];
+export type WorkerFault = (typeof workerFaults)[number] | typeof endlessAnswers;
+
+/** Fault of a worker whose responses never end, until the connection is closed; drawn apart from the others. */
+export const endlessAnswers = 'endless-answers';
 
 /** What a worker says of itself in its responses and nowhere else. */
 export type SoakNotice =
@@ -57,6 +60,8 @@
 	| {readonly type: 'power-loss'}
 	/** The store is away, and returns from the copy that it had {@link storeCopyAgeMs} before. */
 	| {readonly type: 'store-return'}
+	/** A caller of a host sends a request whose body never ends, until the connection is closed. */
+	| {readonly type: 'endless-request'; readonly host: number}
 	/** All connections that are open between nodes, to workers and to the store go silent for good. */
 	| {readonly type: 'silent-connections'}
 	| {readonly type: 'change'};
--- a/packages/redwingmill-soak/src/soak-host.ts
+++ b/packages/redwingmill-soak/src/soak-host.ts
@@ -11,6 +11,7 @@
 	type SoakWorker,
 } from './soak-deployment.js';
 import {
+	endlessAnswers,
 	type LinkBehaviour,
 	type LinkPurpose,
 	type SoakNotice,
@@ -300,6 +301,11 @@
 				break;
 			}
 
+			case endlessAnswers: {
+				setTimeout(reply.sendWithoutEnd, normalRunMs);
+				break;
+			}
+
 			case 'slow': {
 				setTimeout(respond, slowRunMs);
 				break;
--- a/packages/redwingmill-soak/src/soak.ts
+++ b/packages/redwingmill-soak/src/soak.ts
@@ -4,6 +4,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {Random} from 'redwingmill-shared';
 import {DatagramFaultProxy} from './datagram-fault-proxy.js';
+import {sendRequestWithoutEnd} from './endless-sender.js';
 import {planFaults} from './fault-plan.js';
 import {crashingPathOf, InvariantChecker, type InvariantViolation} from './invariant-checker.js';
 import {SoakCaller, type CallTarget} from './soak-caller.js';
@@ -280,6 +281,13 @@
 				break;
 			}
 
+			case 'endless-request': {
+				const {callerAddress} = this.#hosts[fault.host];
+				const body = {path: stableRoutes[0].path, host: this.#deployment.hostName};
+				await sendRequestWithoutEnd(callerAddress, body, forMs);
+				break;
+			}
+
 			case 'silent-connections': {
 				const endDisruptions = this.#hosts.map((host) => host.beginDisruption());
 				for (const host of this.#hosts) {
