--- a/packages/redwingmill-core/src/call/adaptive-throttle.ts
+++ b/packages/redwingmill-core/src/call/adaptive-throttle.ts
@@ -11,7 +11,10 @@
 const shareBounds = {least: 0.1, most: 1.5} as const;
 /** Step of the share for each second: what gates refused a while ago says little of the present. */
 const recoveryPerSecond = 0.2;
-/** Time on the way, as a share of the time to a call's target, at which processor time begins to lack, and lacks. */
+/**
+ * Time of calls on their way, as a share of the time to their target, up to which nodes have processor time to
+ * spare, and from which they lack it.
+ */
 const scarceTransit = {from: 0.03, to: 0.08} as const;
 const msPerSecond = 1000;
 /** Share of a new value in the mean time to retry. */
