Compare a replica's failures with those of the others only

Cause: the mean that its failures were compared with held its own, a third of it among three.

Change: the mean of the other workers.

--- a/packages/redwingmill-core/src/call/choice/earliest-answer.ts
+++ b/packages/redwingmill-core/src/call/choice/earliest-answer.ts
@@ -120,14 +120,15 @@
 	endpoints: readonly Endpoint[],
 	states: EndpointStates,
 ): ServiceFailureShares {
-	let sum = 0;
+	let reportedSum = 0;
 	for (const endpoint of endpoints) {
-		sum += states.of(endpoint).completion.load?.failureShare ?? 0;
+		reportedSum += states.of(endpoint).completion.load?.failureShare ?? 0;
 	}
 
 	const service = endpoints.at(0)?.service ?? '';
 	return {
-		reported: sum / Math.max(1, endpoints.length),
+		reportedSum,
+		endpointCount: endpoints.length,
 		observed: states.failures.shareOf(service),
 	};
 }
--- a/packages/redwingmill-core/src/call/choice/even-load.ts
+++ b/packages/redwingmill-core/src/call/choice/even-load.ts
@@ -4,6 +4,7 @@
 	excessFailureShareOf,
 	failureCostMs,
 	limitedWaitMs,
+	othersFailureShare,
 	remoteCostMs,
 	type ServiceFailureShares,
 } from '../expected-completion.js';
@@ -144,7 +145,9 @@
 			load,
 			relativeRunTime: state.relativeRunTime,
 			commonFailureShare:
-				load.failureShare > 0 ? serviceFailureShares(usable, this.#states).reported : 0,
+				load.failureShare > 0
+					? othersFailureShare(load.failureShare, serviceFailureShares(usable, this.#states))
+					: 0,
 			groupRunMs,
 			leftMs: (profile.targetAt ?? Number.POSITIVE_INFINITY) - now,
 		})
--- a/packages/redwingmill-core/src/call/choice/own-node.ts
+++ b/packages/redwingmill-core/src/call/choice/own-node.ts
@@ -13,7 +13,7 @@
 	readonly load: WorkerLoad;
 	/** Run time of the own worker relative to the mean of its service. */
 	readonly relativeRunTime: number;
-	/** Mean failure share of the service's workers: what they have in common has another cause. */
+	/** Mean failure share of the service's other workers: what they have in common has another cause. */
 	readonly commonFailureShare: number;
 	/** Expected run time of the call at a worker of mean speed, in milliseconds. */
 	readonly groupRunMs: number;
--- a/packages/redwingmill-core/src/call/expected-completion.ts
+++ b/packages/redwingmill-core/src/call/expected-completion.ts
@@ -29,8 +29,9 @@
 
 /** Failure shares that the endpoints of a service have in common. */
 export type ServiceFailureShares = {
-	/** Mean share of the workers' runs that failed, as gates reported. */
-	readonly reported: number;
+	/** Sum of the shares of the workers' runs that failed, as gates reported. */
+	readonly reportedSum: number;
+	readonly endpointCount: number;
 	/** Share of this node's attempts that failed through an endpoint's fault. */
 	readonly observed: number;
 };
@@ -73,9 +74,21 @@
 /** Returns by how much more often an endpoint fails than its service: in what its gate reported, and for this node. */
 export function excessFailureShareOf(
 	{failureShare, load}: CompletionState,
-	{reported, observed}: ServiceFailureShares,
+	shares: ServiceFailureShares,
 ): number {
-	return excessOf(load?.failureShare ?? reported, reported) + excessOf(failureShare, observed);
+	const reported = load?.failureShare ?? 0;
+	return (
+		excessOf(reported, othersFailureShare(reported, shares)) +
+		excessOf(failureShare, shares.observed)
+	);
+}
+
+/** Returns the mean failure share that gates reported of the other workers of a service. */
+export function othersFailureShare(
+	reported: number,
+	{reportedSum, endpointCount}: ServiceFailureShares,
+): number {
+	return endpointCount < 2 ? reported : Math.max(0, reportedSum - reported) / (endpointCount - 1);
 }
 
 /** Returns the part of a share that is more than an endpoint like the others is likely to have by chance. */
