--- a/packages/redwingmill-core/src/call/choice/endpoint-state.ts
+++ b/packages/redwingmill-core/src/call/choice/endpoint-state.ts
@@ -32,6 +32,7 @@
 
 /** States of all endpoints that a node knows of. */
 export class EndpointStates {
+	/** Failures of attempts by service, whichever endpoint they went to. */
 	readonly failures = new ServiceFailures();
 	#states = new Map<string, EndpointState>();
 	/** Spares composing the key for each endpoint at each choice. */
--- a/packages/redwingmill-node/src/call/http-pool.ts
+++ b/packages/redwingmill-node/src/call/http-pool.ts
@@ -46,7 +46,7 @@
 	return createHttpPool(address, connections, {connectTimeoutMs: workerConnectTimeoutMs});
 }
 
-/** Creates a pool of connections, each of which carries one request at a time; see {@link createHttpClient}. */
+/** Creates a pool of connections, each of which carries one request at a time; see {@link createClient}. */
 export function createHttpPool(
 	address: string,
 	connections: number,
