--- a/packages/redwingmill-core/src/call/choice/earliest-answer.ts
+++ b/packages/redwingmill-core/src/call/choice/earliest-answer.ts
@@ -115,16 +115,16 @@
 	return targetAt === undefined ? Number.POSITIVE_INFINITY : targetAt - now;
 }
 
-/** Returns the failure shares that all endpoints have in common; their cause lies elsewhere. */
+/**
+ * Returns the failure shares that all endpoints have in common; their cause lies elsewhere.
+ *
+ * @param reportedSum - sum of the failure shares that gates reported, where the caller has it already.
+ */
 export function serviceFailureShares(
 	endpoints: readonly Endpoint[],
 	states: EndpointStates,
+	reportedSum = reportedFailureSum(endpoints, states),
 ): ServiceFailureShares {
-	let reportedSum = 0;
-	for (const endpoint of endpoints) {
-		reportedSum += states.of(endpoint).completion.load?.failureShare ?? 0;
-	}
-
 	const service = endpoints.at(0)?.service ?? '';
 	return {
 		reportedSum,
@@ -133,6 +133,15 @@
 	};
 }
 
+function reportedFailureSum(endpoints: readonly Endpoint[], states: EndpointStates): number {
+	let sum = 0;
+	for (const endpoint of endpoints) {
+		sum += states.of(endpoint).completion.load?.failureShare ?? 0;
+	}
+
+	return sum;
+}
+
 /** Returns the mean run time over the endpoints whose load is known; undefined if none is. */
 export function meanRunMsOf(
 	endpoints: readonly Endpoint[],
--- a/packages/redwingmill-core/src/call/choice/even-load.ts
+++ b/packages/redwingmill-core/src/call/choice/even-load.ts
@@ -107,8 +107,9 @@
 			state: this.#states.of(endpoint),
 			isLocal: endpoint.dataCentre === dataCentre,
 		}));
-		const failures = serviceFailureShares(usable, this.#states);
-		const service: Service = {...meansOf(replicas), failures, groupRunMs, slowStartMs, now};
+		const {reportedSum, ...means} = meansOf(replicas);
+		const failures = serviceFailureShares(usable, this.#states, reportedSum);
+		const service: Service = {...means, failures, groupRunMs, slowStartMs, now};
 		const local = this.#draw(
 			replicas.filter(({isLocal}) => isLocal).map((replica) => weigh(replica, service)),
 		);
@@ -177,12 +178,15 @@
 /** Also sets the relative run times of the replicas. */
 function meansOf(
 	replicas: readonly Replica[],
-): Pick<Service, 'meanBusyShare' | 'ownCallsPerCapacity'> {
+): Pick<Service, 'meanBusyShare' | 'ownCallsPerCapacity'> &
+	Pick<ServiceFailureShares, 'reportedSum'> {
+	let reportedSum = 0;
 	let runMs = 0;
 	let busy = 0;
 	let known = 0;
 	for (const {state} of replicas) {
-		const {history} = state;
+		const {history, completion} = state;
+		reportedSum += completion.load?.failureShare ?? 0;
 		if (history.runMs !== undefined) {
 			runMs += history.runMs;
 			busy += history.busyShare ?? 0;
@@ -202,6 +206,7 @@
 	}
 
 	return {
+		reportedSum,
 		meanBusyShare: known === 0 ? 0 : busy / known,
 		ownCallsPerCapacity: ownCalls / Math.max(leastCapacity, capacity),
 	};
