--- a/packages/redwingmill-bench/src/index.ts
+++ b/packages/redwingmill-bench/src/index.ts
@@ -16,7 +16,7 @@
 	type PolicyResult,
 } from './simulation/compare-policies.js';
 export {compareScarcity, sharesOf, type ScarcityResult} from './simulation/compare-scarcity.js';
-export {overloadPlan} from './simulation/overloads.js';
+export {nodeWork, overloadPlan} from './simulation/overloads.js';
 export {scarceLoads} from './simulation/scarce-loads.js';
 export {compareLimits, type LimitComparison} from './simulation/compare-limits.js';
 export {limitLoads, type LimitLoad} from './simulation/limit-loads.js';
--- a/packages/redwingmill-bench/src/simulation/overloads.ts
+++ b/packages/redwingmill-bench/src/simulation/overloads.ts
@@ -1,4 +1,10 @@
-import {type LoadClass, type LoadPlan, type LoadWorker, type Phase} from './load-simulation.js';
+import {
+	type LoadClass,
+	type LoadPlan,
+	type LoadWorker,
+	type NodeWork,
+	type Phase,
+} from './load-simulation.js';
 
 const dataCentres = ['dc-a', 'dc-b', 'dc-c', 'dc-d'] as const;
 const slots = 4;
@@ -11,6 +17,16 @@
 const processor = {share: 0.27, largeShare: 0.675, largeEvery: 8} as const;
 const linkMbps = 11.9;
 
+/** Processor time of a node that has served some hundred calls. */
+export const nodeWork: NodeWork = {
+	entryMs: 0.7,
+	attemptMs: 0.6,
+	gateMs: 0.7,
+	workerMs: 0.6,
+	millionBytesMs: 25,
+	rest: {everyMs: 300, workMs: 13},
+};
+
 const stockCheck: LoadClass = {
 	name: 'stock',
 	service: 'depot',
@@ -126,15 +142,7 @@
 		policy: 'even-load',
 		isLimiting: true,
 		weighsBytes: true,
-		// Processor time of a node that has served some hundred calls.
-		nodeWork: {
-			entryMs: 0.7,
-			attemptMs: 0.6,
-			gateMs: 0.7,
-			workerMs: 0.6,
-			millionBytesMs: 25,
-			rest: {everyMs: 300, workMs: 13},
-		},
+		nodeWork,
 		durationMs: 12_000,
 		seed: 3,
 		...fields,
--- a/test/matrix/uneven-data-centres.test.ts
+++ b/test/matrix/uneven-data-centres.test.ts
@@ -1,5 +1,11 @@
 import {expect} from 'chai';
-import {LoadSimulation, type LoadOutcome, type LoadPlan, type LoadWorker} from 'redwingmill-bench';
+import {
+	LoadSimulation,
+	nodeWork,
+	type LoadOutcome,
+	type LoadPlan,
+	type LoadWorker,
+} from 'redwingmill-bench';
 
 const shortCentre = 'dc-a';
 const otherCentres = ['dc-b', 'dc-c', 'dc-d'] as const;
@@ -52,14 +58,7 @@
 		policy: 'even-load',
 		isLimiting: true,
 		weighsBytes: true,
-		nodeWork: {
-			entryMs: 0.7,
-			attemptMs: 0.6,
-			gateMs: 0.7,
-			workerMs: 0.6,
-			millionBytesMs: 25,
-			rest: {everyMs: 300, workMs: 13},
-		},
+		nodeWork,
 		durationMs,
 		seed,
 	};
