cost: processor time of a call that its entry refuses

What a refusal costs bounds the load under which an entry still serves, and was written nowhere. These refusals are for want of a replica; one that the throttle refuses also reads the body and writes its line.

--- a/packages/redwingmill-bench/src/experiments/node-cost.ts
+++ b/packages/redwingmill-bench/src/experiments/node-cost.ts
@@ -43,6 +43,8 @@
 	readonly entryMs: number;
 	readonly gateMs: number;
 	readonly bareProxyMs: number;
+	/** At an entry that refuses the call before any gate is asked. */
+	readonly refusalMs: number;
 };
 
 const msPerSecond = 1000;
@@ -60,6 +62,9 @@
 	{after: 10_000, length: 2000},
 ] as const;
 const services = ['first', 'second', 'third'] as const;
+/** Service of the measured calls, and one without a replica, whose calls the entry refuses. */
+const destinations = {served: 'second', refused: 'third'} as const;
+const servedStatus = 200;
 const dataCentres = ['dc-a', 'dc-b', 'dc-c', 'dc-d', 'dc-e'] as const;
 const runMs = 2;
 const ownLinkMbps = 100;
@@ -170,8 +175,8 @@
 	/** Measures calls that one node takes from callers and another one passes to its worker. */
 	async measureCalls(): Promise<readonly CallCost[]> {
 		const entry = await this.#startNode('first', 'entry');
-		const gate = await this.#startNode('second', 'gate');
-		await waitUntil(async () => (await this.#call(entry.addresses.proxy)) === 200);
+		const gate = await this.#startNode(destinations.served, 'gate');
+		await waitUntil(async () => (await this.#call(entry.addresses.proxy)) === servedStatus);
 		this.#callCount = 0;
 		const [proxyHost] = gate.addresses.proxy.split(':');
 		const {proxy: proxyAddress} = await this.#deployment.allocateAddresses();
@@ -193,7 +198,14 @@
 			const bareProxyMs = round(
 				((processorSecondsOf(proxy.pid ?? 0) - proxyBefore) * msPerSecond) / length,
 			);
-			costs.push({after, entryMs, gateMs, bareProxyMs});
+			const refusalBefore = processorSecondsOf(entry.pid);
+			const served = this.#callCount;
+			await this.#callMany(entry.addresses.proxy, length, destinations.refused);
+			this.#callCount = served;
+			const refusalMs = round(
+				((processorSecondsOf(entry.pid) - refusalBefore) * msPerSecond) / length,
+			);
+			costs.push({after, entryMs, gateMs, bareProxyMs, refusalMs});
 		}
 
 		proxy.kill('SIGKILL');
@@ -238,26 +250,34 @@
 		this.#store.write(this.#version, routes);
 	}
 
-	async #callMany(address: string, count: number): Promise<void> {
+	async #callMany(
+		address: string,
+		count: number,
+		destination: string = destinations.served,
+	): Promise<void> {
 		let remaining = count;
 		const agent = new Agent({keepAlive: true, maxSockets: callersAtOnce});
 		await Promise.all(
 			Array.from({length: callersAtOnce}, async () => {
 				while (remaining > 0) {
 					remaining -= 1;
-					await this.#call(address, agent);
+					await this.#call(address, agent, destination);
 				}
 			}),
 		);
 		agent.destroy();
 	}
 
-	async #call(address: string, agent?: Agent): Promise<number | undefined> {
+	async #call(
+		address: string,
+		agent?: Agent,
+		destination: string = destinations.served,
+	): Promise<number | undefined> {
 		this.#callCount += 1;
 		const {hostName, headersOf} = this.#deployment;
 		const [hostname, port] = address.split(':');
 		const headers = {host: hostName, ...headersOf(`call-${this.#callCount}`, 2000)};
-		return exchange({hostname, port, agent, path: `/second/${this.#callCount}`, headers});
+		return exchange({hostname, port, agent, path: `/${destination}/${this.#callCount}`, headers});
 	}
 }
 
