Ask a second gate for a refused call only where a slot is free

A refused exchange costs two nodes processor time, and an entry asked up to four gates for each call that callers send, whenever another worker was less busy than the one that had refused. Less busy isn't enough: such a gate refuses as well, unless a slot is expected to be free. Calls of runs, which hold a slot already, are asked for as before.

The unit test failed before ('attempt' in place of 'answer').

--- a/packages/redwingmill-core/src/__tests__/unit/entry-call.test.ts
+++ b/packages/redwingmill-core/src/__tests__/unit/entry-call.test.ts
@@ -49,11 +49,11 @@
 }
 
 /** Starts a call among replicas whose gates have just reported these calls per slot. */
-function startCall(callsPerSlot: Readonly<Record<string, number>>) {
+function startCall(callsPerSlot: Readonly<Record<string, number>>, throttle?: AdaptiveThrottle) {
 	const options = {policy: 'even-load', slowStartMs: 0, dataCentre: 'dc-a'} as const;
 	const chooser = new EndpointChooser(options, new Random(1));
 	const endpoints = Object.keys(callsPerSlot).map((node) => endpointOf(node));
-	const call = newCall(chooser, endpoints);
+	const call = newCall(chooser, endpoints, throttle);
 	for (const endpoint of endpoints) {
 		chooser.onLoad(endpoint, loadOf(callsPerSlot[endpoint.node]), now);
 	}
@@ -61,9 +61,13 @@
 	return {call, first: call.begin(now), chooser};
 }
 
+function idleThrottle(): AdaptiveThrottle {
+	return new AdaptiveThrottle(new Random(1));
+}
+
 /** Returns a throttle whose gates have refused all calls of the group lately. */
 function fullThrottle(): AdaptiveThrottle {
-	const throttle = new AdaptiveThrottle(new Random(1));
+	const throttle = idleThrottle();
 	for (let call = 0; call < 100; call += 1) {
 		throttle.onRefused({group: 'g'}, 300, now);
 	}
@@ -100,6 +104,15 @@
 	return {nodes, action};
 }
 
+/** Has a busy worker's gate refuse a call once another one has reported its load. Returns the next action. */
+function refuseFirst(otherCallsPerSlot: number, throttle: AdaptiveThrottle | undefined) {
+	const busy = 3;
+	const {call, first, chooser} = startCall({a: busy, b: busy}, throttle);
+	const asked = first.type === 'attempt' ? first.endpoint.node : undefined;
+	chooser.onLoad(endpointOf(asked === 'a' ? 'b' : 'a'), loadOf(otherCallsPerSlot), now);
+	return call.onAttempt(refusal('queue-too-slow', busy), now);
+}
+
 describe('a call that a gate refuses because its worker has too many calls', () => {
 	const alike = {a: 2, b: 2, c: 2, d: 2, e: 2};
 
@@ -126,6 +139,23 @@
 	});
 });
 
+describe('a call that a gate refuses while another worker is less busy', () => {
+	const lessBusy = 1.1;
+	const withFreeSlot = 0.5;
+
+	it('goes on if the other worker has a free slot', () => {
+		expect(refuseFirst(withFreeSlot, idleThrottle()).type).to.equal('attempt');
+	});
+
+	it('is refused at once if the other worker has none', () => {
+		expect(refuseFirst(lessBusy, idleThrottle()).type).to.equal('answer');
+	});
+
+	it('goes on in any case if it is made by a run, which holds a slot', () => {
+		expect(refuseFirst(lessBusy, undefined).type).to.equal('attempt');
+	});
+});
+
 describe('a call while gates refuse nearly all of its group', () => {
 	it('is refused before any gate is asked, with the time to retry that they state', () => {
 		const action = startThrottledCall(1);
--- a/packages/redwingmill-core/src/call/choice/choice-policy.ts
+++ b/packages/redwingmill-core/src/call/choice/choice-policy.ts
@@ -43,9 +43,12 @@
 	readonly bytes?: number;
 	/**
 	 * Lowest occupancy at which a gate has refused the call for lack of capacity, see
-	 * `EndpointChooser.occupancyOf`; endpoints that are as busy are left out. Absent when none has.
+	 * `EndpointChooser.occupancyOf`; endpoints that are likely to refuse it too are left out. Absent when none
+	 * has.
 	 */
 	readonly refusedAt?: number;
+	/** Whether these are all without a free slot; by default those that are as busy. */
+	readonly needsFreeSlot?: boolean;
 };
 
 /** Why the policy `even-load` chose a replica. */
--- a/packages/redwingmill-core/src/call/endpoint-chooser.ts
+++ b/packages/redwingmill-core/src/call/endpoint-chooser.ts
@@ -70,7 +70,7 @@
 			(endpoint) => !excluded.has(endpoint.node) && !this.#notices.isLeaving(endpoint),
 		);
 		const healthy = this.#withoutEjected(open, endpoints.length, now);
-		const usable = this.#withoutAsBusy(healthy, profile, now);
+		const usable = this.#withoutLikelyRefusals(healthy, profile, now);
 		if (usable.length === 0) {
 			return undefined;
 		}
@@ -89,14 +89,9 @@
 	 * relative to the others. Undefined if it hasn't reported its load.
 	 */
 	occupancyOf(endpoint: Endpoint, now: number): number | undefined {
-		const state = this.#states.of(endpoint);
-		const {load} = state.completion;
-		if (load === undefined) {
-			return undefined;
-		}
-
-		const {callsPerSlot} = forecastOf(state, Math.min(1, load.callsPerSlot), load.runMs, now);
-		return callsPerSlot * state.relativeRunTime;
+		const callsPerSlot = this.#callsPerSlotOf(endpoint, now);
+		const {relativeRunTime} = this.#states.of(endpoint);
+		return callsPerSlot === undefined ? undefined : callsPerSlot * relativeRunTime;
 	}
 
 	/** Records that an attempt was sent to the endpoint. */
@@ -250,23 +245,45 @@
 	}
 
 	/**
-	 * Removes endpoints that, with the call, would be as busy as the least busy of those whose gate has refused
-	 * it: they would refuse it too, and the exchange costs both nodes more than it gains.
+	 * Removes endpoints that are likely to refuse a call which a gate has refused already: the exchange costs
+	 * both nodes more than it gains.
 	 */
-	#withoutAsBusy(
+	#withoutLikelyRefusals(
 		endpoints: readonly Endpoint[],
-		{refusedAt}: CallProfile,
+		{refusedAt, needsFreeSlot = false}: CallProfile,
 		now: number,
 	): readonly Endpoint[] {
-		return refusedAt === undefined
-			? endpoints
-			: endpoints.filter((endpoint) => {
-					const occupancy = this.occupancyOf(endpoint, now);
-					const {relativeRunTime} = this.#states.of(endpoint);
-					return (
-						occupancy === undefined || occupancy + relativeRunTime / endpoint.slots <= refusedAt
-					);
-				});
+		if (refusedAt === undefined) {
+			return endpoints;
+		}
+
+		return endpoints.filter((endpoint) =>
+			needsFreeSlot ? this.#hasFreeSlot(endpoint, now) : this.#isLessBusy(endpoint, refusedAt, now),
+		);
+	}
+
+	/** Whether, with one more call, the endpoint would be less busy than one whose gate has refused the call. */
+	#isLessBusy(endpoint: Endpoint, refusedAt: number, now: number): boolean {
+		const occupancy = this.occupancyOf(endpoint, now);
+		const {relativeRunTime} = this.#states.of(endpoint);
+		return occupancy === undefined || occupancy + relativeRunTime / endpoint.slots <= refusedAt;
+	}
+
+	/** Whether one more call is expected to run at the endpoint at once; not without a report of its load. */
+	#hasFreeSlot(endpoint: Endpoint, now: number): boolean {
+		const {slots} = endpoint;
+		const callsPerSlot = this.#callsPerSlotOf(endpoint, now);
+		const {sentSinceReport} = this.#states.of(endpoint).completion;
+		return callsPerSlot !== undefined && callsPerSlot + (sentSinceReport + 1) / slots <= 1;
+	}
+
+	/** Returns the running and waiting calls per slot to expect now; undefined without a report of them. */
+	#callsPerSlotOf(endpoint: Endpoint, now: number): number | undefined {
+		const state = this.#states.of(endpoint);
+		const {load} = state.completion;
+		return load === undefined
+			? undefined
+			: forecastOf(state, Math.min(1, load.callsPerSlot), load.runMs, now).callsPerSlot;
 	}
 
 	/**
