Throttle harder while nodes lack processor time, by a transit time that ages

Where calls' time on the way shows that nodes lack processor time, the share falls by two fifths, down to 0.005. On nodes with time to spare nothing changes.

With so few attempts the time on the way must age: its average had a tenth for each new attempt however old the earlier ones were, and kept a share down that nothing could raise. Earlier attempts count half after 300 ms, and without an attempt the throttle counts the estimate half after 3 s.

The unit test 'asks less often while nodes lack processor time' failed before (89 sent of at most 25).

--- a/packages/redwingmill-core/src/__tests__/unit/adaptive-throttle.test.ts
+++ b/packages/redwingmill-core/src/__tests__/unit/adaptive-throttle.test.ts
@@ -54,6 +54,23 @@
 		expect(play(throttle, 100, 100, 10_000).refused).to.equal(0);
 	});
 
+	it('asks less often while nodes lack processor time', () => {
+		const scarce = {...orders, transitShare: 0.1};
+		const sent = [orders, scarce].map((call) => {
+			const throttle = new AdaptiveThrottle(new Random(1));
+			let count = 0;
+			for (let now = 0; now < 5000; now += 5) {
+				if (!throttle.refuses(call, now)) {
+					count += 1;
+					throttle.onRefused(call, 400, now);
+				}
+			}
+
+			return count;
+		});
+		expect(sent[1]).to.be.within(1, sent[0] / 4);
+	});
+
 	it('refuses no calls of another group', () => {
 		const throttle = new AdaptiveThrottle(new Random(1));
 		play(throttle, 100, 0);
--- a/packages/redwingmill-core/src/call/adaptive-throttle.ts
+++ b/packages/redwingmill-core/src/call/adaptive-throttle.ts
@@ -2,13 +2,18 @@
 import {fairLimitOf} from './fair-limit.js';
 import {type CallWorkspace} from './gate-call.js';
 
-/** Steps of the share of calls that are sent: for each that gates admitted, and the factor for each refused. */
-const steps = {admitted: 0.05, refusedFactor: 0.8} as const;
+/** Step of the share of calls that are sent for each that gates admitted. */
+const admittedStep = 0.05;
+/** Upper bound of the share. It has to fall to 1 before a call is refused here, so that few refusals throttle nothing. */
+const mostShare = 1.5;
 /**
- * Bounds of the share. Above 1 it has to fall first before a call is refused here, so that a few refusals by
- * gates throttle nothing; the lower bound keeps asking whether there is room again.
+ * Factor on the share for each call that gates refused, and its lower bound, which keeps asking whether there is
+ * room again: while nodes have processor time to spare, and while refused exchanges take it from admitted calls.
  */
-const shareBounds = {least: 0.1, most: 1.5} as const;
+const refusedSteps = {
+	spare: {factor: 0.8, leastShare: 0.1},
+	scarce: {factor: 0.6, leastShare: 0.005},
+} as const;
 /** Step of the share for each second: what gates refused a while ago says little of the present. */
 const recoveryPerSecond = 0.2;
 /**
@@ -90,7 +95,7 @@
 		const state = this.#groups.get(keyOf(call));
 		if (state) {
 			age(state, call, now);
-			setShare(state, state.share + steps.admitted * growthOf(state, call));
+			setShare(state, state.share + admittedStep * growthOf(state, call), call);
 		}
 	}
 
@@ -107,7 +112,11 @@
 		}
 
 		age(state, call, now);
-		setShare(state, state.share * steps.refusedFactor);
+		setShare(
+			state,
+			state.share * between(refusedSteps.spare.factor, refusedSteps.scarce.factor, call),
+			call,
+		);
 		state.retryAfterMs += smoothing * ((retryAfterMs ?? state.retryAfterMs) - state.retryAfterMs);
 	}
 
@@ -117,9 +126,8 @@
 			return undefined;
 		}
 
-		const {most} = shareBounds;
 		const added: Group = {
-			share: most,
+			share: mostShare,
 			updatedAt: now,
 			retryAfterMs: initialRetryAfterMs,
 			sent: new Map(),
@@ -134,8 +142,21 @@
 	return workspace === undefined ? group : `${workspace.rank} ${group}`;
 }
 
-function setShare(group: Group, share: number): void {
-	group.share = Math.min(shareBounds.most, Math.max(shareBounds.least, share));
+function setShare(group: Group, share: number, call: ThrottledCall): void {
+	const {spare, scarce} = refusedSteps;
+	const least = between(spare.leastShare, scarce.leastShare, call);
+	group.share = Math.min(mostShare, Math.max(least, share));
+}
+
+/** Returns the geometric mean of two values, weighted by how much nodes lack processor time. */
+function between(spare: number, scarce: number, call: ThrottledCall): number {
+	return spare * (scarce / spare) ** scarcityOf(call);
+}
+
+/** Returns how much nodes lack processor time, from 0 to 1. */
+function scarcityOf({transitShare = 0}: ThrottledCall): number {
+	const {from, to} = scarceTransit;
+	return Math.min(1, Math.max(0, (transitShare - from) / (to - from)));
 }
 
 /**
@@ -144,9 +165,8 @@
  * lack it, each refused exchange takes time from calls that were admitted, and a low share grows in proportion
  * to itself only.
  */
-function growthOf({share}: Group, {transitShare = 0}: ThrottledCall): number {
-	const {from, to} = scarceTransit;
-	const scarcity = Math.min(1, Math.max(0, (transitShare - from) / (to - from)));
+function growthOf({share}: Group, call: ThrottledCall): number {
+	const scarcity = scarcityOf(call);
 	return 1 - scarcity + scarcity * share;
 }
 
@@ -159,7 +179,7 @@
 	}
 
 	const step = (elapsedMs / msPerSecond) * recoveryPerSecond;
-	setShare(group, group.share + step * growthOf(group, call));
+	setShare(group, group.share + step * growthOf(group, call), call);
 	for (const [name, calls] of group.sent) {
 		const left = calls * 0.5 ** (elapsedMs / halfLifeMs);
 		if (left < leastCalls) {
--- a/packages/redwingmill-core/src/call/endpoint-chooser.ts
+++ b/packages/redwingmill-core/src/call/endpoint-chooser.ts
@@ -154,9 +154,13 @@
 		return this.#notices.limitOf(endpoint);
 	}
 
-	/** Records how long an attempt was on its way to the gate of another node and back, in milliseconds. */
-	onTransit(transitMs: number): void {
-		this.#transitTimes.record(transitMs);
+	/**
+	 * Records how long an attempt was on its way to the gate of another node and back, in milliseconds.
+	 *
+	 * @param now - monotonic milliseconds.
+	 */
+	onTransit(transitMs: number, now: number): void {
+		this.#transitTimes.record(transitMs, now);
 	}
 
 	/** Expected time of an attempt on its way to the gate of another node and back, in milliseconds. */
@@ -164,7 +168,12 @@
 		return this.#transitTimes.expectedMs;
 	}
 
-	/** Returns the same for the gate of an endpoint, which may be in this process. */
+	/** Returns the same, less the longer ago the last attempt was. */
+	fadedTransitMs(now: number): number {
+		return this.#transitTimes.fadedMs(now);
+	}
+
+	/** Expected time for the gate of an endpoint, which may be in this process. */
 	transitMsTo({node}: Endpoint): number {
 		return node === this.#options.ownNode?.node ? 0 : this.transitMs;
 	}
--- a/packages/redwingmill-core/src/call/entry-call.ts
+++ b/packages/redwingmill-core/src/call/entry-call.ts
@@ -173,7 +173,7 @@
 	begin(now: number): EntryAction<Payload> {
 		this.#budget.recordFirstAttempt(now);
 		const throttle = this.#throttle;
-		if (throttle && !this.#hasRoomAtOwnNode(now) && throttle.refuses(this.#throttled, now)) {
+		if (throttle && !this.#hasRoomAtOwnNode(now) && throttle.refuses(this.#throttled(now), now)) {
 			return this.#refuse('throttled', throttle.retryAfterMs(this.#options), now);
 		}
 
@@ -367,7 +367,7 @@
 	/** Bulk answers wait for the host's link, which gates and entries expect by other means. */
 	#recordTransit({heldMs}: GateAnswer<Payload>, now: number): void {
 		if (heldMs !== undefined && !this.#options.isBulk) {
-			this.#chooser.onTransit(now - this.#sentAt - heldMs);
+			this.#chooser.onTransit(now - this.#sentAt - heldMs, now);
 		}
 	}
 
@@ -376,9 +376,9 @@
 		return pinned === undefined && fallback.some(({node}) => !this.#triedNodes.has(node));
 	}
 
-	get #throttled(): ThrottledCall {
+	#throttled(now: number): ThrottledCall {
 		const {group, workspace, targetMs} = this.#options;
-		const transitShare = targetMs === undefined ? 0 : this.#chooser.transitMs / targetMs;
+		const transitShare = targetMs === undefined ? 0 : this.#chooser.fadedTransitMs(now) / targetMs;
 		return {group, workspace, transitShare};
 	}
 
@@ -428,9 +428,9 @@
 
 	#recordAdmission({outcome, retryAfterMs}: Answer<Payload>, now: number): void {
 		if (outcome.type === 'not-run' && capacityReasons.has(outcome.reason)) {
-			this.#throttle?.onRefused(this.#throttled, retryAfterMs, now);
+			this.#throttle?.onRefused(this.#throttled(now), retryAfterMs, now);
 		} else {
-			this.#throttle?.onAdmitted(this.#throttled, now);
+			this.#throttle?.onAdmitted(this.#throttled(now), now);
 		}
 	}
 
--- a/packages/redwingmill-core/src/call/transit-times.ts
+++ b/packages/redwingmill-core/src/call/transit-times.ts
@@ -1,5 +1,9 @@
-/** Share of a new sample in the moving averages. */
+/** Least share of a new sample in the moving averages. */
 const smoothing = 0.1;
+/** Time after which earlier samples count half. */
+const halfLifeMs = 300;
+/** Time without an attempt after which the estimate counts half where it needn't be safe. */
+const fadeMs = 3000;
 /** Bound on a sample: a peer that was held up for longer says nothing of the others. */
 const maximumSampleMs = 300;
 
@@ -11,17 +15,28 @@
 export class TransitTimes {
 	#meanMs: number | undefined;
 	#deviationMs = 0;
+	#recordedAt = 0;
 
 	/** Time in milliseconds within which most attempts make both ways; 0 while nothing is known. */
 	get expectedMs(): number {
 		return this.#meanMs === undefined ? 0 : this.#meanMs + this.#deviationMs;
 	}
 
-	/** @param transitMs - time for which an attempt was on its way, in milliseconds. */
-	record(transitMs: number): void {
+	/** Returns the same, the less the longer ago the last attempt was: it says little of the present by then. */
+	fadedMs(now: number): number {
+		return this.expectedMs * 0.5 ** (Math.max(0, now - this.#recordedAt) / fadeMs);
+	}
+
+	/**
+	 * @param transitMs - time for which an attempt was on its way, in milliseconds.
+	 * @param now - monotonic milliseconds.
+	 */
+	record(transitMs: number, now: number): void {
+		const weight = Math.max(smoothing, 1 - 0.5 ** ((now - this.#recordedAt) / halfLifeMs));
+		this.#recordedAt = now;
 		const sampleMs = Math.min(maximumSampleMs, Math.max(0, transitMs));
 		const meanMs = this.#meanMs ?? sampleMs;
-		this.#deviationMs += smoothing * (Math.abs(sampleMs - meanMs) - this.#deviationMs);
-		this.#meanMs = meanMs + smoothing * (sampleMs - meanMs);
+		this.#deviationMs += weight * (Math.abs(sampleMs - meanMs) - this.#deviationMs);
+		this.#meanMs = meanMs + weight * (sampleMs - meanMs);
 	}
 }
