Look for a free slot in the last report, and only while nodes lack processor time

Now a slot is free if the last report and the calls sent since say so, and the rule holds only while calls' time on the way shows that refused exchanges take processor time that others need.

--- a/packages/redwingmill-core/src/__tests__/unit/entry-call.test.ts
+++ b/packages/redwingmill-core/src/__tests__/unit/entry-call.test.ts
@@ -14,6 +14,7 @@
 
 const now = 10_000;
 const slots = 4;
+const targetMs = 400;
 
 function endpointOf(node: string): Endpoint {
 	const worker = `${node}/1`;
@@ -36,7 +37,8 @@
 			group: 'g',
 			retryAllowance: {share: 0.1, slack: 5},
 			isIdempotent: true,
-			targetAt: now + 400,
+			targetAt: now + targetMs,
+			targetMs,
 			deadlineAt: now + 1000,
 			endpoints,
 			withdraws: true,
@@ -104,10 +106,19 @@
 	return {nodes, action};
 }
 
-/** Has a busy worker's gate refuse a call once another one has reported its load. Returns the next action. */
-function refuseFirst(otherCallsPerSlot: number, throttle: AdaptiveThrottle | undefined) {
+/**
+ * Has a busy worker's gate refuse a call once another one has reported its load. Returns the next action.
+ *
+ * @param transitMs - time of attempts on their way; by default one that shows a lack of processor time.
+ */
+function refuseFirst(
+	otherCallsPerSlot: number,
+	throttle: AdaptiveThrottle | undefined,
+	transitMs = 100,
+) {
 	const busy = 3;
 	const {call, first, chooser} = startCall({a: busy, b: busy}, throttle);
+	chooser.onTransit(transitMs, now);
 	const asked = first.type === 'attempt' ? first.endpoint.node : undefined;
 	chooser.onLoad(endpointOf(asked === 'a' ? 'b' : 'a'), loadOf(otherCallsPerSlot), now);
 	return call.onAttempt(refusal('queue-too-slow', busy), now);
@@ -151,6 +162,10 @@
 		expect(refuseFirst(lessBusy, idleThrottle()).type).to.equal('answer');
 	});
 
+	it('goes on in any case while nodes have processor time to spare', () => {
+		expect(refuseFirst(lessBusy, idleThrottle(), 1).type).to.equal('attempt');
+	});
+
 	it('goes on in any case if it is made by a run, which holds a slot', () => {
 		expect(refuseFirst(lessBusy, undefined).type).to.equal('attempt');
 	});
--- a/packages/redwingmill-core/src/call/adaptive-throttle.ts
+++ b/packages/redwingmill-core/src/call/adaptive-throttle.ts
@@ -153,6 +153,11 @@
 	return spare * (scarce / spare) ** scarcityOf(call);
 }
 
+/** Whether calls' time on the way shows that nodes have no processor time to spare for refused exchanges. */
+export function lacksProcessorTime(call: ThrottledCall): boolean {
+	return scarcityOf(call) > 0;
+}
+
 /** Returns how much nodes lack processor time, from 0 to 1. */
 function scarcityOf({transitShare = 0}: ThrottledCall): number {
 	const {from, to} = scarceTransit;
--- a/packages/redwingmill-core/src/call/endpoint-chooser.ts
+++ b/packages/redwingmill-core/src/call/endpoint-chooser.ts
@@ -89,9 +89,14 @@
 	 * relative to the others. Undefined if it hasn't reported its load.
 	 */
 	occupancyOf(endpoint: Endpoint, now: number): number | undefined {
-		const callsPerSlot = this.#callsPerSlotOf(endpoint, now);
-		const {relativeRunTime} = this.#states.of(endpoint);
-		return callsPerSlot === undefined ? undefined : callsPerSlot * relativeRunTime;
+		const state = this.#states.of(endpoint);
+		const {load} = state.completion;
+		if (load === undefined) {
+			return undefined;
+		}
+
+		const {callsPerSlot} = forecastOf(state, Math.min(1, load.callsPerSlot), load.runMs, now);
+		return callsPerSlot * state.relativeRunTime;
 	}
 
 	/** Records that an attempt was sent to the endpoint. */
@@ -267,7 +272,7 @@
 		}
 
 		return endpoints.filter((endpoint) =>
-			needsFreeSlot ? this.#hasFreeSlot(endpoint, now) : this.#isLessBusy(endpoint, refusedAt, now),
+			needsFreeSlot ? this.#hasFreeSlot(endpoint) : this.#isLessBusy(endpoint, refusedAt, now),
 		);
 	}
 
@@ -278,21 +283,13 @@
 		return occupancy === undefined || occupancy + relativeRunTime / endpoint.slots <= refusedAt;
 	}
 
-	/** Whether one more call is expected to run at the endpoint at once; not without a report of its load. */
-	#hasFreeSlot(endpoint: Endpoint, now: number): boolean {
-		const {slots} = endpoint;
-		const callsPerSlot = this.#callsPerSlotOf(endpoint, now);
-		const {sentSinceReport} = this.#states.of(endpoint).completion;
-		return callsPerSlot !== undefined && callsPerSlot + (sentSinceReport + 1) / slots <= 1;
-	}
-
-	/** Returns the running and waiting calls per slot to expect now; undefined without a report of them. */
-	#callsPerSlotOf(endpoint: Endpoint, now: number): number | undefined {
-		const state = this.#states.of(endpoint);
-		const {load} = state.completion;
-		return load === undefined
-			? undefined
-			: forecastOf(state, Math.min(1, load.callsPerSlot), load.runMs, now).callsPerSlot;
+	/**
+	 * Whether the endpoint's last report, with the calls that this node has sent since, leaves a free slot; not
+	 * without a report. A forecast would say of workers with one slot that none is ever free.
+	 */
+	#hasFreeSlot(endpoint: Endpoint): boolean {
+		const {load, sentSinceReport} = this.#states.of(endpoint).completion;
+		return load !== undefined && load.callsPerSlot + (sentSinceReport + 1) / endpoint.slots <= 1;
 	}
 
 	/**
--- a/packages/redwingmill-core/src/call/entry-call.ts
+++ b/packages/redwingmill-core/src/call/entry-call.ts
@@ -1,6 +1,10 @@
 import {invariant} from 'redwingmill-shared';
 import {type Endpoint} from '../model/routing-table.js';
-import {type AdaptiveThrottle, type ThrottledCall} from './adaptive-throttle.js';
+import {
+	lacksProcessorTime,
+	type AdaptiveThrottle,
+	type ThrottledCall,
+} from './adaptive-throttle.js';
 import {type Answer} from './call-ledger.js';
 import {type CallProfile, type ChoiceReason} from './choice/choice-policy.js';
 import {type EndpointChooser} from './endpoint-chooser.js';
@@ -383,16 +387,16 @@
 	}
 
 	#hasRoomAtOwnNode(now: number): boolean {
-		return this.#chooser.hasRoomAtOwnNode(this.#options.endpoints, now, this.#profile);
+		return this.#chooser.hasRoomAtOwnNode(this.#options.endpoints, now, this.#profile(now));
 	}
 
-	get #profile(): CallProfile {
+	#profile(now: number): CallProfile {
 		const {group, bytes} = this.#options;
 		// After a failure the call goes wherever it can run. Otherwise the target decides whether a remote
 		// endpoint is worth its cost.
 		const targetAt = this.#hasOnlyLackedCapacity ? this.#options.targetAt : undefined;
 		// A call of a worker's run, which isn't throttled, holds a slot: its refusal costs more than an exchange.
-		const needsFreeSlot = this.#throttle !== undefined;
+		const needsFreeSlot = this.#throttle !== undefined && lacksProcessorTime(this.#throttled(now));
 		return {group, targetAt, bytes, refusedAt: this.#refusedAt, needsFreeSlot};
 	}
 
@@ -400,7 +404,7 @@
 		const {pinned, fallback} = this.#options;
 		const endpoints = (this.#attempts > 0 ? fallback : undefined) ?? this.#options.endpoints;
 		const endpoint =
-			pinned ?? this.#chooser.choose(endpoints, this.#triedNodes, now, this.#profile);
+			pinned ?? this.#chooser.choose(endpoints, this.#triedNodes, now, this.#profile(now));
 		if (endpoint === undefined) {
 			return undefined;
 		}
