--- a/packages/redwingmill-core/src/call/choice/choice-policy.ts
+++ b/packages/redwingmill-core/src/call/choice/choice-policy.ts
@@ -47,7 +47,7 @@
 	 * has.
 	 */
 	readonly refusedAt?: number;
-	/** Whether these are all without a free slot; by default those that are as busy. */
+	/** Whether endpoints without a free slot count as likely to refuse it; by default those that are as busy do. */
 	readonly needsFreeSlot?: boolean;
 };
 
