--- a/.ci/run-tests.js
+++ b/.ci/run-tests.js
@@ -34,11 +34,12 @@
 	return {status, ...JSON.parse(stdout.slice(start))};
 }
 
-// Simulations have neither sockets nor wall time, so that they may share the processors.
-const runs = await Promise.all([
-	runMocha(['--config', '.ci/simulations.mocharc.json']),
-	runMocha(['--ignore', 'test/dist/**/*.test.js']),
-]);
+// Simulations have neither sockets nor wall time, so that they may share the processors; the others run after
+// them, as they start processes and hold them to times.
+const runs = [
+	await runMocha(['--config', '.ci/simulations.mocharc.json']),
+	await runMocha(['--ignore', 'test/dist/**/*.test.js']),
+];
 const failures = runs.flatMap((run) => run.failures);
 const passes = runs.reduce((sum, {stats}) => sum + stats.passes, 0);
 const knownFailures = readKnownFailures();
