Review: one measure of processor time per call, no scarcity worked out for calls that no gate has refused

node-cost.ts worked out processor time a call three times over; one function does it now. EntryCall worked out whether nodes lack processor time for each choice, though only a call that was refused needs it.

--- a/packages/redwingmill-bench/src/experiments/node-cost.ts
+++ b/packages/redwingmill-bench/src/experiments/node-cost.ts
@@ -187,24 +187,18 @@
 		const costs: CallCost[] = [];
 		for (const {after, length} of callSeries) {
 			await this.#callMany(entry.addresses.proxy, after - this.#callCount);
-			const pids = [entry.pid, gate.pid];
-			const before = pids.map((pid) => processorSecondsOf(pid));
-			await this.#callMany(entry.addresses.proxy, length);
-			const [entryMs, gateMs] = pids.map((pid, index) =>
-				round(((processorSecondsOf(pid) - before[index]) * msPerSecond) / length),
-			);
-			const proxyBefore = processorSecondsOf(proxy.pid ?? 0);
-			await callProxy(proxyAddress, length, proxyHost);
-			const bareProxyMs = round(
-				((processorSecondsOf(proxy.pid ?? 0) - proxyBefore) * msPerSecond) / length,
-			);
-			const refusalBefore = processorSecondsOf(entry.pid);
+			const {proxy: entryAddress} = entry.addresses;
+			const [entryMs, gateMs] = await msPerCall([entry.pid, gate.pid], length, async () => {
+				await this.#callMany(entryAddress, length);
+			});
+			const [bareProxyMs] = await msPerCall([proxy.pid ?? 0], length, async () => {
+				await callProxy(proxyAddress, length, proxyHost);
+			});
 			const served = this.#callCount;
-			await this.#callMany(entry.addresses.proxy, length, destinations.refused);
+			const [refusalMs] = await msPerCall([entry.pid], length, async () => {
+				await this.#callMany(entryAddress, length, destinations.refused);
+			});
 			this.#callCount = served;
-			const refusalMs = round(
-				((processorSecondsOf(entry.pid) - refusalBefore) * msPerSecond) / length,
-			);
 			costs.push({after, entryMs, gateMs, bareProxyMs, refusalMs});
 		}
 
@@ -281,6 +275,19 @@
 	}
 }
 
+/** Returns the processor time that processes spend on each of some calls, in milliseconds. */
+async function msPerCall(
+	pids: readonly number[],
+	calls: number,
+	makeCalls: () => Promise<void>,
+): Promise<readonly number[]> {
+	const before = pids.map((pid) => processorSecondsOf(pid));
+	await makeCalls();
+	return pids.map((pid, index) =>
+		round(((processorSecondsOf(pid) - before[index]) * msPerSecond) / calls),
+	);
+}
+
 async function callProxy(address: string, count: number, hostHeader: string): Promise<void> {
 	const [hostname, port] = address.split(':');
 	const agent = new Agent({keepAlive: true, maxSockets: callersAtOnce});
--- a/packages/redwingmill-core/src/call/entry-call.ts
+++ b/packages/redwingmill-core/src/call/entry-call.ts
@@ -395,9 +395,13 @@
 		// After a failure the call goes wherever it can run. Otherwise the target decides whether a remote
 		// endpoint is worth its cost.
 		const targetAt = this.#hasOnlyLackedCapacity ? this.#options.targetAt : undefined;
+		const refusedAt = this.#refusedAt;
 		// A call of a worker's run, which isn't throttled, holds a slot: its refusal costs more than an exchange.
-		const needsFreeSlot = this.#throttle !== undefined && lacksProcessorTime(this.#throttled(now));
-		return {group, targetAt, bytes, refusedAt: this.#refusedAt, needsFreeSlot};
+		const needsFreeSlot =
+			refusedAt !== undefined &&
+			this.#throttle !== undefined &&
+			lacksProcessorTime(this.#throttled(now));
+		return {group, targetAt, bytes, refusedAt, needsFreeSlot};
 	}
 
 	#attempt(now: number): EntryAction<Payload> | undefined {
