--- a/review/2/run.js
+++ b/review/2/run.js
@@ -1,135 +1,106 @@
 #!/usr/bin/env node
-import {Buffer} from 'node:buffer';
-import {connect} from 'node:net';
 import path from 'node:path';
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
+import {Client} from '../lib/client.js';
 import {Mesh} from '../lib/mesh.js';
 import {configurationOf, smallBounds} from '../lib/wire.js';
 
 const hasTrouble = process.env.TROUBLE !== '0';
-const graceMs = 6000;
-const deadlineMs = 8000;
-/** Under the 16 MiB that the deploy file's settings let an answer have. */
-const answerBytes = 16_200_000;
-/** A client behind a link of some 28 Mbit/s. */
-const clientBytesPerMs = 3500;
-/** The platform gives clients no new work after two misses of the check that it makes once a second. */
-const sentAfterTermMs = 300;
+/** Whether clients of another caller send requests with the same path, which crash nothing. */
+const hasOtherCaller = process.env.OTHER_CALLER !== '0';
+const contactMs = 3000;
+const downMs = 3000;
+const playMs = 30_000;
+const poisonGapMs = 1000;
+const trafficGapMs = 50;
+const deadlineMs = 1500;
+const crashesBefore = 3;
+/** BUDGET is broken by more than so many. */
+const allowedRetries = 3;
+const target = '/records/a-17';
+const caller = 'front';
 
 const mesh = new Mesh(path.join(import.meta.dirname, 'record.txt'), smallBounds);
-
-/** Reads an answer no faster than the client's link carries it. Resolves when the connection has ended. */
-function download({host, port}) {
-	const result = {bytes: 0, length: undefined, isEnded: false};
-	const socket = connect({host, port});
-	let head = '';
-	socket.on('data', (bytes) => {
-		if (result.length === undefined) {
-			head += bytes.toString('latin1');
-			const end = head.indexOf('\r\n\r\n');
-			if (end !== -1) {
-				const [statusLine] = head.split('\r\n');
-				result.status = Number(statusLine.split(' ')[1]);
-				result.length = Number(/^content-length: (?<length>\d+)/imv.exec(head).groups.length);
-				result.bytes = head.length - end - 4;
-				mesh.record('answer-began', {status: result.status, length: result.length});
-			}
-		} else {
-			result.bytes += bytes.length;
-		}
-
-		if (result.length !== undefined && result.bytes >= result.length) {
-			socket.destroy();
-			return;
-		}
-
-		socket.pause();
-		setTimeout(() => {
-			socket.resume();
-		}, bytes.length / clientBytesPerMs);
-	});
-	socket.on('error', (error) => {
-		result.error = error.code;
-	});
-	const ended = new Promise((resolve) => {
-		socket.once('close', () => {
-			result.isEnded = true;
-			mesh.record('connection-ended', result);
-			resolve(result);
-		});
-	});
-	return {
-		ended,
-		send(id, target) {
-			mesh.record('sent', {id, request: `GET ${target}`});
-			socket.write(
-				`GET ${target} HTTP/1.1\r\nHost: review.example\r\nX-Request-Id: ${id}\r\nX-Deadline-Ms: ${deadlineMs}\r\n\r\n`,
-			);
-		},
-	};
-}
+const arrivals = [];
+const crashes = [];
 
 async function play() {
-	const answers = new Set();
 	const worker = {
-		slots: 8,
+		slots: 12,
 		queue: 24,
-		workMs: () => 100,
-		answer: () => ({body: Buffer.alloc(answerBytes, 'a')}),
+		downMs,
+		workMs: () => 60,
+		crashes: ({url, headers}) =>
+			hasTrouble && url === target && headers['x-caller-service'] === caller,
 		record(event, fields) {
 			mesh.record(event, fields);
-			if (event === 'ran') {
-				answers.add(fields.id);
+			if (event === 'run' && fields.caller === caller && fields.request === `GET ${target}`) {
+				arrivals.push(mesh.now);
+			} else if (event === 'crashed') {
+				crashes.push(mesh.now);
 			}
 		},
 	};
 	await mesh.start(
 		[
-			{service: 'front', worker},
-			{service: 'depot', zone: 'z-a', worker},
-			{service: 'depot', zone: 'z-b', worker},
+			{service: caller, worker},
+			{service: 'portal', worker},
+			...['z-a', 'z-b', 'z-c', 'z-a'].map((zone) => ({service: 'records', zone, worker})),
 		],
 		configurationOf(
 			{
-				sheets: {
-					pathPrefix: '/sheets/',
-					kind: 'download',
+				records: {
+					pathPrefix: '/records/',
+					kind: 'idempotent',
 					timeoutMs: deadlineMs,
-					targetLatencyMs: 2000,
-					service: 'depot',
+					targetLatencyMs: 300,
+					service: 'records',
 				},
 			},
-			['front', 'depot'],
+			[caller, 'portal', 'records'],
 		),
 	);
-	const [machine] = mesh.machines;
-	const {ended, send} = download({host: machine.host, port: machine.proxyPort});
-	let killTimer;
-	if (hasTrouble) {
-		mesh.record('term', {node: machine.index});
-		machine.child.kill('SIGTERM');
-		killTimer = setTimeout(() => {
-			machine.child.kill('SIGKILL');
-		}, graceMs);
-	}
+	const record = (event, fields) => {
+		mesh.record(event, fields);
+	};
 
-	await delay(sentAfterTermMs);
-	send('5f1e0c9a7b3d2468', '/sheets/1');
-	const result = await ended;
-	clearTimeout(killTimer);
-	const isComplete = result.status === 200 && result.bytes === result.length;
-	const hasRun = answers.has('5f1e0c9a7b3d2468');
-	mesh.record('judged', {isComplete, hasRun});
-	console.log(
-		`answer of ${result.length} bytes with status ${result.status}: ${result.bytes} received, ` +
-			`${isComplete ? 'complete' : 'broken off'}; the worker had answered: ${hasRun}`,
+	const [first, second] = mesh.machines.map(
+		({host, proxyPort: port}) => new Client({host, port, record}),
 	);
-	if (!hasRun) {
-		return 2;
+	let count = 0;
+	const timers = [
+		setInterval(async () => {
+			count += 1;
+			await first.send({path: `/records/b-${count}`, deadlineMs});
+		}, trafficGapMs),
+		setInterval(async () => {
+			count += 1;
+			const isSame = hasOtherCaller && count % 2 === 0;
+			await second.send({path: isSame ? target : `/records/c-${count}`, deadlineMs});
+		}, trafficGapMs),
+	];
+	await delay(2000);
+	timers.push(
+		setInterval(async () => {
+			await first.send({path: target, deadlineMs, name: 'crashes workers'});
+		}, poisonGapMs),
+	);
+	await delay(playMs);
+	for (const timer of timers) {
+		clearInterval(timer);
 	}
 
-	return isComplete ? 0 : 1;
+	first.close();
+	second.close();
+	const from = (crashes.at(crashesBefore - 1) ?? Infinity) + contactMs;
+	const late = arrivals.filter((at) => at > from);
+	mesh.record('judged', {crashes, from, late});
+	console.log(
+		`crashes: ${crashes.length}; arrivals of the request at workers: ${arrivals.length}, ` +
+			`later than ${contactMs} ms after its third crash: ${late.length}`,
+	);
+	return late.length > allowedRetries ? 1 : 0;
 }
 
 let code = 2;
--- a/review/5/run.js
+++ b/review/5/run.js
@@ -1,118 +1,111 @@
 #!/usr/bin/env node
-import {Buffer} from 'node:buffer';
 import path from 'node:path';
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
+import {Client} from '../lib/client.js';
 import {Mesh} from '../lib/mesh.js';
 import {configurationOf, smallBounds} from '../lib/wire.js';
-import {PipelineClient} from '../lib/pipeline.js';
 
 const hasTrouble = process.env.TROUBLE !== '0';
-const clientCount = 20;
-/** Share 0.3 of the clients leaves, 1.5 s after its first request. */
-const leavingClients = 6;
-const leaveAfterMs = 1500;
-const deadlineMs = 8000;
-const exportMs = 4000;
-const lookupMs = 100;
-/** Time after a client has left at which workers may still be at work for it. */
-const allowedMs = 500;
-/** GONE is broken if workers are still at work on a larger share. */
-const allowedShare = 0.25;
-const answers = {export: Buffer.alloc(400, 'a'), lookup: Buffer.alloc(5000, 'a')};
+const drainTimeoutMs = 2000;
+const contactMs = 3000;
+/** A worker's heartbeat that arrives some seconds late. */
+const lateMs = 3000;
+const killAfterMs = 300;
+/** Time for which all processes are gone. */
+const downMs = 1000;
+/** The worker goes on serving for the drain time-out and some seconds longer. */
+const servesMs = 12_000;
+const requestGapMs = 40;
+const deadlineMs = 1500;
 
 const mesh = new Mesh(path.join(import.meta.dirname, 'record.txt'), smallBounds);
-/** When a worker began and ended each request. */
-const runs = new Map();
+const runs = [];
 
-function record(event, fields) {
-	mesh.record(event, fields);
-	if (event === 'run') {
-		runs.set(fields.id, {began: mesh.now, isExport: fields.request.includes('/export/')});
-	} else if (event === 'ran' || event === 'dropped') {
-		runs.get(fields.id).ended = mesh.now;
+/** Kills all nodes at once and starts them again. Returns when they have been started, in the record's time. */
+async function killAll() {
+	mesh.record('kill-all');
+	for (const {child} of mesh.machines) {
+		child.kill('SIGKILL');
 	}
-}
 
-function route(pathPrefix, priority) {
-	return {
-		pathPrefix,
-		priority,
-		kind: 'idempotent',
-		timeoutMs: deadlineMs,
-		targetLatencyMs: 2000,
-		service: 'records',
-	};
+	await delay(downMs);
+	for (const machine of mesh.machines) {
+		mesh.startNode(machine);
+	}
+
+	return mesh.now;
 }
 
 async function play() {
-	const isExport = (target) => target.startsWith('/export/');
 	const worker = {
 		slots: 12,
-		queue: 48,
-		workMs: (target) => (isExport(target) ? exportMs : lookupMs),
-		answer: ({url}) => ({body: isExport(url) ? answers.export : answers.lookup}),
-		record,
+		queue: 24,
+		workMs: () => 60,
+		record(event, fields) {
+			mesh.record(event, fields);
+			if (event === 'run') {
+				runs.push({at: mesh.now, ...fields});
+			}
+		},
 	};
 	await mesh.start(
 		[
 			{service: 'front', worker},
 			...['z-a', 'z-b', 'z-c'].map((zone) => ({service: 'records', zone, worker})),
 		],
-		configurationOf({export: route('/export/', 2), lookup: route('/lookup/', 1)}, [
-			'front',
-			'records',
-		]),
+		configurationOf(
+			{
+				records: {
+					pathPrefix: '/records/',
+					kind: 'idempotent',
+					timeoutMs: deadlineMs,
+					targetLatencyMs: 300,
+					service: 'records',
+				},
+			},
+			['front', 'records'],
+		),
 	);
 	const {host, proxyPort: port} = mesh.machines[0];
-	const clients = Array.from(
-		{length: clientCount},
-		(_, index) => new PipelineClient({name: `client-${index}`, host, port, record}),
-	);
-	const left = [];
-	await Promise.all(
-		clients.map(async (client, index) => {
-			await delay(index * 20);
-			const beganAt = mesh.now;
-			const lookups = (count) =>
-				Array.from({length: count}, (_, number) =>
-					client.request(`/lookup/${index}-${number}`, deadlineMs),
-				).join('');
-			await client.write(client.request(`/export/${index}`, deadlineMs) + lookups(4));
-			await delay(600);
-			await client.write(lookups(1));
-			if (hasTrouble && index < leavingClients) {
-				await delay(leaveAfterMs - (mesh.now - beganAt));
-				left.push({client, at: mesh.now});
-				mesh.record('left', {client: index});
-				client.close();
-			} else {
-				await client.finished(deadlineMs + 1000);
-			}
-		}),
-	);
-	return judge(left);
-}
+	const client = new Client({
+		host,
+		port,
+		record(event, fields) {
+			mesh.record(event, fields);
+		},
+	});
+	const traffic = setInterval(async () => {
+		await client.send({path: '/records/1', deadlineMs});
+	}, requestGapMs);
+	await delay(2000);
+	const leaving = mesh.machines[1].worker;
+	await leaving.beat(lateMs);
+	await delay(100);
+	const status = await leaving.leave();
+	const leftAt = mesh.now;
+	if (status !== 200) {
+		return 2;
+	}
 
-/** Counts the requests of clients that have left and that would have lasted for half a second more. */
-function judge(left) {
-	const abandoned = left.flatMap(({client, at}) =>
-		client.requests
-			.filter(({answer}) => answer === undefined)
-			.map(({id}) => ({id, at, ...runs.get(id)})),
-	);
-	const lasting = abandoned.filter(
-		({at, began, isExport}) =>
-			began !== undefined && began + (isExport ? exportMs : lookupMs) > at + allowedMs,
-	);
-	const worked = lasting.filter(({at, ended = Infinity}) => ended > at + allowedMs);
-	const share = lasting.length === 0 ? 0 : worked.length / lasting.length;
-	mesh.record('judged', {lasting: lasting.length, worked: worked.map(({id}) => id)});
+	await delay(killAfterMs);
+	const inTouchFrom = hasTrouble ? (await killAll()) + contactMs : 0;
+	await delay(servesMs - (mesh.now - leftAt));
+	clearInterval(traffic);
+	client.close();
+	const from = Math.max(leftAt + drainTimeoutMs, inTouchFrom);
+	const late = runs.filter((run) => run.worker === leaving.id && run.at > from);
+	const others = runs.filter((run) => run.worker !== leaving.id && run.at > from);
+	mesh.record('judged', {leftAt, inTouchFrom, late: late.map(({id, at}) => ({id, at}))});
 	console.log(
-		`requests of clients that have left and would have lasted half a second longer: ` +
-			`${lasting.length}; workers still at work on ${worked.length}`,
+		`requests that machines in touch sent to the worker later than ${drainTimeoutMs} ms after the ` +
+			`acknowledgement that it leaves: ${late.length}; to the others: ${others.length}`,
 	);
-	return share > allowedShare ? 1 : 0;
+	if (others.length === 0) {
+		return 2;
+	}
+
+	return late.length > 0 ? 1 : 0;
 }
 
 let code = 2;
--- a/review/lib/worker.js
+++ b/review/lib/worker.js
@@ -13,6 +13,8 @@
 	#running = 0;
 	#queue = [];
 	#sequence = 0;
+	#starts = 0;
+	#isStopped = false;
 	#timer;
 	#server;
 	/** How many times as long work takes now. */
@@ -30,7 +32,7 @@
 	}
 
 	get id() {
-		return this.#options.id;
+		return this.#starts === 0 ? this.#options.id : `${this.#options.id}-${this.#starts}`;
 	}
 
 	async start() {
@@ -45,14 +47,37 @@
 	}
 
 	stop() {
+		this.#isStopped = true;
 		clearInterval(this.#timer);
 		this.#server.closeAllConnections();
 		this.#server.close();
 	}
 
+	/** Ends at once, and starts again some seconds later under a new identity. */
+	#crash() {
+		this.#options.record('crashed', {worker: this.id});
+		clearInterval(this.#timer);
+		this.#server.close();
+		this.#server.closeAllConnections();
+		this.#queue = [];
+		this.#running -= 1;
+		this.#starts += 1;
+		setTimeout(async () => {
+			if (this.#isStopped) {
+				return;
+			}
+
+			this.born = Date.now();
+			this.#sequence = 0;
+			await this.start();
+			this.#options.record('restarted', {worker: this.id});
+		}, this.#options.downMs);
+	}
+
 	/** Sends a heartbeat, which arrives after a delay. */
 	async beat(delayMs = 0) {
-		const {id, service, host, port, zone, slots} = this.#options;
+		const {id} = this;
+		const {service, host, port, zone, slots} = this.#options;
 		this.#sequence += 1;
 		const heartbeat = toWire({
 			service,
@@ -112,7 +137,8 @@
 	}
 
 	#handle(request, response) {
-		const {id, slots, queue} = this.#options;
+		const {id} = this;
+		const {slots, queue} = this.#options;
 		if (request.url === '/health') {
 			request.resume();
 			response.writeHead(200, {'x-instance-id': id}).end();
@@ -150,7 +176,7 @@
 		response.writeHead(status, {
 			'x-request-id': request.headers['x-request-id'] ?? '',
 			'x-not-run': '1',
-			'x-instance-id': this.#options.id,
+			'x-instance-id': this.id,
 		});
 		response.end();
 	}
@@ -164,6 +190,11 @@
 
 		this.#running += 1;
 		this.#note('run', request, {bytes});
+		if (this.#options.crashes?.(request)) {
+			this.#crash();
+			return;
+		}
+
 		let isEnded = false;
 		const end = (isDropped) => {
 			if (isEnded) {
@@ -178,7 +209,7 @@
 				const {status = 200, headers = {}, body} = this.#options.answer(request);
 				response.writeHead(status, {
 					'x-request-id': request.headers['x-request-id'] ?? '',
-					'x-server-stamp': `${this.#options.id}.${request.headers['x-request-id']}`,
+					'x-server-stamp': `${this.id}.${request.headers['x-request-id']}`,
 					'x-server-load': `${this.#running},${this.#queue.length},${this.#options.slots}`,
 					'keep-alive': 'timeout=10',
 					'content-length': body.length,
@@ -212,7 +243,8 @@
 
 	#note(event, {headers, method, url}, fields) {
 		this.#options.record(event, {
-			worker: this.#options.id,
+			worker: this.id,
+			caller: headers['x-caller-service'],
 			id: headers['x-request-id'],
 			deadlineMs: headers['x-deadline-ms'],
 			request: `${method} ${url}`,
