--- a/review/1/run.js
+++ b/review/1/run.js
@@ -4,6 +4,7 @@
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import {Mesh} from '../lib/mesh.js';
+import {runCase} from '../lib/run-case.js';
 import {configurationOf, smallBounds} from '../lib/wire.js';
 import {PipelineClient} from '../lib/pipeline.js';
 
@@ -131,13 +132,4 @@
 	return lost.length > allowedLosses ? 1 : 0;
 }
 
-let code = 2;
-try {
-	code = await play();
-} catch (error) {
-	console.error(error);
-} finally {
-	mesh.close();
-}
-
-process.exit(code);
+process.exit(await runCase(mesh, play));
--- a/review/5/run.js
+++ b/review/5/run.js
@@ -4,6 +4,7 @@
 import {setTimeout as delay} from 'node:timers/promises';
 import {Client} from '../lib/client.js';
 import {Mesh} from '../lib/mesh.js';
+import {runCase} from '../lib/run-case.js';
 import {configurationOf, smallBounds} from '../lib/wire.js';
 
 const hasTrouble = process.env.TROUBLE !== '0';
@@ -108,13 +109,4 @@
 	return late.length > 0 ? 1 : 0;
 }
 
-let code = 2;
-try {
-	code = await play();
-} catch (error) {
-	console.error(error);
-} finally {
-	mesh.close();
-}
-
-process.exit(code);
+process.exit(await runCase(mesh, play));
