--- a/review/2/run.js
+++ b/review/2/run.js
@@ -25,6 +25,8 @@
 const mesh = new Mesh(path.join(import.meta.dirname, 'record.txt'), smallBounds);
 const arrivals = [];
 const crashes = [];
+/** Requests that a worker was running when it crashed on another. */
+const dropped = [];
 
 async function play() {
 	const worker = {
@@ -40,6 +42,8 @@
 				arrivals.push(mesh.now);
 			} else if (event === 'crashed') {
 				crashes.push(mesh.now);
+			} else if (event === 'dropped') {
+				dropped.push(fields.id);
 			}
 		},
 	};
@@ -99,7 +103,8 @@
 	mesh.record('judged', {crashes, from, late});
 	console.log(
 		`crashes: ${crashes.length}; arrivals of the request at workers: ${arrivals.length}, ` +
-			`later than ${contactMs} ms after its third crash: ${late.length}`,
+			`later than ${contactMs} ms after its third crash: ${late.length}; ` +
+			`other requests that a worker was running when it crashed: ${dropped.length}`,
 	);
 	return late.length > allowedRetries ? 1 : 0;
 }
