--- a/review/lib-2/mesh.js
+++ b/review/lib-2/mesh.js
@@ -80,6 +80,9 @@
 		this.ready = `${ip}:${ports.ready}`;
 		this.control = `${ip}:${ports.control}`;
 		this.app = `${ip}:${ports.app}`;
+		this.inbound = `${ip}:${ports.inbound}`;
+		/** Address at which the other nodes reach the gate; absent if it is the gate's own. */
+		this.gateLink = undefined;
 		this.isFirstStart = true;
 		this.child = undefined;
 		this.log = '';
@@ -112,7 +115,12 @@
 		};
 		const template = readFileSync(path.join(root, 'deploy/settings.jsonc'), 'utf8');
 		const file = path.join(mesh.folder, `${this.name}.jsonc`);
-		writeFileSync(file, render(template, [fields]));
+		const text = render(template, [fields]);
+		const {gateLink} = this;
+		const advertised = {gate: gateLink, control: `${ip}:${ports.range}`};
+		// The other nodes reach the gate through a link of the script.
+		const added = `{\n"advertised": ${JSON.stringify(advertised)},`;
+		writeFileSync(file, gateLink === undefined ? text : text.replace('{', added));
 		return file;
 	}
 
