--- a/review/6/case.js
+++ b/review/6/case.js
@@ -6,7 +6,7 @@
 import process from 'node:process';
 import {setTimeout as delay} from 'node:timers/promises';
 import {configurationOf, routeTo} from '../lib-2/configuration.js';
-import {runCase} from '../lib-2/mesh.js';
+import {runCase, scriptPorts} from '../lib-2/mesh.js';
 import {WorkerLink} from '../lib-2/worker-link.js';
 import {WorkerProcess} from '../lib-2/worker-process.js';
 import {sendRequest} from '../lib-2/worker.js';
@@ -47,7 +47,14 @@
 	const startWorker = async ({name, ip, zone, app, control}, service, slots) => {
 		births += 1;
 		const id = `i-${births}-${service}`;
-		const place = {name, zone, app, control, service, listen: `${ip}:${8400 + births}`};
+		const place = {
+			name,
+			zone,
+			app,
+			control,
+			service,
+			listen: `${ip}:${scriptPorts.workers + births}`,
+		};
 		const worker = new WorkerProcess(place, {id, slots, workMs}, (run) => {
 			runs.push({...run, worker: id, service});
 			write('run', {id: run.id, worker: id, path: run.path});
--- a/review/lib-2/mesh.js
+++ b/review/lib-2/mesh.js
@@ -14,7 +14,18 @@
 import {StoreStandIn} from '../../platform/dist/stand-ins/store-stand-in.js';
 
 export const root = fileURLToPath(new URL('../../', import.meta.url));
-const ports = {inbound: 8300, app: 8301, ready: 8302, outbound: 8304, control: 8306, range: 7620};
+/** The ports are the same on all machines, below those that the system gives out, and others in each run. */
+const firstPort = 10_000 + 300 * Math.floor(Math.random() * 60);
+const ports = {
+	inbound: firstPort,
+	app: firstPort + 1,
+	ready: firstPort + 2,
+	outbound: firstPort + 4,
+	control: firstPort + 6,
+	range: firstPort + 20,
+};
+/** Ports for what the script itself listens on. */
+export const scriptPorts = {workers: firstPort + 100, link: firstPort + 200};
 
 /** Command of the deploy file that starts a node. */
 function runWords() {
