--- a/packages/redwingmill-core/src/call/worker-lease.ts
+++ b/packages/redwingmill-core/src/call/worker-lease.ts
@@ -25,7 +25,7 @@
 	/** Start of each departed worker instance, by identity; undefined if it was never announced. */
 	readonly #departed = new Map<string, number | undefined>();
 	#worker: Worker | undefined;
-	/** Whether all departures are known that were acknowledged before this process started. */
+	/** Whether all departures are known that were announced before this process started. */
 	#knowsDepartures = true;
 	/** Ready worker that counts as starting until it is certain that it hasn't left. */
 	#unconfirmed: Worker | undefined;
@@ -46,7 +46,7 @@
 	}
 
 	/**
-	 * Tells that all departures are known that were acknowledged before this process started. Returns the
+	 * Tells that all departures are known that were announced before this process started. Returns the
 	 * worker if it is ready from now on.
 	 */
 	confirmDepartures(): Worker | undefined {
--- a/packages/redwingmill-core/src/model/node-record.ts
+++ b/packages/redwingmill-core/src/model/node-record.ts
@@ -46,7 +46,7 @@
 	/** Capacity of the host's network link in Mbit/s; absent when unknown. */
 	readonly linkMbps?: number;
 	/**
-	 * Departures that the node has acknowledged, latest last; absent if there are none. For the node's later
+	 * Departures that were announced to the node, latest last; absent if there are none. For the node's later
 	 * processes: the registry keeps them, datagrams don't carry them.
 	 */
 	readonly departed?: readonly Departure[];
--- a/packages/redwingmill-node/src/control/control-plane.ts
+++ b/packages/redwingmill-node/src/control/control-plane.ts
@@ -41,7 +41,7 @@
 /** Handles the departure of this node's worker that another node knows of. */
 export type DepartureHandler = (instance: string, startedAt: number | undefined) => void;
 
-/** Handles that all departures are known that earlier processes of this node acknowledged. */
+/** Handles that all departures are known that were announced to earlier processes of this node. */
 export type DeparturesReadHandler = () => void;
 
 /** Handles a node that has become unresponsive. */
@@ -115,8 +115,8 @@
 	registerDepartureHandler: (handler: DepartureHandler) => Teardown;
 	registerDeparturesReadHandler: (handler: DeparturesReadHandler) => Teardown;
 	/**
-	 * Keeps a departure of this node's worker for later processes of the node. Returns whether it is kept; after a
-	 * limited time also while it isn't, and goes on trying.
+	 * Keeps a departure of this node's worker for later processes of the node. Resolves with true once it is kept.
+	 * Resolves with false after a limited time, and goes on trying.
 	 */
 	keepDeparture: (departure: Departure) => Promise<boolean>;
 	registerLoadHandler: (handler: LoadHandler) => Teardown;
--- a/packages/redwingmill-node/src/daemon.ts
+++ b/packages/redwingmill-node/src/daemon.ts
@@ -215,11 +215,11 @@
 
 	/**
 	 * Handles a worker's announcement. Without an order, the one received last is the newest. A worker that drains
-	 * is leaving: resolves as {@link announceDeparture} does.
+	 * is leaving: resolves as {@link announceDeparture} does, otherwise with true.
 	 *
 	 * @param coldLeftMs - how long the worker remains slow after its start, in milliseconds.
 	 */
-	async announce(worker: Worker, order?: AnnouncementOrder, coldLeftMs = 0): Promise<void> {
+	async announce(worker: Worker, order?: AnnouncementOrder, coldLeftMs = 0): Promise<boolean> {
 		const renewal = this.#lease.renew(worker, performance.now(), order);
 		if (coldLeftMs > 0 && renewal.type !== 'outdated') {
 			this.#gate.setColdUntil(performance.now() + coldLeftMs);
@@ -242,21 +242,22 @@
 		}
 
 		const {instance, state} = worker;
-		if (state === 'draining' && instance !== undefined && order && renewal.type !== 'outdated') {
-			await this.#control.keepDeparture({instance, startedAt: order.startedAt});
-		}
+		// An outdated announcement repeats a departure that may not be kept yet.
+		return state !== 'draining' || instance === undefined || order === undefined
+			? true
+			: this.#control.keepDeparture({instance, startedAt: order.startedAt});
 	}
 
 	/**
-	 * Stops dispatching calls to a worker instance that is leaving. Resolves once later processes of this node
-	 * know of it, or after a limited time.
+	 * Stops dispatching calls to a worker instance that is leaving. Resolves with true once later processes of
+	 * this node know of it, or with false after a limited time, when it must not be acknowledged yet.
 	 *
 	 * @param startedAt - start of the instance in Unix milliseconds, if it is known.
 	 */
-	async announceDeparture(instance: string, startedAt?: number): Promise<void> {
+	async announceDeparture(instance: string, startedAt?: number): Promise<boolean> {
 		const latestStartedAt = startedAt ?? this.#lease.startOf(instance) ?? Date.now();
 		this.#leave(instance, startedAt);
-		await this.#control.keepDeparture({instance, startedAt: latestStartedAt});
+		return this.#control.keepDeparture({instance, startedAt: latestStartedAt});
 	}
 
 	/** Applies those changed settings that can change without a restart. */
--- a/packages/redwingmill-node/src/observe/log-event.ts
+++ b/packages/redwingmill-node/src/observe/log-event.ts
@@ -98,7 +98,7 @@
 	departureNotKept: {
 		number: 514,
 		level: 'warn',
-		message: 'departure acknowledged before the store keeps it',
+		message: 'departure not acknowledged, as the store does not keep it yet',
 	},
 	announcementIgnored: {number: 505, level: 'warn', message: 'worker announcement ignored'},
 	workerLimitChanged: {
