--- a/packages/redwingmill-core/src/directory/directory-event.ts
+++ b/packages/redwingmill-core/src/directory/directory-event.ts
@@ -84,7 +84,7 @@
 	/** Reads the record that an earlier process of this node may have written. */
 	| {readonly type: 'read-own-record'; readonly address: string}
 	| {readonly type: 'write-record'; readonly record: NodeRecord}
-	/** All departures that earlier processes of this node acknowledged have been told. */
+	/** All departures that were announced to earlier processes of this node have been told. */
 	| {readonly type: 'departures-read'}
 	/** The store keeps these departures. */
 	| {readonly type: 'departures-kept'; readonly departed: readonly Departure[]}
--- a/packages/redwingmill-core/src/directory/registry-controller.ts
+++ b/packages/redwingmill-core/src/directory/registry-controller.ts
@@ -14,7 +14,7 @@
 /**
  * Writes this node's record to the registry before listing it, so that of two nodes that start at the
  * same time at least one finds the other. Retries are jittered, as a whole mesh may reconnect at once.
- * The record also keeps the departures of workers that this node has acknowledged; the record of the
+ * The record also keeps the departures of workers that were announced to this node; the record of the
  * node's earlier process is read before it is replaced.
  */
 export class RegistryController implements DirectoryController {
@@ -70,7 +70,11 @@
 		update.emit({type: 'worker-departed', instance, startedAt});
 	}
 
-	update.emit({type: 'departures-read'});
+	// While the store was unreachable, an earlier process couldn't keep the departures announced to it.
+	if (reading.attempt === 0) {
+		update.emit({type: 'departures-read'});
+	}
+
 	addDepartures(update, record?.departed ?? [], context.now);
 }
 
--- a/test/matrix/departures.test.ts
+++ b/test/matrix/departures.test.ts
@@ -146,6 +146,22 @@
 		expect(play.departed).to.deep.equal([departure.instance]);
 	});
 
+	// Guards against a single late announcement that undoes a departure announced during an outage (review/8).
+	it('are not called completely known by a node that started while the store was down', () => {
+		const play = new DepartureMesh();
+		play.mesh.reachability = unreachableStore;
+		play.leave();
+		play.killAll();
+		play.startAll();
+		play.mesh.reachability = fullReachability;
+		play.mesh.run(2 * retryBoundMs);
+		expect(play.mesh.ownRecordReads).to.be.above(2 * addresses.length);
+		expect(play.effects).not.to.include('departures-read');
+		play.killAll();
+		play.startAll();
+		expect(play.effects).to.include('departures-read');
+	});
+
 	it('are written again when the store returns from an older copy', () => {
 		const play = new DepartureMesh();
 		const copy = play.mesh.takeCopy();
