--- a/packages/redwingmill-core/src/__tests__/unit/gate.test.ts
+++ b/packages/redwingmill-core/src/__tests__/unit/gate.test.ts
@@ -7,6 +7,7 @@
 	type GateCall,
 	type GateEffect,
 	type GateLimits,
+	type Worker,
 } from '../../index.js';
 
 const seed = 5;
@@ -21,6 +22,10 @@
 	return gate;
 }
 
+function workerOf(service: string, instance: string): Worker {
+	return {service, address: 'worker', slots: 2, state: 'ready', instance};
+}
+
 function callWith(id: string, fields: Partial<GateCall> = {}): GateCall {
 	return {
 		id,
@@ -361,6 +366,84 @@
 		expect(gate.isIdle).to.equal(true);
 	});
 
+	// Guards against waiting calls that run at the worker that has taken over the address (review/6).
+	it('refuses waiting calls when a worker of another service takes over the address', () => {
+		const gate = gateWith(1, {isolatesSuspects: true});
+		gate.onCrashReport(crashReport('held', 'other'), 'other', 0);
+		gate.submit(callWith('running'), 0);
+		gate.submit(callWith('held', {rank: 0}), 0);
+		gate.submit(callWith('waiting'), 0);
+		expect(gate.waitingCount).to.equal(2);
+		const effects = gate.setWorker(workerOf('diary', 'two'), 1);
+		expect(dispatched(effects)).to.deep.equal([]);
+		expect(answers(effects)).to.deep.equal(['not-run worker-absent', 'not-run worker-absent']);
+		expect(dispatched(gate.finish('running', {type: 'died'}, 2))).to.deep.equal([]);
+		expect(gate.isIdle).to.equal(true);
+	});
+
+	it('keeps waiting calls when another instance of their service takes over the address', () => {
+		const gate = gateWith(1);
+		gate.submit(callWith('running'), 0);
+		gate.submit(callWith('waiting'), 0);
+		expect(dispatched(gate.setWorker(workerOf('coding', 'two'), 1))).to.deep.equal(['waiting']);
+	});
+
+	it('runs calls only at workers of their service, in any order of events', () => {
+		const anyEvent = fc.record({
+			kind: fc.constantFrom(
+				'arrive' as const,
+				'finish' as const,
+				'replace' as const,
+				'tick' as const,
+			),
+			service: fc.constantFrom('coding', 'diary'),
+			state: fc.constantFrom('ready' as const, 'ready' as const, 'absent' as const),
+		});
+		fc.assert(
+			fc.property(fc.array(anyEvent, {maxLength: 60}), (events) => {
+				const gate = gateWith(2);
+				let current = 'coding';
+				const running = new Set<string>();
+				const check = (effects: ReadonlyArray<GateEffect<string>>) => {
+					for (const effect of effects) {
+						if (effect.type === 'dispatch') {
+							expect(effect.call.service).to.equal(current);
+							running.add(effect.call.id);
+						}
+					}
+				};
+
+				for (const [now, {kind, service, state}] of events.entries()) {
+					const [first] = running;
+					switch (kind) {
+						case 'arrive': {
+							check(gate.submit(callWith(`call ${now}`, {service}), now));
+							break;
+						}
+
+						case 'replace': {
+							current = service;
+							check(gate.setWorker({...workerOf(service, `at ${now}`), state}, now));
+							break;
+						}
+
+						case 'finish': {
+							running.delete(first);
+							check(gate.finish(first, {type: 'lost'}, now));
+							break;
+						}
+
+						case 'tick': {
+							check(gate.tick(now));
+							break;
+						}
+					}
+				}
+			}),
+			{seed, numRuns: 300},
+		);
+	});
+
 	it('never exceeds its slots and answers no call twice, in any order of events', () => {
 		const anyEvent = fc.record({
 			kind: fc.constantFrom('arrive' as const, 'finish' as const, 'shed' as const, 'tick' as const),
--- a/packages/redwingmill-core/src/call/gate.ts
+++ b/packages/redwingmill-core/src/call/gate.ts
@@ -8,6 +8,7 @@
 import {GateAnswers} from './gate-answers.js';
 import {type GateCall, type GateEffect, type WorkerResult} from './gate-call.js';
 import {type GateLimits} from './gate-limits.js';
+import {type NotRunReason} from './outcome.js';
 import {type ReportedNotice} from './reported-notices.js';
 import {RunTimes} from './run-times.js';
 import {SuspectedRequests} from './suspected-requests.js';
@@ -116,7 +117,10 @@
 		return this.runningCount === 0 && this.waitingCount === 0;
 	}
 
-	/** Applies the worker's announcement. Unless the worker is ready, refuses all waiting calls. */
+	/**
+	 * Applies the worker's announcement. Refuses the waiting calls of other services, or all of them unless the
+	 * worker is ready.
+	 */
 	setWorker(worker: Worker | undefined, now: number): Array<GateEffect<Payload>> {
 		const isNewInstance =
 			worker?.instance !== this.#worker?.instance || worker?.startedAt !== this.#worker?.startedAt;
@@ -131,13 +135,20 @@
 		}
 
 		this.#dispatcher.resize(worker?.slots ?? 1);
-		return this.#acceptsCalls() ? this.#dispatchWaiting(now) : this.#refuseWaiting(now);
+		// The address may have passed to a worker of another service.
+		const misplaced = worker
+			? this.#refuseWaiting('worker-absent', now, ({service}) => service !== worker.service)
+			: [];
+		const effects = this.#acceptsCalls()
+			? this.#dispatchWaiting(now)
+			: this.#refuseWaiting('draining', now);
+		return [...misplaced, ...effects];
 	}
 
 	/** Begins a planned stop: refuses new and waiting calls and lets running ones finish. */
 	stop(now: number): Array<GateEffect<Payload>> {
 		this.#isStopping = true;
-		return this.#refuseWaiting(now);
+		return this.#refuseWaiting('draining', now);
 	}
 
 	/** Issues a ticket and returns its number. */
@@ -196,7 +207,7 @@
 			this.#reports.record(notice.load.report, this.runningCount, now);
 		}
 
-		return this.#acceptsCalls() ? effects : [...effects, ...this.#refuseWaiting(now)];
+		return this.#acceptsCalls() ? effects : [...effects, ...this.#refuseWaiting('draining', now)];
 	}
 
 	/** Handles the result of a dispatched call. */
@@ -323,9 +334,14 @@
 		return effects;
 	}
 
-	#refuseWaiting(now: number): Array<GateEffect<Payload>> {
+	/** Refuses the selected waiting calls, by default all. */
+	#refuseWaiting(
+		reason: NotRunReason,
+		now: number,
+		isSelected: (call: GateCall) => boolean = () => true,
+	): Array<GateEffect<Payload>> {
 		return this.#dispatcher
-			.removeWaiting(() => true)
-			.map((call) => this.#answers.refuse(call, 'draining', now));
+			.removeWaiting(isSelected)
+			.map((call) => this.#answers.refuse(call, reason, now));
 	}
 }
