--- a/packages/redwingmill-node/src/__tests__/unit/exchange.test.ts
+++ b/packages/redwingmill-node/src/__tests__/unit/exchange.test.ts
@@ -71,6 +71,19 @@
 		expect(result.type === 'complete' && result.headers).to.deep.equal({'x-late': '2'});
 	});
 
+	// Guards against a worker's bytes with a status like 000 that the caller gets as an answer (MIXED).
+	for (const status of [0, 99, 600, 999]) {
+		it(`takes a response with status ${status} for none`, () => {
+			const {handler, controller, results, isAborted} = begin();
+			handler.onRequestStart?.(controller, undefined);
+			handler.onResponseStart?.(controller, status, {});
+			handler.onResponseData?.(controller, Buffer.from('body'));
+			handler.onResponseEnd?.(controller, {});
+			expect(results).to.deep.equal([{type: 'malformed'}]);
+			expect(isAborted()).to.equal(true);
+		});
+	}
+
 	it('ends when the responses being received exceed the limit of the process together', () => {
 		const limitBytes = 16 * megabyte;
 		const chunk = Buffer.alloc(megabyte);
--- a/packages/redwingmill-node/src/call/exchange.ts
+++ b/packages/redwingmill-node/src/call/exchange.ts
@@ -22,6 +22,8 @@
 	| {readonly type: 'broken'; readonly reason: string}
 	/** The response belongs to another request; its connection was closed. */
 	| {readonly type: 'foreign'}
+	/** The response's status is none of HTTP (RFC 9110, section 15); its connection was closed. */
+	| {readonly type: 'malformed'}
 	| {readonly type: 'too-large'};
 
 /**
@@ -58,7 +60,9 @@
 	readonly abandoned?: AbortSignal;
 };
 
+const firstStatus = 100;
 const firstFinalStatus = 200;
+const lastStatus = 599;
 const acceptAll: ResponseCheck = () => true;
 
 /** Sends a request and collects the complete response. `onResult` is called exactly once. */
@@ -173,6 +177,12 @@
 		status: number,
 		headers: IncomingHttpHeaders,
 	): void {
+		if (status < firstStatus || status > lastStatus) {
+			this.#finish({type: 'malformed'});
+			controller.abort(new AbortedExchangeError(`The response has the status ${status}`));
+			return;
+		}
+
 		if (status < firstFinalStatus) {
 			return;
 		}
--- a/packages/redwingmill-node/src/call/gate-service.ts
+++ b/packages/redwingmill-node/src/call/gate-service.ts
@@ -537,6 +537,7 @@
 			}
 
 			case 'foreign':
+			case 'malformed':
 			case 'broken': {
 				return {type: 'lost'};
 			}
