--- a/packages/redwingmill-soak/src/__tests__/unit/invariant-checker.test.ts
+++ b/packages/redwingmill-soak/src/__tests__/unit/invariant-checker.test.ts
@@ -155,6 +155,21 @@
 		expect(runs(() => 0, true)).to.deep.equal([]);
 	});
 
+	it('counts the crashes of a request by its caller and body as well as its path', () => {
+		const checker = new InvariantChecker(() => 0);
+		for (let index = 0; index < 14; index++) {
+			const path = `/second/${crashingPathOf(1)}`;
+			const fields = index % 2 === 0 ? {caller: 'other'} : {body: 'other'};
+			const call = sentCall({id: `c${index}`, path, ...fields});
+			checker.onSent(call);
+			checker.onRun(runOf(call), 10_000 + (index < 6 ? index : index * 1000));
+			// Three crashes and three runs after them are allowed to each of the two requests.
+			expect(checker.breaches.length, `run ${index}`).to.equal(Math.max(0, index - 11));
+		}
+
+		expect(new Set(violatedInvariantsOf(checker))).to.deep.equal(new Set(['sent-after-crashes']));
+	});
+
 	it('reports a call pending beyond its timeout, unless its host was disrupted after it was sent', () => {
 		const checker = checkerOf(sentCall({sentAt: 1000}));
 		checker.checkPending(5000, () => -Infinity);
--- a/packages/redwingmill-soak/src/invariant-checker.ts
+++ b/packages/redwingmill-soak/src/invariant-checker.ts
@@ -135,7 +135,7 @@
 	/** Time until which calls may reach an instance that is leaving. */
 	readonly #callsAllowedUntil = new Map<string, number>();
 	readonly #faultFreeCalls = new Set<string>();
-	/** Times at which a request that crashes workers began to run, and whether its hosts were in touch. */
+	/** Runs of each request that crashes workers, by its identity. */
 	readonly #crashingRuns = new Map<string, CrashingRun[]>();
 	readonly #disruptedUntil: (host: number) => number;
 	readonly #notices = new NoticeChecker();
@@ -285,16 +285,17 @@
 	}
 
 	/** Checks that hosts in touch don't send a request on once it has crashed three workers. */
-	#checkCrashingRun({path, isHeldUp}: ObservedRun, {host}: SentCall, now: number): void {
-		const isInTouch = !isHeldUp && now - this.#disruptedUntil(host) >= contactMs;
-		const runs = [...(this.#crashingRuns.get(path) ?? []), {at: now, isInTouch}];
-		this.#crashingRuns.set(path, runs);
+	#checkCrashingRun(run: ObservedRun, {host}: SentCall, now: number): void {
+		const isInTouch = !run.isHeldUp && now - this.#disruptedUntil(host) >= contactMs;
+		const identity = identityOf(run);
+		const runs = [...(this.#crashingRuns.get(identity) ?? []), {at: now, isInTouch}];
+		this.#crashingRuns.set(identity, runs);
 		const thirdCrashAt = runs.at(crashesToQuarantine - 1)?.at ?? now;
-		const lateRuns = runs.filter((run) => run.isInTouch && run.at > thirdCrashAt + contactMs);
+		const lateRuns = runs.filter((each) => each.isInTouch && each.at > thirdCrashAt + contactMs);
 		if (lateRuns.length > maximumRunsAfterCrashes) {
 			this.#report(
 				'sent-after-crashes',
-				`${path} began ${lateRuns.length} runs after its third crash, ${runs.length} in all`,
+				`${identity} began ${lateRuns.length} runs after its third crash, ${runs.length} in all`,
 			);
 		}
 	}
@@ -345,6 +346,11 @@
 	}
 }
 
+/** Returns by what a request that comes again is the same one: a crash says nothing of other requests. */
+function identityOf({method, path, caller, body}: ObservedRun): string {
+	return [method, path, caller, body].join(' ');
+}
+
 function matchesCall(run: ObservedRun, call: SentCall): boolean {
 	return (
 		run.method === call.method &&
--- a/packages/redwingmill-soak/src/soak.ts
+++ b/packages/redwingmill-soak/src/soak.ts
@@ -221,19 +221,26 @@
 		this.#store.write(this.#version, [...stableRoutes, versionRoute(this.#version)]);
 	}
 
-	/** Sends each crashing request to random hosts again and again until the fault phase is over. */
+	/** Sends each crashing request of each calling service again and again until the fault phase is over. */
 	async #repeatCrashingRequests(): Promise<void> {
+		const callers = new Set(this.#hosts.map(({service}) => service));
 		await Promise.all(
-			crashingTargets.map(async (target) => {
-				while (!this.#isFaultPhaseOver) {
-					const index = this.#random.below(this.#hosts.length);
-					await this.#probe(this.#hosts[index], index, target);
-					await delay(this.#random.below(2 * meanCrashingRequestIntervalMs));
-				}
-			}),
+			crashingTargets.flatMap((target) =>
+				[...callers].map(async (caller) => this.#repeatCrashingRequest(target, caller)),
+			),
 		);
 	}
 
+	/** Sends a crashing request to random hosts of its calling service. */
+	async #repeatCrashingRequest(target: CallTarget, caller: string): Promise<void> {
+		const hosts = [...this.#hosts.entries()].filter(([, {service}]) => service === caller);
+		while (!this.#isFaultPhaseOver) {
+			const [index, host] = hosts[this.#random.below(hosts.length)];
+			await this.#probe(host, index, target);
+			await delay(this.#random.below(2 * meanCrashingRequestIntervalMs));
+		}
+	}
+
 	async #injectOnSchedule({atMs, forMs, fault}: PlannedFault): Promise<void> {
 		await delay(atMs);
 		await this.#injectFault(fault, forMs);
