--- a/packages/redwingmill-core/src/__tests__/unit/gate.test.ts
+++ b/packages/redwingmill-core/src/__tests__/unit/gate.test.ts
@@ -388,6 +388,17 @@
 		expect(dispatched(gate.setWorker(workerOf('coding', 'two'), 1))).to.deep.equal(['waiting']);
 	});
 
+	// Guards against calls that a rollout has assigned to one version and that run at another (review/6).
+	it('refuses waiting calls when another version of their service takes over the address', () => {
+		const gate = gateWith(1);
+		gate.setWorker({...workerOf('coding', 'one'), slots: 1, version: 'v1'}, 0);
+		gate.submit(callWith('running'), 0);
+		gate.submit(callWith('waiting'), 0);
+		const effects = gate.setWorker({...workerOf('coding', 'two'), version: 'v2'}, 1);
+		expect(dispatched(effects)).to.deep.equal([]);
+		expect(answers(effects)).to.deep.equal(['not-run worker-absent']);
+	});
+
 	it('runs calls only at workers of their service, in any order of events', () => {
 		const anyEvent = fc.record({
 			kind: fc.constantFrom(
--- a/packages/redwingmill-core/src/call/gate.ts
+++ b/packages/redwingmill-core/src/call/gate.ts
@@ -118,12 +118,13 @@
 	}
 
 	/**
-	 * Applies the worker's announcement. Refuses the waiting calls of other services, or all of them unless the
-	 * worker is ready.
+	 * Applies the worker's announcement. Refuses the waiting calls of other services, and all of them if the worker
+	 * runs another version or isn't ready.
 	 */
 	setWorker(worker: Worker | undefined, now: number): Array<GateEffect<Payload>> {
+		const previous = this.#worker;
 		const isNewInstance =
-			worker?.instance !== this.#worker?.instance || worker?.startedAt !== this.#worker?.startedAt;
+			worker?.instance !== previous?.instance || worker?.startedAt !== previous?.startedAt;
 		this.#worker = worker;
 		if (isNewInstance) {
 			this.#dispatcher.reset(now);
@@ -135,10 +136,13 @@
 		}
 
 		this.#dispatcher.resize(worker?.slots ?? 1);
-		// The address may have passed to a worker of another service.
-		const misplaced = worker
-			? this.#refuseWaiting('worker-absent', now, ({service}) => service !== worker.service)
-			: [];
+		// The entry nodes chose the service and, in a rollout, the version.
+		const isOtherVersion = worker?.version !== previous?.version;
+		const misplaced = this.#refuseWaiting(
+			'worker-absent',
+			now,
+			({service}) => isOtherVersion || service !== worker?.service,
+		);
 		const effects = this.#acceptsCalls()
 			? this.#dispatchWaiting(now)
 			: this.#refuseWaiting('draining', now);
