--- a/packages/redwingmill-core/src/__tests__/unit/gate.test.ts
+++ b/packages/redwingmill-core/src/__tests__/unit/gate.test.ts
@@ -399,6 +399,21 @@
 		expect(answers(effects)).to.deep.equal(['not-run worker-absent']);
 	});
 
+	// Guards against a restarted worker that is out of use because calls of its earlier process end.
+	for (const type of ['misdirected', 'unreachable', 'died'] as const) {
+		it(`keeps using a worker when a call of an earlier process ends as ${type}`, () => {
+			const gate = gateWith(1);
+			gate.setWorker(workerOf('coding', 'one'), 0);
+			gate.submit(callWith('earlier'), 0);
+			gate.setWorker(workerOf('coding', 'two'), 1);
+			gate.submit(callWith('own'), 1);
+			const isWorkerGone = (key: string) =>
+				gate.finish(key, {type}, 2).some((effect) => effect.type === 'worker-gone');
+			expect(isWorkerGone('earlier')).to.equal(false);
+			expect(isWorkerGone('own')).to.equal(true);
+		});
+	}
+
 	it('runs calls only at workers of their service, in any order of events', () => {
 		const anyEvent = fc.record({
 			kind: fc.constantFrom(
--- a/packages/redwingmill-core/src/call/dispatcher.ts
+++ b/packages/redwingmill-core/src/call/dispatcher.ts
@@ -12,6 +12,8 @@
 /** A call that the worker is running. */
 export type RunningCall = {
 	readonly call: GateCall;
+	/** Number of the worker process that it was sent to. */
+	readonly process: number;
 	readonly startedAt: number;
 	/** What the run times need to know of the start. */
 	readonly started: number;
@@ -40,6 +42,8 @@
 	#heldCall: GateCall | undefined;
 	#runningSuspectedCount = 0;
 	#sentCount = 0;
+	/** Number of worker processes before the current one. */
+	#process = 0;
 
 	constructor({
 		limits,
@@ -91,6 +95,7 @@
 
 	/** Begins with a new worker process; calls that wait stay. */
 	reset(now: number): void {
+		this.#process += 1;
 		this.#concurrencyLimit.reset();
 		this.#stallDetector.onProgress(now);
 		this.#allowance.reset();
@@ -218,7 +223,8 @@
 		this.#allowance.record(now);
 		const started = this.#runTimes.start(now);
 		const concurrency = this.#running.size + 1;
-		this.#running.set(key, {call, startedAt: now, started, isSuspected, concurrency});
+		const process = this.#process;
+		this.#running.set(key, {call, process, startedAt: now, started, isSuspected, concurrency});
 	}
 
 	isRunning(key: string): boolean {
@@ -233,6 +239,11 @@
 		return running;
 	}
 
+	/** Whether a call was sent to the current worker process. */
+	isCurrent({process}: RunningCall): boolean {
+		return process === this.#process;
+	}
+
 	/** Records that the worker ended a call. */
 	onProgress(now: number): void {
 		this.#stallDetector.onProgress(now);
--- a/packages/redwingmill-core/src/call/gate.ts
+++ b/packages/redwingmill-core/src/call/gate.ts
@@ -217,9 +217,15 @@
 	/** Handles the result of a dispatched call. */
 	finish(key: string, result: WorkerResult<Payload>, now: number): Array<GateEffect<Payload>> {
 		const running = this.#dispatcher.finish(key);
-		return running
-			? [...this.#answers.onResult(running, result, now), ...this.#dispatchWaiting(now)]
-			: [];
+		if (running === undefined) {
+			return [];
+		}
+
+		// The end of an earlier process says nothing of the one that has taken its place.
+		const effects = this.#answers
+			.onResult(running, result, now)
+			.filter(({type}) => type !== 'worker-gone' || this.#dispatcher.isCurrent(running));
+		return [...effects, ...this.#dispatchWaiting(now)];
 	}
 
 	/**
