--- a/packages/redwingmill-node/src/__tests__/unit/gate-client.test.ts
+++ b/packages/redwingmill-node/src/__tests__/unit/gate-client.test.ts
@@ -12,7 +12,7 @@
 } from 'redwingmill-core';
 import {GateClient, type Attempt} from '../../call/gate-client.js';
 import {GateServer} from '../../call/gate-server.js';
-import {GateService} from '../../call/gate-service.js';
+import {GateService, type AnswerHandler} from '../../call/gate-service.js';
 import {type Payload} from '../../call/payload.js';
 import {defaultWorkerProtocol} from '../../call/worker-protocol.js';
 
@@ -140,6 +140,30 @@
 		expect(gate.runCount).to.equal(1);
 	});
 
+	it('takes an answer of a gate whose status is none of HTTP for none', async () => {
+		for (const status of [0, 102, 600, 200]) {
+			const service = {
+				submit(_request: unknown, respond: AnswerHandler) {
+					respond({
+						outcome: {type: 'ran'},
+						payload: {status, headers: {}, body: Buffer.from('body')},
+					});
+				},
+			} as unknown as GateService;
+			const server = new GateServer(service, limitBytes, {
+				incarnation: () => incarnation,
+				configurationSince: () => ({type: 'none'}),
+			});
+			const address = await freeAddress();
+			await server.listen(address);
+			const attempt = gate.attempt(`status ${status}`);
+			const endpoint = {...attempt.endpoint, node: address, gateAddress: address};
+			const {type} = await gate.send({...attempt, endpoint});
+			expect(type, String(status)).to.equal(status === 200 ? 'answered' : 'broken');
+			server.close();
+		}
+	});
+
 	it('learns that a gate never admitted an attempt', async () => {
 		expect((await gate.withdraw(gate.attempt('unsent'))).type).to.equal('never-admitted');
 	});
--- a/packages/redwingmill-node/src/call/exchange.ts
+++ b/packages/redwingmill-node/src/call/exchange.ts
@@ -6,7 +6,7 @@
 import {responseBudget} from './byte-budget.js';
 import {forwardedHeaders} from './headers.js';
 import {isFirstOnConnection} from './http-pool.js';
-import {type CallRequest, type Payload} from './payload.js';
+import {isFinalStatus, isStatus, type CallRequest, type Payload} from './payload.js';
 
 /** Result of an HTTP exchange. */
 export type ExchangeResult =
@@ -60,9 +60,6 @@
 	readonly abandoned?: AbortSignal;
 };
 
-const firstStatus = 100;
-const firstFinalStatus = 200;
-const lastStatus = 599;
 const acceptAll: ResponseCheck = () => true;
 
 /** Sends a request and collects the complete response. `onResult` is called exactly once. */
@@ -177,13 +174,13 @@
 		status: number,
 		headers: IncomingHttpHeaders,
 	): void {
-		if (status < firstStatus || status > lastStatus) {
+		if (!isStatus(status)) {
 			this.#finish({type: 'malformed'});
 			controller.abort(new AbortedExchangeError(`The response has the status ${status}`));
 			return;
 		}
 
-		if (status < firstFinalStatus) {
+		if (!isFinalStatus(status)) {
 			return;
 		}
 
--- a/packages/redwingmill-node/src/call/gate-client.ts
+++ b/packages/redwingmill-node/src/call/gate-client.ts
@@ -10,7 +10,7 @@
 import {parseAnswer} from './answer-header.js';
 import {formatAttempt, relativeTimes} from './attempt-header.js';
 import {type Exchange} from './exchange.js';
-import {type CallRequest, type Payload} from './payload.js';
+import {isFinalStatus, type CallRequest, type Payload} from './payload.js';
 import {PeerConnection, type PeerListener, type PeerResult} from './peer-connection.js';
 import {formatHead, parseResponse} from './peer-message.js';
 
@@ -237,6 +237,11 @@
 
 	const {status, headers} = response;
 	const answer = parseAnswer(response.answer);
-	const payload = answer.outcome.type === 'ran' ? {status, headers, body} : undefined;
-	return {...answer, payload, isRetried: false};
+	if (answer.outcome.type !== 'ran') {
+		return {...answer, payload: undefined, isRetried: false};
+	}
+
+	return isFinalStatus(status)
+		? {...answer, payload: {status, headers, body}, isRetried: false}
+		: undefined;
 }
