--- a/packages/redwingmill-core/src/directory/peers-controller.ts
+++ b/packages/redwingmill-core/src/directory/peers-controller.ts
@@ -121,24 +121,31 @@
 function handleAnnouncement(
 	update: DirectoryUpdate,
 	{record, wantsReply}: Extract<Datagram, {type: 'announcement'}>,
-	{now}: DirectoryContext,
+	{now, limits}: DirectoryContext,
 ): void {
 	const {address, incarnation} = record;
-	const known = update.pending.members.records.get(address);
+	const {records, peers} = update.pending.members;
+	const known = records.get(address);
 	if (known && known.incarnation > incarnation) {
 		const datagram = {type: 'outdated', incarnation: known.incarnation} as const;
 		update.emit({type: 'send', to: address, datagram});
 		return;
 	}
 
-	if (known && known.incarnation < incarnation) {
+	const hasRestarted = known !== undefined && known.incarnation < incarnation;
+	if (hasRestarted) {
 		tellDeparture(update, known);
 	}
 
+	const receivedAt = peers.get(address)?.receivedAt ?? Number.NEGATIVE_INFINITY;
+	const knewReceiver = hasRestarted && now - receivedAt < limits.recentContactMs;
+
 	mergeRecords(update, [record], now);
 	markAlive(update, [[address, {at: now}]], now);
-	if (wantsReply) {
-		update.emit({type: 'send', to: address, datagram: announcementOf(update.pending, false)});
+	if (wantsReply || knewReceiver) {
+		const datagram = announcementOf(update.pending, false);
+		const reply = knewReceiver ? {...datagram, knewReceiver} : datagram;
+		update.emit({type: 'send', to: address, datagram: reply});
 	}
 }
 
--- a/packages/redwingmill-protocol/src/datagram-codec.ts
+++ b/packages/redwingmill-protocol/src/datagram-codec.ts
@@ -37,13 +37,14 @@
 	const {body} = parseDatagram(bytes);
 	switch (body.case) {
 		case 'announcement': {
-			const {record, version, wantsReply, storeEra} = body.value;
+			const {record, version, wantsReply, storeEra, knewReceiver} = body.value;
 			return {
 				type: 'announcement',
 				record: decodeRecord(record),
 				version: Number(version),
 				wantsReply,
 				storeEra,
+				...(knewReceiver && {knewReceiver}),
 			};
 		}
 
