--- a/packages/redwingmill-core/src/directory/directory-limits.ts
+++ b/packages/redwingmill-core/src/directory/directory-limits.ts
@@ -13,8 +13,6 @@
 	readonly lapsedHeartbeatIntervalMs: number;
 	/** Time for which a node that has left is still contacted, in case it starts again. */
 	readonly departureContactMs: number;
-	/** Time since a node was last heard within which the others know what was announced to it. */
-	readonly recentContactMs: number;
 	/** Time after which a lapsed node is removed. */
 	readonly removalTimeoutMs: number;
 	/** Delays after a change at which the record is announced again, because datagrams get lost. */
@@ -105,7 +103,6 @@
 	lapseHeartbeatIntervals: 3.2,
 	lapsedHeartbeatIntervalMs: 1000,
 	departureContactMs: 60_000,
-	recentContactMs: 10_000,
 	removalTimeoutMs: 600_000,
 	reannounceDelaysMs: [50, 250],
 	inquiryIntervalMs: 200,
--- a/packages/redwingmill-core/src/directory/directory-state.ts
+++ b/packages/redwingmill-core/src/directory/directory-state.ts
@@ -101,8 +101,6 @@
 	readonly listing: RegistryRequest;
 	/** Whether the registry was listed at least once. */
 	readonly hasBeenListed: boolean;
-	/** Whether a node has answered that was in contact with this node's earlier process. */
-	readonly isRemembered: boolean;
 	/** Era of the store that acknowledged this node's record; absent when none did. */
 	readonly writtenEra?: number;
 };
@@ -198,13 +196,7 @@
 			statusRequestedAt: new Map(),
 			unspread: [],
 		},
-		registry: {
-			reading: due,
-			writing: due,
-			listing: due,
-			hasBeenListed: false,
-			isRemembered: false,
-		},
+		registry: {reading: due, writing: due, listing: due, hasBeenListed: false},
 		store: {era: 0},
 		watch: {isOn: false, isStoreReachable: false, renewedAt: Number.NEGATIVE_INFINITY},
 		crashes: {
--- a/packages/redwingmill-core/src/directory/peers-controller.ts
+++ b/packages/redwingmill-core/src/directory/peers-controller.ts
@@ -121,31 +121,24 @@
 function handleAnnouncement(
 	update: DirectoryUpdate,
 	{record, wantsReply}: Extract<Datagram, {type: 'announcement'}>,
-	{now, limits}: DirectoryContext,
+	{now}: DirectoryContext,
 ): void {
 	const {address, incarnation} = record;
-	const {records, peers} = update.pending.members;
-	const known = records.get(address);
+	const known = update.pending.members.records.get(address);
 	if (known && known.incarnation > incarnation) {
 		const datagram = {type: 'outdated', incarnation: known.incarnation} as const;
 		update.emit({type: 'send', to: address, datagram});
 		return;
 	}
 
-	const hasRestarted = known !== undefined && known.incarnation < incarnation;
-	if (hasRestarted) {
+	if (known && known.incarnation < incarnation) {
 		tellDeparture(update, known);
 	}
 
-	const receivedAt = peers.get(address)?.receivedAt ?? Number.NEGATIVE_INFINITY;
-	const knewReceiver = hasRestarted && now - receivedAt < limits.recentContactMs;
-
 	mergeRecords(update, [record], now);
 	markAlive(update, [[address, {at: now}]], now);
-	if (wantsReply || knewReceiver) {
-		const datagram = announcementOf(update.pending, false);
-		const reply = knewReceiver ? {...datagram, knewReceiver} : datagram;
-		update.emit({type: 'send', to: address, datagram: reply});
+	if (wantsReply) {
+		update.emit({type: 'send', to: address, datagram: announcementOf(update.pending, false)});
 	}
 }
 
--- a/packages/redwingmill-core/src/directory/registry-controller.ts
+++ b/packages/redwingmill-core/src/directory/registry-controller.ts
@@ -1,4 +1,3 @@
-import {type Datagram} from '../model/datagram.js';
 import {includesDeparture, type Departure} from '../model/node-record.js';
 import {
 	type DirectoryContext,
@@ -6,7 +5,6 @@
 	type DirectoryUpdate,
 } from './directory-controller.js';
 import {type DirectoryEvent} from './directory-event.js';
-import {type RegistryRequest} from './directory-state.js';
 import {failed, isDue, scheduledAt, voided} from './store-request.js';
 import {isSmallMesh, isWatcher} from './watchers.js';
 
@@ -47,12 +45,6 @@
 				break;
 			}
 
-			case 'datagram': {
-				onDatagram(update, event.datagram);
-				rewriteRecord(update, context.now);
-				break;
-			}
-
 			default: {
 				rewriteRecord(update, context.now);
 			}
@@ -78,27 +70,14 @@
 		update.emit({type: 'worker-departed', instance, startedAt});
 	}
 
-	// The record lacks what was announced to the earlier process while the store was unreachable.
-	if (record === undefined || update.pending.registry.isRemembered) {
+	// While the store was unreachable, an earlier process couldn't keep the departures announced to it.
+	if (reading.attempt === 0) {
 		update.emit({type: 'departures-read'});
 	}
 
 	addDepartures(update, record?.departed ?? [], context.now);
 }
 
-/** Learns from the answer of a node that was in contact with this node's earlier process. */
-function onDatagram(update: DirectoryUpdate, datagram: Datagram): void {
-	const {reading, isRemembered} = update.pending.registry;
-	if (isRemembered || datagram.type !== 'announcement' || !datagram.knewReceiver) {
-		return;
-	}
-
-	update.set('registry', {isRemembered: true});
-	if (isDone(reading)) {
-		update.emit({type: 'departures-read'});
-	}
-}
-
 /** Adds departures to this node's record, and writes it at once unless it has them already. */
 function addDepartures(
 	update: DirectoryUpdate,
@@ -162,11 +141,6 @@
 	}
 }
 
-/** Whether a request that is made only once has succeeded. */
-function isDone({dueAt}: RegistryRequest): boolean {
-	return dueAt === Number.POSITIVE_INFINITY;
-}
-
 function startDueRequests(update: DirectoryUpdate, now: number): void {
 	const {reading, writing, listing} = update.pending.registry;
 	const {self} = update.pending.members;
@@ -175,7 +149,8 @@
 		update.emit({type: 'read-own-record', address: self.address});
 	}
 
-	if (isDone(reading) && isDue(writing, now)) {
+	const hasRead = reading.dueAt === Number.POSITIVE_INFINITY;
+	if (hasRead && isDue(writing, now)) {
 		update.set('registry', {writing: {...writing, isInProgress: true}, writtenRecord: self});
 		update.emit({type: 'write-record', record: self});
 	}
--- a/packages/redwingmill-protocol/src/datagram-codec.ts
+++ b/packages/redwingmill-protocol/src/datagram-codec.ts
@@ -37,14 +37,13 @@
 	const {body} = parseDatagram(bytes);
 	switch (body.case) {
 		case 'announcement': {
-			const {record, version, wantsReply, storeEra, knewReceiver} = body.value;
+			const {record, version, wantsReply, storeEra} = body.value;
 			return {
 				type: 'announcement',
 				record: decodeRecord(record),
 				version: Number(version),
 				wantsReply,
 				storeEra,
-				...(knewReceiver && {knewReceiver}),
 			};
 		}
 
