--- a/review/lib-3/harness.js
+++ b/review/lib-3/harness.js
@@ -14,6 +14,7 @@
 const root = path.join(import.meta.dirname, '..', '..');
 const runCommand = /^run = "(?<words>[^"]+)"/mv;
 const portsPerNode = {inbound: 0, app: 1, ready: 2, outbound: 4, control: 6};
+const linkOffset = 30;
 const firstRangePort = 10;
 const rangePorts = 16;
 
@@ -56,7 +57,7 @@
 	#fields;
 	#startCount = 0;
 
-	constructor(mesh, {name, ip, zone, service, seeds}) {
+	constructor(mesh, {name, ip, zone, service, seeds, isLinked}) {
 		this.#mesh = mesh;
 		this.name = name;
 		this.ip = ip;
@@ -65,6 +66,7 @@
 		this.listen = Object.fromEntries(
 			Object.entries(portsPerNode).map(([key, offset]) => [key, at(offset)]),
 		);
+		this.linkAddress = isLinked ? at(linkOffset) : undefined;
 		this.#file = path.join(mesh.directory, `${name}.jsonc`);
 		this.#fields = {
 			zone,
@@ -96,7 +98,7 @@
 		const fields = {...this.#fields, first_start: this.#startCount === 0};
 		this.#startCount += 1;
 		const template = readFileSync(path.join(root, 'deploy', 'settings.jsonc'), 'utf8');
-		writeFileSync(this.#file, renderTemplate(template, fields));
+		writeFileSync(this.#file, this.#withLink(renderTemplate(template, fields)));
 		const [program, ...words] = nodeCommand();
 		const child = spawn(program, words, {
 			cwd: root,
@@ -131,6 +133,18 @@
 		}
 	}
 
+	/** Adds the address at which other nodes reach this one's gate through a proxy, if there is one. */
+	#withLink(settings) {
+		const {linkAddress} = this;
+		if (linkAddress === undefined) {
+			return settings;
+		}
+
+		const control = `${this.#fields.ip}:${this.#fields.port_range[0]}`;
+		const advertised = JSON.stringify({control, gate: linkAddress});
+		return settings.replace('"caller":', `"advertised": ${advertised},\n\t"caller":`);
+	}
+
 	async isReady() {
 		const {status} = await send(this.listen.ready, {path: '/redwingmill/ready', timeoutMs: 500});
 		return status === 200;
@@ -176,7 +190,7 @@
 		this.storeAddress = await storeProxy(await this.store.listen());
 		for (;;) {
 			this.portBase = 20_000 + Math.floor(Math.random() * 10_000);
-			const probes = [0, 1, 2, 4, 6, 10, 25].map(async (offset) =>
+			const probes = [0, 1, 2, 4, 6, 10, 25, linkOffset].map(async (offset) =>
 				isFree(`${this.#subnet}.1`, this.portBase + offset),
 			);
 			const free = await Promise.all(probes);
@@ -186,13 +200,15 @@
 		}
 	}
 
-	addNode({zone, service}) {
+	/** @param node.isLinked - whether other nodes reach its gate through a proxy at its `linkAddress`. */
+	addNode({zone, service, isLinked = false}) {
 		const index = this.nodes.length + 1;
 		const node = new NodeProcess(this, {
 			name: `node-${index}`,
 			ip: `${this.#subnet}.${index}`,
 			zone,
 			service,
+			isLinked,
 			seeds: this.nodes.slice(0, 3).map(({listen}) => listen.control),
 		});
 		this.nodes.push(node);
