--- a/review/lib-3/link.js
+++ b/review/lib-3/link.js
@@ -79,8 +79,18 @@
 		};
 
 		socket.on('data', keep);
+		const drop = () => {
+			socket.destroy();
+		};
+
+		socket.once('end', drop);
 		await this.#untilHealed();
+		if (socket.destroyed) {
+			return;
+		}
+
 		socket.off('data', keep);
+		socket.off('end', drop);
 		const [host, port] = this.#target.split(':');
 		const target = connect({host, port: Number(port), noDelay: true});
 		this.#track(target);
